Serve a request over the whole path, as separate processes

A caller's request goes through any of six routers to the router beside the owner and its target. Ownership stands in the store by compare-and-swap, grants hang on leases that a coordinator renews, and standbys can take its place.

Two faults were found by reading the plan against late writes, before any test saw them: - A lease could be renewed while a write that takes the shard away was under way, so the old owner would have served beside the new one. A member that is losing a shard gets no renewal now. - A write of unknown outcome was forgotten when the store did not show it yet, though it could still take effect later. It stays pending and is sent again as it was until its index is used up.

--- /dev/null
+++ b/crates/anvilrack-cli/src/lib.rs
@@ -0,0 +1,5 @@
+//! The operators' command, as a library for its binary and its tests.
+
+pub mod config_apply;
+pub mod config_difference;
+pub mod router_calls;
--- /dev/null
+++ b/crates/anvilrack-cli/src/main.rs
@@ -0,0 +1,82 @@
+//! `anvilrack`: the operators' command.
+
+use anvilrack_cli::{config_apply, router_calls};
+use anvilrack_settings::config_file::read_config;
+use anvilrack_store::HttpStore;
+use serde_json::Value;
+
+use crate::command_flags::{Anvilrack, AnvilrackCmd, Apply, Explain, Status};
+
+mod command_flags;
+
+fn main() -> eyre::Result<()> {
+    env_logger::init();
+    match Anvilrack::from_env_or_exit().subcommand {
+        AnvilrackCmd::Check(check) => {
+            let document = read_config(&check.file)?;
+            println!(
+                "{}: {} services, no fault found",
+                check.file.display(),
+                document.services.len()
+            );
+        }
+        AnvilrackCmd::Apply(flags) => apply(&flags)?,
+        AnvilrackCmd::Show(show) => {
+            let (record, _) = config_apply::read_config(&HttpStore::new(show.store))?;
+            println!("{}", serde_json::to_string_pretty(&record)?);
+        }
+        AnvilrackCmd::Status(flags) => status(&flags)?,
+        AnvilrackCmd::Explain(flags) => explain(&flags)?,
+        AnvilrackCmd::Drain(drain) => {
+            router_calls::drain(drain.router)?;
+            println!("{} is giving its shards to others", drain.router);
+        }
+    }
+    Ok(())
+}
+
+fn apply(flags: &Apply) -> eyre::Result<()> {
+    let document = read_config(&flags.file)?;
+    let revision = config_apply::apply(&HttpStore::new(flags.store), document, flags.from)?;
+    println!("revision {revision} is applied");
+    Ok(())
+}
+
+fn status(flags: &Status) -> eyre::Result<()> {
+    let status = router_calls::get(flags.router, "/_status")?;
+    if flags.json {
+        println!("{status}");
+        return Ok(());
+    }
+    print_fields(&status);
+    Ok(())
+}
+
+fn explain(flags: &Explain) -> eyre::Result<()> {
+    let path = format!("/_explain/{}/{}", flags.service, flags.key);
+    let explanation = router_calls::get(flags.router, &path)?;
+    if flags.json {
+        println!("{explanation}");
+        return Ok(());
+    }
+    print_fields(&explanation);
+    Ok(())
+}
+
+fn print_fields(value: &Value) {
+    let Value::Object(fields) = value else {
+        return;
+    };
+    for (name, value) in fields {
+        match value {
+            Value::Array(rows) => {
+                println!("{name}:");
+                for row in rows {
+                    println!("  {row}");
+                }
+            }
+            Value::String(text) => println!("{name}: {text}"),
+            other => println!("{name}: {other}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/anvilrack-core/src/event_catalogue.rs
@@ -0,0 +1,57 @@
+//! The numbered log events.
+
+/// One kind of log line.
+///
+/// The number never changes its meaning; a number that is no longer used is not given out again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LogEvent {
+    /// Number, unique in the catalogue.
+    pub number: u16,
+    /// Short name.
+    pub name: &'static str,
+    /// What it means, for `docs/EVENTS.md`.
+    pub meaning: &'static str,
+}
+
+macro_rules! catalogue {
+    ($($constant:ident = $number:literal, $name:literal, $meaning:literal;)*) => {
+        /// One constant for each event.
+        pub mod events {
+            use super::LogEvent;
+            $(
+                #[doc = $meaning]
+                pub const $constant: LogEvent =
+                    LogEvent { number: $number, name: $name, meaning: $meaning };
+            )*
+        }
+
+        /// All events in the order of their numbers.
+        pub const EVENT_CATALOGUE: &[LogEvent] = &[$(events::$constant),*];
+    };
+}
+
+catalogue! {
+    ROUTER_STARTED = 1001, "router.started", "A router started; says its addresses and place.";
+    ROUTER_STOPPING = 1002, "router.stopping", "A graceful stop began.";
+    ROUTER_STOPPED = 1003, "router.stopped", "A graceful stop ended; says what was still in flight.";
+    TARGET_ANNOUNCED = 1101, "target.announced", "A target announced itself to the router beside it.";
+    TARGET_READY = 1102, "target.ready", "The target's own answer about being ready changed.";
+    GRANT_TAKEN = 1201, "grant.taken", "This router was granted shards; says which and with what tokens.";
+    GRANT_ENDED = 1202, "grant.ended", "This router's grants ended; says why.";
+    LEASE_LAPSED = 1203, "lease.lapsed", "The lease ran out before it was renewed.";
+    SHARD_RELEASED = 1204, "shard.released", "A shard was given back for a planned move.";
+    CELL_CREATED = 1301, "cell.created", "This router created its cell and coordinates it.";
+    CELL_TAKEN_OVER = 1302, "cell.taken-over", "This router took its cell over.";
+    CELL_SUPERSEDED = 1303, "cell.superseded", "Another router took the cell over; this one stands down.";
+    CELL_WRITTEN = 1304, "cell.written", "An assignment is in the store; says what changed.";
+    CELL_WRITE_UNKNOWN = 1305, "cell.write-unknown", "The reply to a write was lost; it is being read back.";
+    OUTAGE_BEGAN = 1306, "store.outage-began", "The store does not answer; the cell goes on under promises.";
+    OUTAGE_ENDED = 1307, "store.outage-ended", "The store answers again.";
+    PLACEMENT_DECIDED = 1401, "placement.decided", "A shard was given to an owner; says which and why.";
+    MOVE_PLANNED = 1402, "placement.move-planned", "A shard is to move; says from where, to where and why.";
+    CONFIG_TAKEN = 1501, "config.taken", "A newer configuration is in force on this router.";
+    CONFIG_REFUSED = 1502, "config.refused", "An older configuration was offered and refused.";
+    REQUEST_ROUTED = 2001, "request.routed", "A request was answered; says to where it went and its verdict.";
+    REQUEST_REFUSED = 2002, "request.refused", "A request was refused; says why.";
+    PEER_LOST = 2101, "peer.lost", "A link to another router broke or went silent.";
+}
--- /dev/null
+++ b/crates/anvilrack-core/src/lib.rs
@@ -0,0 +1,48 @@
+//! The pure decisions of anvilrack.
+//!
+//! Nothing in this crate opens a socket, starts a thread or reads a clock. You pass the time in as
+//! a [`BootTime`], and you get a decision back. That is what lets the model checker and the tests
+//! drive the very code that runs in production.
+//!
+//! Where to start reading:
+//!
+//! * [`RequestVerdict`] is what a caller is told.
+//! * [`CellRecord`] is what the store keeps: who owns which shard.
+//! * [`OwnerState`] decides whether this router may serve a shard right now.
+//! * [`CoordinatorState`] decides who should own what.
+//! * [`StandbyState`] decides whether this router may replace its coordinator.
+
+mod cell_record;
+mod clock;
+mod coordinator_state;
+mod event_catalogue;
+mod ids;
+mod lease_terms;
+mod owner_state;
+mod placement_policy;
+mod request_verdict;
+mod route_table;
+mod service_rules;
+mod shard_hash;
+mod standby_state;
+
+pub use cell_record::{CellMember, CellRecord, ShardOwner, WriterStamp};
+pub use clock::BootTime;
+pub use coordinator_state::{
+    CoordinatorState, MemberReport, ReleaseOrder, ReleaseReport, RenewalAnswer,
+};
+pub use event_catalogue::{EVENT_CATALOGUE, LogEvent, events};
+pub use ids::{
+    DomainName, Epoch, FencingToken, Incarnation, NodeId, RegionName, Revision, ServiceName,
+    ShardId, TableVersion,
+};
+pub use lease_terms::LeaseTerms;
+pub use owner_state::{GrantAnswer, OwnerState};
+pub use placement_policy::PlacementPolicy;
+pub use request_verdict::{RefusalReason, RequestVerdict, TargetAnswer, UncertainReason};
+pub use route_table::{RouteError, RouteTable, ShardRoute};
+pub use service_rules::{
+    ConfigDocument, ConfigRecord, PlacementWeights, RequestClass, ServiceRules, SitePlan,
+};
+pub use shard_hash::ShardHash;
+pub use standby_state::{StandbyState, TakeoverStep};
--- /dev/null
+++ b/crates/anvilrack-fakes/src/bin/fake_store.rs
@@ -0,0 +1,23 @@
+//! `anvilrack-fake-store`: a stand-in for the platform's store.
+
+use std::net::SocketAddr;
+
+use anvilrack_fakes::FakeStore;
+
+mod flags {
+    use super::SocketAddr;
+
+    xflags::xflags! {
+        /// A stand-in for the platform's key-value store.
+        cmd anvilrack-fake-store {
+            /// Where to listen, as ip:port.
+            required --address address: SocketAddr
+        }
+    }
+}
+
+fn main() -> eyre::Result<()> {
+    env_logger::init();
+    let flags = flags::AnvilrackFakeStore::from_env_or_exit();
+    FakeStore::default().run(flags.address)
+}
--- /dev/null
+++ b/crates/anvilrack-fakes/src/fake_store.rs
@@ -0,0 +1,256 @@
+//! The stand-in for the platform's store.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use tiny_http::{Method, Request};
+
+use crate::StoreMemory;
+use crate::http_worker::{drop_unanswered, read_body, respond, serve_forever};
+
+/// Threads that serve calls.
+const WORKERS: usize = 32;
+
+/// Longest time a watch may wait.
+const WAIT_LIMIT: Duration = Duration::from_mins(1);
+
+/// A key-value store over HTTP with compare-and-swap, watches and sessions.
+///
+/// It follows the published key-value and session calls of Consul. `/_control/` is for tests:
+/// `faults` switches faults on, `counters` tells the calls so far, `save` and `restore` keep and
+/// put back a copy.
+#[derive(Clone, Default)]
+pub struct FakeStore {
+    shared: Arc<SharedStore>,
+}
+
+#[derive(Default)]
+struct SharedStore {
+    state: Mutex<StoreState>,
+    changed: Condvar,
+}
+
+#[derive(Default)]
+struct StoreState {
+    memory: StoreMemory,
+    saved: StoreMemory,
+    faults: StoreFaults,
+    counters: StoreCounters,
+}
+
+/// Faults that can be switched on.
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct StoreFaults {
+    /// Each call is answered with 503.
+    pub down: bool,
+    /// Each call takes this much longer, in milliseconds.
+    pub slow_ms: u64,
+    /// The replies to so many writes are lost, after the write took effect.
+    pub lose_replies: u32,
+}
+
+/// Calls so far.
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+pub struct StoreCounters {
+    /// Reads that did not wait.
+    pub reads: u64,
+    /// Watches, one for each call.
+    pub watches: u64,
+    /// Writes, whether they took effect or not.
+    pub writes: u64,
+    /// Writes refused because of a newer value.
+    pub conflicts: u64,
+}
+
+impl FakeStore {
+    /// Serves on `address` until the process ends.
+    ///
+    /// # Errors
+    ///
+    /// Where the address cannot be bound.
+    pub fn run(self, address: SocketAddr) -> eyre::Result<()> {
+        serve_forever(address, WORKERS, move |request| self.serve(request))
+    }
+
+    fn serve(&self, request: Request) {
+        let url = request.url().to_owned();
+        let (path, query) = url.split_once('?').unwrap_or((&url, ""));
+        if let Some(control) = path.strip_prefix("/_control/") {
+            return self.serve_control(request, control);
+        }
+        let faults = self.state().faults;
+        thread::sleep(Duration::from_millis(faults.slow_ms));
+        if faults.down {
+            return respond(request, 503, "store is down");
+        }
+        if let Some(key) = path.strip_prefix("/v1/kv/") {
+            return self.serve_key(request, key, query);
+        }
+        if let Some(call) = path.strip_prefix("/v1/session/") {
+            return self.serve_session(request, call);
+        }
+        respond(request, 404, "no such call");
+    }
+
+    // --- keys -----------------------------------------------------------------------------------
+
+    fn serve_key(&self, request: Request, key: &str, query: &str) {
+        match request.method() {
+            Method::Put => self.put(request, key, query),
+            Method::Get => self.get(request, key, query),
+            _ => respond(request, 405, "use GET or PUT"),
+        }
+    }
+
+    fn get(&self, request: Request, key: &str, query: &str) {
+        let Some(index) = parameter(query, "index").and_then(|text| text.parse().ok()) else {
+            self.state().counters.reads += 1;
+            return self.answer_entry(request, key);
+        };
+        self.state().counters.watches += 1;
+        let wait = parameter(query, "wait")
+            .and_then(parse_millis)
+            .unwrap_or(WAIT_LIMIT);
+        let store = self.clone();
+        let key = key.to_owned();
+        // A watch blocks for long, so it must not hold one of the workers.
+        thread::spawn(move || {
+            store.await_change(&key, index, wait.min(WAIT_LIMIT));
+            if store.state().faults.down {
+                return respond(request, 503, "store is down");
+            }
+            store.answer_entry(request, &key);
+        });
+    }
+
+    fn await_change(&self, key: &str, index: u64, wait: Duration) {
+        let until = Instant::now() + wait;
+        let mut state = self.state();
+        loop {
+            let current = state.memory.get(key).map_or(0, |entry| entry.index);
+            let left = until.saturating_duration_since(Instant::now());
+            if current != index || left.is_zero() || state.faults.down {
+                return;
+            }
+            let woken = self.shared.changed.wait_timeout(state, left);
+            state = woken.map_or_else(|error| error.into_inner().0, |(state, _)| state);
+        }
+    }
+
+    fn answer_entry(&self, request: Request, key: &str) {
+        let entry = self.state().memory.get(key).cloned();
+        let Some(entry) = entry else {
+            return respond(request, 404, "");
+        };
+        let body = json!([{
+            "Key": key,
+            "ModifyIndex": entry.index,
+            "Value": STANDARD.encode(&entry.value),
+            "Session": entry.session,
+        }]);
+        respond(request, 200, body.to_string());
+    }
+
+    fn put(&self, mut request: Request, key: &str, query: &str) {
+        let Ok(value) = read_body(&mut request) else {
+            return respond(request, 400, "body cannot be read");
+        };
+        let mut state = self.state();
+        state.counters.writes += 1;
+        let written = if let Some(session) = parameter(query, "acquire") {
+            state.memory.acquire(key, session, value, Instant::now())
+        } else {
+            let cas = parameter(query, "cas").and_then(|text| text.parse().ok());
+            state.memory.put(key, cas, value)
+        };
+        state.counters.conflicts += u64::from(!written);
+        let lost = written && state.faults.lose_replies > 0;
+        if lost {
+            state.faults.lose_replies -= 1;
+        }
+        drop(state);
+        self.shared.changed.notify_all();
+        if lost {
+            return drop_unanswered(request);
+        }
+        respond(request, 200, written.to_string());
+    }
+
+    // --- sessions -------------------------------------------------------------------------------
+
+    fn serve_session(&self, mut request: Request, call: &str) {
+        if call == "create" {
+            let ttl = read_body(&mut request)
+                .ok()
+                .and_then(|body| parse_ttl(&body));
+            let ttl = ttl.unwrap_or(Duration::from_secs(10));
+            let name = self.state().memory.open_session(ttl, Instant::now());
+            return respond(request, 200, json!({ "ID": name }).to_string());
+        }
+        let renewed = call
+            .strip_prefix("renew/")
+            .is_some_and(|name| self.state().memory.renew_session(name, Instant::now()));
+        respond(request, if renewed { 200 } else { 404 }, "");
+    }
+
+    // --- control --------------------------------------------------------------------------------
+
+    fn serve_control(&self, mut request: Request, call: &str) {
+        let body = read_body(&mut request).unwrap_or_default();
+        let mut state = self.state();
+        match call {
+            "faults" => match serde_json::from_slice(&body) {
+                Ok(faults) => state.faults = faults,
+                Err(error) => return respond(request, 400, error.to_string()),
+            },
+            "save" => state.saved = state.memory.clone(),
+            "restore" => {
+                let saved = state.saved.clone();
+                state.memory.restore(saved);
+            }
+            "counters" => {
+                let counters = state.counters;
+                return respond(request, 200, json!(counters).to_string());
+            }
+            _ => return respond(request, 404, "no such control call"),
+        }
+        drop(state);
+        self.shared.changed.notify_all();
+        respond(request, 200, "ok");
+    }
+
+    fn state(&self) -> MutexGuard<'_, StoreState> {
+        self.shared
+            .state
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn parameter<'a>(query: &'a str, name: &str) -> Option<&'a str> {
+    query
+        .split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(field, _)| *field == name)
+        .map(|(_, value)| value)
+}
+
+fn parse_millis(text: &str) -> Option<Duration> {
+    text.strip_suffix("ms")?
+        .parse()
+        .ok()
+        .map(Duration::from_millis)
+}
+
+fn parse_ttl(body: &[u8]) -> Option<Duration> {
+    let json: serde_json::Value = serde_json::from_slice(body).ok()?;
+    let seconds = json.get("TTL")?.as_str()?.strip_suffix('s')?.parse().ok()?;
+    Some(Duration::from_secs(seconds))
+}
--- /dev/null
+++ b/crates/anvilrack-fakes/src/lib.rs
@@ -0,0 +1,17 @@
+//! Small stand-ins for the platform's store and for a target, with faults that you can switch on.
+//!
+//! They exist for tests, the demo and the bench. Each is a process of its own, so that a test can
+//! kill or freeze it.
+
+mod fake_store;
+mod fake_target;
+mod http_worker;
+mod run_history;
+mod store_memory;
+mod target_faults;
+
+pub use fake_store::{FakeStore, StoreCounters, StoreFaults};
+pub use fake_target::{FakeTarget, TargetOptions};
+pub use run_history::{RunHistory, TargetRun};
+pub use store_memory::StoreMemory;
+pub use target_faults::TargetFaults;
--- /dev/null
+++ b/crates/anvilrack-harness/tests/whole_path.rs
@@ -0,0 +1,30 @@
+//! Requests from callers through routers to owners' targets and back, in real processes.
+
+use anvilrack_harness::Deployment;
+use anvilrack_load::run_load;
+
+macro_rules! whole_path_cases {
+    ($($name:ident: $routers:literal routers;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                serve_through_any_router($routers);
+            }
+        )*
+    };
+}
+
+whole_path_cases! {
+    one_router_serves_its_own_target: 1 routers;
+    six_routers_reach_the_one_owner: 6 routers;
+}
+
+fn serve_through_any_router(routers: usize) {
+    let mut deployment = Deployment::new("bookings", routers).unwrap();
+    deployment.await_ready().unwrap();
+    let history = run_load(&deployment.load());
+    let report = deployment.judge(&history).unwrap();
+    assert!(report.is_clean(), "{report}");
+    assert!(report.ran > 0, "{report}");
+    assert_eq!(report.may_have_run, 0, "{report}");
+}
--- /dev/null
+++ b/crates/anvilrack-load/src/lib.rs
@@ -0,0 +1,19 @@
+//! Load with a history checker.
+//!
+//! Each request carries an id of its own, and each answer says which request it belongs to. After
+//! the load the tool fetches from every target what it has run, and holds the callers' verdicts
+//! against that. See [`LoadReport`] for what comes out.
+
+mod history_check;
+mod load_history;
+mod load_options;
+mod load_report;
+mod load_worker;
+mod request_plan;
+
+pub use history_check::{fetch_runs, judge};
+pub use load_history::{LoadHistory, LoadRecord, ToldVerdict};
+pub use load_options::LoadOptions;
+pub use load_report::LoadReport;
+pub use load_worker::run_load;
+pub use request_plan::{PlannedRequest, RequestPlan};
--- /dev/null
+++ b/crates/anvilrack-load/src/load_history.rs
@@ -0,0 +1,40 @@
+//! What the callers were told.
+
+use std::time::Duration;
+
+/// What a caller was told of one request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ToldVerdict {
+    /// It ran, and the answer is the right one.
+    Ran,
+    /// It ran, but the answer belongs to something else or is not whole.
+    WrongAnswer,
+    /// It did not run.
+    NotRun,
+    /// It may have run, or there was no answer at all.
+    MayHaveRun,
+}
+
+/// One request and what came of it.
+#[derive(Clone, Debug)]
+pub struct LoadRecord {
+    /// HTTP method.
+    pub method: &'static str,
+    /// The key.
+    pub key: String,
+    /// Unique id, sent as the idempotency key.
+    pub id: String,
+    /// What the caller was told.
+    pub told: ToldVerdict,
+    /// Time from sending to the whole answer.
+    pub latency: Duration,
+}
+
+/// All requests of one load.
+#[derive(Clone, Debug, Default)]
+pub struct LoadHistory {
+    /// In no particular order.
+    pub records: Vec<LoadRecord>,
+    /// How long the load lasted.
+    pub elapsed: Duration,
+}
--- /dev/null
+++ b/crates/anvilrack-router/src/main.rs
@@ -0,0 +1,40 @@
+//! `anvilrack-router`: the process beside each target.
+
+use std::path::PathBuf;
+
+use anvilrack_router::router_process::RouterProcess;
+use anvilrack_settings::RouterSettings;
+use eyre::eyre;
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+
+mod flags {
+    use super::PathBuf;
+
+    xflags::xflags! {
+        /// Routes callers' requests to the owners of their keys, and guards the target beside it.
+        cmd anvilrack-router {
+            /// Settings file, JSON with comments.
+            required settings: PathBuf
+            /// Read and check the settings, then stop.
+            optional --check
+        }
+    }
+}
+
+fn main() -> eyre::Result<()> {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    let flags = flags::AnvilrackRouter::from_env_or_exit();
+    let settings = RouterSettings::read(&flags.settings)?;
+    if flags.check {
+        return Ok(());
+    }
+    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    let process = RouterProcess::start(settings)?;
+    signals
+        .forever()
+        .next()
+        .ok_or_else(|| eyre!("signals ended"))?;
+    process.close();
+    Ok(())
+}
--- /dev/null
+++ b/crates/anvilrack-router/src/peer_handler.rs
@@ -0,0 +1,79 @@
+//! Answers to other routers.
+
+use std::sync::Arc;
+
+use anvilrack_core::{CellRecord, RefusalReason, RequestVerdict, ServiceName};
+use anvilrack_peer::{PeerService, ReplySender};
+use anvilrack_wire::{HeartbeatRequest, PeerReply, PeerRequest, TakeoverCall};
+
+use crate::guard_pool::{GuardJob, GuardPool, GuardReply};
+use crate::router_context::RouterContext;
+use crate::{boot_clock, membership};
+
+/// Serves the requests of other routers.
+///
+/// Control messages are answered on the spot, since they take a few steps under a lock. Callers'
+/// requests go to the guard's workers.
+pub struct PeerHandler {
+    context: Arc<RouterContext>,
+    guard: GuardPool,
+}
+
+impl PeerHandler {
+    /// You give the shared state and the guard's workers.
+    pub fn new(context: Arc<RouterContext>, guard: GuardPool) -> Self {
+        Self { context, guard }
+    }
+
+    fn heartbeat(&self, request: &HeartbeatRequest) -> PeerReply {
+        match membership::answer_heartbeat(&self.context, request) {
+            Some(reply) => PeerReply::Heartbeat(Box::new(reply)),
+            None => PeerReply::NotCoordinator(self.context.update_for(&request.digest)),
+        }
+    }
+
+    fn takeover(&self, call: TakeoverCall) -> PeerReply {
+        let context = &self.context;
+        let same_cell = context.service().as_ref() == Some(&call.record.service);
+        let follows = same_cell && context.owner().on_takeover(call.record.epoch);
+        context.accept_cell(call.record);
+        if follows {
+            context.standby().on_answer(boot_clock::now());
+        }
+        PeerReply::TakeoverSeen(follows.then(|| context.report()))
+    }
+
+    fn promise(&self, service: &ServiceName, epoch: anvilrack_core::Epoch) -> PeerReply {
+        let cell: Option<Arc<CellRecord>> = self.context.routes().cell(service).cloned();
+        let promised = cell.is_some_and(|cell| {
+            self.context
+                .standby()
+                .promise(&cell, epoch, boot_clock::now())
+        });
+        PeerReply::Promised(promised)
+    }
+}
+
+impl PeerService for PeerHandler {
+    fn serve(&self, request: PeerRequest, reply: ReplySender) {
+        let answer = match request {
+            PeerRequest::Forward(request) => {
+                let deadline = boot_clock::now() + request.timeout;
+                let job = GuardJob::new(request, deadline, GuardReply::Peer(reply));
+                return self.guard.submit(job);
+            }
+            PeerRequest::Heartbeat(request) => self.heartbeat(&request),
+            PeerRequest::Takeover(call) => self.takeover(call),
+            PeerRequest::Promise(service, epoch) => self.promise(&service, epoch),
+            PeerRequest::Pull(digest) => PeerReply::Update(self.context.update_for(&digest)),
+            PeerRequest::Handover(_) => PeerReply::HandoverTaken(false),
+        };
+        reply.send(answer);
+    }
+}
+
+/// The answer to a request for which there is no room.
+#[must_use]
+pub fn overloaded() -> RequestVerdict {
+    RequestVerdict::NotRun(RefusalReason::Overloaded, crate::stages::RETRY_SOON)
+}
--- /dev/null
+++ b/crates/anvilrack-router/src/router_context.rs
@@ -0,0 +1,235 @@
+//! What the threads of a router share.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use anvilrack_core::{
+    CellMember, CellRecord, ConfigRecord, CoordinatorState, Incarnation, LeaseTerms, MemberReport,
+    NodeId, OwnerState, RouteTable, ServiceName, StandbyState, events,
+};
+use anvilrack_peer::PeerLinks;
+use anvilrack_settings::RouterSettings;
+use anvilrack_store::HttpStore;
+use anvilrack_wire::{TableDigest, TableUpdate};
+use crossbeam::sync::ShardedLock;
+use tokio::runtime::Handle;
+
+use crate::release_tracker::ReleaseTracker;
+use crate::target_view::TargetView;
+use crate::{boot_clock, log_event};
+
+/// The state of one router process.
+///
+/// Each lock guards one small value and is held for a few steps only; no lock is held over I/O.
+pub struct RouterContext {
+    /// As read from the settings file.
+    pub settings: RouterSettings,
+    /// Which run of this router this is.
+    pub incarnation: Incarnation,
+    /// The deployment's times.
+    pub terms: LeaseTerms,
+    /// The platform's store.
+    pub store: HttpStore,
+    /// Links to other routers.
+    pub links: PeerLinks,
+    /// Shards on their way to another owner.
+    pub releases: ReleaseTracker,
+    owner: Mutex<OwnerState>,
+    standby: Mutex<StandbyState>,
+    coordinator: Mutex<Option<CoordinatorState>>,
+    target: Mutex<TargetView>,
+    routes: ShardedLock<Arc<RouteTable>>,
+    leaving: AtomicBool,
+    ended: AtomicBool,
+}
+
+impl RouterContext {
+    /// You give the settings and the runtime for links to other routers.
+    #[must_use]
+    pub fn new(settings: RouterSettings, runtime: Handle) -> Self {
+        let terms = LeaseTerms::default();
+        let incarnation = boot_clock::unix_ms();
+        let node = settings.node.clone();
+        let now = boot_clock::now();
+        Self {
+            store: HttpStore::new(settings.store),
+            links: PeerLinks::new(runtime),
+            releases: ReleaseTracker::default(),
+            owner: Mutex::new(OwnerState::new(node.clone(), incarnation, terms)),
+            standby: Mutex::new(StandbyState::new(node, incarnation, terms, now)),
+            coordinator: Mutex::new(None),
+            target: Mutex::default(),
+            routes: ShardedLock::new(Arc::default()),
+            leaving: AtomicBool::new(false),
+            ended: AtomicBool::new(false),
+            settings,
+            incarnation,
+            terms,
+        }
+    }
+
+    /// This router's name.
+    pub fn node(&self) -> &NodeId {
+        &self.settings.node
+    }
+
+    /// What this router owns.
+    pub fn owner(&self) -> MutexGuard<'_, OwnerState> {
+        lock(&self.owner)
+    }
+
+    /// This router as a possible successor of its coordinator.
+    pub fn standby(&self) -> MutexGuard<'_, StandbyState> {
+        lock(&self.standby)
+    }
+
+    /// The cell that this router coordinates, if it does.
+    pub fn coordinator(&self) -> MutexGuard<'_, Option<CoordinatorState>> {
+        lock(&self.coordinator)
+    }
+
+    /// The target beside this router.
+    pub fn target(&self) -> MutexGuard<'_, TargetView> {
+        lock(&self.target)
+    }
+
+    /// The tables as they are now.
+    pub fn routes(&self) -> Arc<RouteTable> {
+        self.routes
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// The service of the target beside this router, once it has announced itself.
+    pub fn service(&self) -> Option<ServiceName> {
+        self.target().service()
+    }
+
+    /// The record of this router's own cell.
+    pub fn own_cell(&self) -> Option<Arc<CellRecord>> {
+        let service = self.service()?;
+        self.routes().cell(&service).cloned()
+    }
+
+    // --- tables ---------------------------------------------------------------------------------
+
+    /// Which versions this router has.
+    pub fn digest(&self) -> TableDigest {
+        let routes = self.routes();
+        TableDigest {
+            cells: routes.digest(),
+            revision: routes.config().revision,
+        }
+    }
+
+    /// What a peer with that digest lacks.
+    pub fn update_for(&self, digest: &TableDigest) -> TableUpdate {
+        let routes = self.routes();
+        TableUpdate {
+            cells: routes.newer_than(&digest.cells),
+            config: routes.config_newer_than(digest.revision),
+        }
+    }
+
+    /// Takes what is newer than what this router has.
+    pub fn accept_update(&self, update: TableUpdate) {
+        for cell in update.cells {
+            self.accept_cell(cell);
+        }
+        if let Some(config) = update.config {
+            self.accept_config(config);
+        }
+    }
+
+    /// Takes a cell's record if it is newer.
+    ///
+    /// The owner's own state follows in the same step, so that a route never points here before
+    /// this router knows of its grant.
+    pub fn accept_cell(&self, cell: Arc<CellRecord>) {
+        if self.service().as_ref() == Some(&cell.service) {
+            self.owner().on_record(&cell, boot_clock::now());
+        }
+        self.change_routes(|routes| routes.accept_cell(cell));
+    }
+
+    /// Takes a configuration if it is newer.
+    pub fn accept_config(&self, config: Arc<ConfigRecord>) {
+        let known = self.routes().config().revision;
+        let revision = config.revision;
+        if self.change_routes(|routes| routes.accept_config(config)) {
+            log_event!(Info, events::CONFIG_TAKEN, "revision" = revision);
+        } else if revision < known {
+            let offered = revision;
+            log_event!(
+                Warn,
+                events::CONFIG_REFUSED,
+                "offered" = offered,
+                "known" = known
+            );
+        }
+    }
+
+    fn change_routes(&self, change: impl FnOnce(&mut RouteTable) -> bool) -> bool {
+        let mut shared = self.routes.write().unwrap_or_else(PoisonError::into_inner);
+        let mut table = RouteTable::clone(&shared);
+        let changed = change(&mut table);
+        if changed {
+            *shared = Arc::new(table);
+        }
+        changed
+    }
+
+    // --- this router as a member ----------------------------------------------------------------
+
+    /// This router as it describes itself to its cell.
+    pub fn member(&self) -> CellMember {
+        CellMember {
+            node: self.node().clone(),
+            incarnation: self.incarnation,
+            peer_address: self.settings.peer_address(),
+            failure_domain: self.settings.failure_domain.clone(),
+            region: self.settings.region.clone(),
+            leaving: self.is_leaving(),
+        }
+    }
+
+    /// What this router says in its next heartbeat.
+    pub fn report(&self) -> MemberReport {
+        let epoch = self.owner().epoch();
+        MemberReport {
+            member: self.member(),
+            epoch,
+            ready: self.target().is_ready(boot_clock::now()),
+            released: self.releases.reports(),
+        }
+    }
+
+    // --- stopping -------------------------------------------------------------------------------
+
+    /// Begins a graceful stop or a drain.
+    pub fn leave(&self) {
+        self.leaving.store(true, Ordering::SeqCst);
+    }
+
+    /// True once a graceful stop or a drain has begun.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::SeqCst)
+    }
+
+    /// Tells all threads to end.
+    pub fn end(&self) {
+        self.ended.store(true, Ordering::SeqCst);
+    }
+
+    /// Sleeps, and says whether the process goes on.
+    pub fn pause(&self, time: Duration) -> bool {
+        std::thread::sleep(time);
+        !self.ended.load(Ordering::SeqCst)
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/anvilrack-router/src/router_process.rs
@@ -0,0 +1,169 @@
+//! Starting and stopping a router.
+
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use anvilrack_core::{RequestVerdict, events};
+use anvilrack_peer::PeerServer;
+use anvilrack_settings::RouterSettings;
+use crossbeam::channel::{Receiver, TrySendError, bounded};
+use eyre::{WrapErr, eyre};
+use tiny_http::{Request, Server};
+use tokio::runtime::{Builder, Runtime};
+
+use crate::guard_pool::GuardPool;
+use crate::peer_handler::{PeerHandler, overloaded};
+use crate::router_context::RouterContext;
+use crate::stages::{accept, forward, reply};
+use crate::{boot_clock, control_port, log_event, membership, table_sync};
+
+/// Threads that run the links to other routers.
+const LINK_THREADS: usize = 2;
+
+/// How often a stop looks whether it is done.
+const STOP_STEP: Duration = Duration::from_millis(20);
+
+/// A running router.
+pub struct RouterProcess {
+    context: Arc<RouterContext>,
+    callers: Arc<Server>,
+    peers: PeerServer,
+    runtime: Runtime,
+}
+
+impl RouterProcess {
+    /// Starts all threads.
+    ///
+    /// # Errors
+    ///
+    /// Where an address cannot be bound.
+    pub fn start(settings: RouterSettings) -> eyre::Result<Self> {
+        let runtime = Builder::new_multi_thread()
+            .worker_threads(LINK_THREADS)
+            .enable_all()
+            .build()
+            .wrap_err("cannot start the threads for links")?;
+        let context = Arc::new(RouterContext::new(settings, runtime.handle().clone()));
+        let guard = GuardPool::start(&context);
+        let handler = Arc::new(PeerHandler::new(context.clone(), guard.clone()));
+        let address = context.settings.peer_address();
+        let peers = PeerServer::start(runtime.handle(), address, handler)
+            .wrap_err_with(|| format!("cannot listen on {address}"))?;
+        control_port::start(&context)?;
+        let callers = start_callers(&context, &guard)?;
+        for thread in [membership::run, table_sync::run] {
+            let context = context.clone();
+            thread::spawn(move || thread(&context));
+        }
+        let settings = &context.settings;
+        log_event!(
+            Info,
+            events::ROUTER_STARTED,
+            "node" = settings.node,
+            "callers" = settings.caller_address(),
+            "region" = settings.region,
+            "failure_domain" = settings.failure_domain
+        );
+        Ok(Self {
+            context,
+            callers,
+            peers,
+            runtime,
+        })
+    }
+
+    /// Stops gracefully: gives its shards to others, lets requests in flight end, then closes.
+    pub fn close(self) {
+        let context = &self.context;
+        log_event!(Info, events::ROUTER_STOPPING, "node" = context.node());
+        context.leave();
+        let until = boot_clock::now() + Duration::from_millis(context.settings.limits.stop_ms);
+        while boot_clock::now() < until && !is_idle(context) && context.pause(STOP_STEP) {}
+        self.callers.unblock();
+        self.peers.close();
+        context.end();
+        context.owner().end_lease();
+        let left = context.releases.in_flight();
+        log_event!(
+            Info,
+            events::ROUTER_STOPPED,
+            "node" = context.node(),
+            "in_flight" = left
+        );
+        self.runtime.shutdown_background();
+    }
+}
+
+/// True where this router owns nothing more and nothing is at work.
+fn is_idle(context: &RouterContext) -> bool {
+    let named = context.own_cell().is_some_and(|cell| {
+        let mut owned = cell.owned_by(context.node(), context.incarnation);
+        owned.next().is_some()
+    });
+    !named && context.releases.in_flight() == 0
+}
+
+// --- the callers' side --------------------------------------------------------------------------
+
+fn start_callers(context: &Arc<RouterContext>, guard: &GuardPool) -> eyre::Result<Arc<Server>> {
+    let address = context.settings.caller_address();
+    let server =
+        Server::http(address).map_err(|error| eyre!("cannot listen on {address}: {error}"))?;
+    let server = Arc::new(server);
+    let limits = context.settings.limits;
+    let (queue, requests) = bounded(limits.caller_queue);
+    for _ in 0..limits.caller_workers {
+        let context = context.clone();
+        let guard = guard.clone();
+        let requests = requests.clone();
+        thread::spawn(move || work(&context, &guard, &requests));
+    }
+    let listener = server.clone();
+    thread::spawn(move || {
+        while let Ok(request) = listener.recv() {
+            match queue.try_send(request) {
+                Ok(()) => {}
+                Err(TrySendError::Full(request) | TrySendError::Disconnected(request)) => {
+                    reply::process(request, overloaded());
+                }
+            }
+        }
+    });
+    Ok(server)
+}
+
+fn work(context: &RouterContext, guard: &GuardPool, requests: &Receiver<Request>) {
+    for mut request in requests {
+        let verdict = route(context, guard, &mut request);
+        reply::process(request, verdict);
+    }
+}
+
+fn route(context: &RouterContext, guard: &GuardPool, http: &mut Request) -> RequestVerdict {
+    let began = boot_clock::now();
+    let accepted = match accept::process(http, &context.settings.limits) {
+        Ok(accepted) => accepted,
+        Err(verdict) => {
+            log_event!(Info, events::REQUEST_REFUSED, "verdict" = verdict.word());
+            return verdict;
+        }
+    };
+    let outcome = forward::process(context, guard, &accepted);
+    let took = boot_clock::now().saturating_sub(began);
+    let hop = outcome.hop.as_ref().map_or("-", |hop| match hop {
+        crate::stages::resolve::NextHop::Here => "here",
+        crate::stages::resolve::NextHop::Peer(node, _) => node,
+    });
+    log_event!(
+        Info,
+        events::REQUEST_ROUTED,
+        "service" = accepted.request.service,
+        "key" = accepted.request.key,
+        "hop" = hop,
+        "tries" = outcome.tries,
+        "verdict" = outcome.verdict.word(),
+        "us" = took.as_micros()
+    );
+    outcome.verdict
+}
--- /dev/null
+++ b/crates/anvilrack-router/src/store_records.rs
@@ -0,0 +1,64 @@
+//! Cells' records and the configuration, as they stand in the store.
+
+use anvilrack_core::{CellRecord, ConfigRecord};
+use anvilrack_store::{KeyStore, StoreError, StoreIndex, WriteOutcome};
+use serde::de::DeserializeOwned;
+
+/// Key of the configuration.
+pub const CONFIG_KEY: &str = "anvilrack/config";
+
+/// Key of a cell's record.
+#[must_use]
+pub fn cell_key(service: &str) -> String {
+    format!("anvilrack/cells/{service}")
+}
+
+/// Reads a cell's record and its index; a cell that is not there has index zero.
+///
+/// # Errors
+///
+/// Where the store does not answer, or holds what cannot be understood.
+pub fn read_cell<S: KeyStore>(
+    store: &S,
+    service: &str,
+) -> Result<(Option<CellRecord>, StoreIndex), StoreError> {
+    read_json(store, &cell_key(service))
+}
+
+/// Reads the configuration and its index.
+///
+/// # Errors
+///
+/// Where the store does not answer, or holds what cannot be understood.
+pub fn read_config<S: KeyStore>(
+    store: &S,
+) -> Result<(Option<ConfigRecord>, StoreIndex), StoreError> {
+    read_json(store, CONFIG_KEY)
+}
+
+/// Writes a cell's record if it still has the index given.
+pub fn write_cell<S: KeyStore>(store: &S, record: &CellRecord, index: StoreIndex) -> WriteOutcome {
+    match serde_json::to_vec(record) {
+        Ok(value) => store.write(&cell_key(&record.service), index, &value),
+        Err(_) => WriteOutcome::Conflict,
+    }
+}
+
+/// Reads a value that holds JSON.
+///
+/// # Errors
+///
+/// [`StoreError::Malformed`] where it does not.
+pub fn parse_json<T: DeserializeOwned>(value: &[u8]) -> Result<T, StoreError> {
+    serde_json::from_slice(value).map_err(|error| StoreError::Malformed(error.to_string()))
+}
+
+fn read_json<S: KeyStore, T: DeserializeOwned>(
+    store: &S,
+    key: &str,
+) -> Result<(Option<T>, StoreIndex), StoreError> {
+    let Some(stored) = store.read(key)? else {
+        return Ok((None, 0));
+    };
+    Ok((Some(parse_json(&stored.value)?), stored.index))
+}
--- /dev/null
+++ b/crates/anvilrack-router/src/takeover.rs
@@ -0,0 +1,155 @@
+//! Taking office: creating a cell, or replacing a coordinator that stays silent.
+
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use anvilrack_core::{
+    BootTime, CellRecord, CoordinatorState, ServiceName, TakeoverStep, WriterStamp, events,
+};
+use anvilrack_store::{StoreIndex, WriteOutcome};
+
+use crate::router_context::RouterContext;
+use crate::store_records::{read_cell, write_cell};
+use crate::{boot_clock, coordinator_role, log_event};
+
+/// Time between two tries to read back a write whose reply was lost.
+const READ_BACK_EVERY: Duration = Duration::from_millis(100);
+
+/// Writes the first record of a cell, with this router as its coordinator.
+pub fn create_cell(context: &Arc<RouterContext>, service: &ServiceName, index: StoreIndex) {
+    let Some(rules) = context.routes().rules(service).cloned() else {
+        return;
+    };
+    let record = CellRecord {
+        service: service.clone(),
+        epoch: 1,
+        version: 1,
+        writer: stamp(context),
+        coordinator: context.node().clone(),
+        members: vec![context.member()],
+        shards: vec![None; rules.shards.max(1) as usize],
+        ..CellRecord::default()
+    };
+    if let Some(sent_at) = write_resolved(context, &record, index) {
+        log_event!(Info, events::CELL_CREATED, "service" = service);
+        take_office(context, record, sent_at, BootTime::ZERO);
+    }
+}
+
+/// Replaces a coordinator that stays silent.
+pub fn take_over(
+    context: &Arc<RouterContext>,
+    service: &ServiceName,
+    known: &CellRecord,
+    step: TakeoverStep,
+) {
+    let Ok((Some(stored), index)) = read_cell(&context.store, service) else {
+        return;
+    };
+    if stored.epoch > known.epoch || !may_take(context, &stored, step) {
+        context.accept_cell(Arc::new(stored));
+        context.standby().on_answer(boot_clock::now());
+        return;
+    }
+    // A store put back to an earlier copy must not bring back an earlier assignment.
+    let base = if stored.version < known.version {
+        known
+    } else {
+        &stored
+    };
+    let silent_wait = match step {
+        TakeoverStep::AsOutsider => context.terms.outage_limit + context.terms.silent_wait(),
+        _ => context.terms.silent_wait(),
+    };
+    let record = next_epoch(context, base);
+    context.standby().open_takeover();
+    let written = write_resolved(context, &record, index);
+    context.standby().settle_takeover(boot_clock::now());
+    if let Some(sent_at) = written {
+        let (epoch, old) = (record.epoch, &base.coordinator);
+        log_event!(
+            Warn,
+            events::CELL_TAKEN_OVER,
+            "service" = service,
+            "epoch" = epoch,
+            "from" = old
+        );
+        take_office(context, record, sent_at, silent_wait);
+    }
+}
+
+fn may_take(context: &RouterContext, stored: &CellRecord, step: TakeoverStep) -> bool {
+    let named = context.standby().is_named(stored);
+    match step {
+        TakeoverStep::Wait => false,
+        TakeoverStep::AsStandby => named,
+        TakeoverStep::AsOutsider => true,
+    }
+}
+
+fn next_epoch(context: &RouterContext, base: &CellRecord) -> CellRecord {
+    let mut record = base.clone();
+    record.epoch += 1;
+    record.version += 1;
+    record.writer = stamp(context);
+    record.coordinator = context.node().clone();
+    record.standbys.retain(|node| node != context.node());
+    record
+        .members
+        .retain(|member| member.node != *context.node());
+    record.members.push(context.member());
+    record
+}
+
+fn take_office(
+    context: &Arc<RouterContext>,
+    record: CellRecord,
+    sent_at: BootTime,
+    silent_wait: BootTime,
+) {
+    let now = boot_clock::now();
+    let state = CoordinatorState::new(record.clone(), context.terms, sent_at, now, silent_wait);
+    *context.coordinator() = Some(state);
+    context.accept_cell(Arc::new(record));
+    let context = context.clone();
+    thread::spawn(move || coordinator_role::run(&context));
+}
+
+/// Writes a record and finds out whether it took effect; if so, returns when the call went out
+/// that showed it.
+fn write_resolved(
+    context: &RouterContext,
+    record: &CellRecord,
+    index: StoreIndex,
+) -> Option<BootTime> {
+    let sent_at = boot_clock::now();
+    match write_cell(&context.store, record, index) {
+        WriteOutcome::Written => return Some(sent_at),
+        WriteOutcome::Conflict => return None,
+        WriteOutcome::Unknown => {}
+    }
+    log_event!(Warn, events::CELL_WRITE_UNKNOWN, "version" = record.version);
+    while context.pause(READ_BACK_EVERY) {
+        let sent_at = boot_clock::now();
+        match read_cell(&context.store, &record.service) {
+            Ok((Some(stored), _)) if stored.is_same_write(record) => return Some(sent_at),
+            Ok((_, found)) if found != index => return None,
+            // The write may still be on its way; only a newer index settles that it lost.
+            Ok(_) => match write_cell(&context.store, record, index) {
+                WriteOutcome::Written => return Some(sent_at),
+                WriteOutcome::Conflict | WriteOutcome::Unknown => {}
+            },
+            Err(_) => {}
+        }
+    }
+    None
+}
+
+fn stamp(context: &RouterContext) -> WriterStamp {
+    WriterStamp {
+        node: context.node().clone(),
+        incarnation: context.incarnation,
+        sequence: 0,
+    }
+}
--- /dev/null
+++ b/crates/anvilrack-wire/src/peer_message.rs
@@ -0,0 +1,130 @@
+//! The messages between routers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use anvilrack_core::{
+    CellRecord, ConfigRecord, Epoch, FencingToken, MemberReport, RenewalAnswer, Revision,
+    ServiceName, ShardId, TableVersion,
+};
+use serde::{Deserialize, Serialize};
+
+use crate::{ForwardReply, ForwardRequest};
+
+/// What one router asks of another.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum PeerRequest {
+    /// Guard and run a caller's request.
+    Forward(ForwardRequest),
+    /// A member speaks to its coordinator.
+    Heartbeat(HeartbeatRequest),
+    /// A new coordinator speaks to a router of its cell.
+    Takeover(TakeoverCall),
+    /// A coordinator asks a standby not to take over.
+    Promise(ServiceName, Epoch),
+    /// Give me what is newer than this.
+    Pull(TableDigest),
+    /// Take the at-most-once record of a shard that is about to move to you.
+    Handover(RecordHandover),
+}
+
+/// The answer to a [`PeerRequest`].
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum PeerReply {
+    /// To `Forward`.
+    Forwarded(ForwardReply),
+    /// To `Heartbeat`.
+    Heartbeat(Box<HeartbeatReply>),
+    /// To `Heartbeat`, from a router that is not the coordinator.
+    NotCoordinator(TableUpdate),
+    /// To `Takeover`: the member's report, if it now follows the new epoch.
+    TakeoverSeen(Option<MemberReport>),
+    /// To `Promise`: whether it is given.
+    Promised(bool),
+    /// To `Pull`.
+    Update(TableUpdate),
+    /// To `Handover`: whether the record was taken.
+    HandoverTaken(bool),
+}
+
+/// A member's heartbeat.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct HeartbeatRequest {
+    /// The cell's service.
+    pub service: ServiceName,
+    /// The member's state.
+    pub report: MemberReport,
+    /// What the member already knows.
+    pub digest: TableDigest,
+}
+
+/// The coordinator's answer to a heartbeat.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct HeartbeatReply {
+    /// About the lease.
+    pub answer: RenewalAnswer,
+    /// What the member lacks.
+    pub update: TableUpdate,
+}
+
+/// Which versions a router has.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TableDigest {
+    /// Version of each cell's record.
+    pub cells: Vec<(ServiceName, TableVersion)>,
+    /// Revision of the configuration.
+    pub revision: Revision,
+}
+
+/// Newer records than the receiver has.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct TableUpdate {
+    /// Cells' records.
+    pub cells: Vec<Arc<CellRecord>>,
+    /// The configuration.
+    pub config: Option<Arc<ConfigRecord>>,
+}
+
+/// A new coordinator's call to a router of its cell.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TakeoverCall {
+    /// The record that the new coordinator wrote.
+    pub record: Arc<CellRecord>,
+}
+
+/// The at-most-once record of a shard on its way to the next owner.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RecordHandover {
+    /// The cell's service.
+    pub service: ServiceName,
+    /// The shard.
+    pub shard: ShardId,
+    /// The token under which the record was kept.
+    pub token: FencingToken,
+    /// What was kept.
+    pub entries: Vec<RecordEntry>,
+}
+
+/// One non-idempotent request that has run, or may have.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RecordEntry {
+    /// The key asked for.
+    pub key: Arc<str>,
+    /// The caller's idempotency key.
+    pub idempotency_key: Arc<str>,
+    /// Fingerprint of method, path and body.
+    pub fingerprint: u64,
+    /// How long ago the request came in.
+    pub age: Duration,
+    /// What came of it.
+    pub outcome: RecordOutcome,
+}
+
+/// What came of a recorded request.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum RecordOutcome {
+    /// It ran, and this is its answer.
+    Done(ForwardReply),
+    /// It may have run.
+    Unknown,
+}
