Explain, report and measure what a router does; keep an applied configuration in force

- anvilrack explain: owner, why, since when, and what each member held when the coordinator decided.
- anvilrack status: who is unwell, what is being done, what waits for a person.
- Metrics by OpenTelemetry under /metrics; events and metrics are catalogued, and a test holds the pages against the code.
- A store put back to an earlier copy no longer brings back an older configuration: coordinators refuse it and write the newest one again.

Open, and said in the operators' page: an apply made on the restored copy in the moment before the newest configuration is written back is replaced by it.

--- a/crates/anvilrack-cli/src/lib.rs
+++ b/crates/anvilrack-cli/src/lib.rs
@@ -2,4 +2,5 @@
 
 pub mod config_apply;
 pub mod config_difference;
+pub mod report_text;
 pub mod router_calls;
--- a/crates/anvilrack-cli/src/main.rs
+++ b/crates/anvilrack-cli/src/main.rs
@@ -1,8 +1,10 @@
 //! `anvilrack`: the operators' command.
 
+use anvilrack_cli::report_text::{explanation_text, status_text};
 use anvilrack_cli::{config_apply, router_calls};
 use anvilrack_settings::config_file::read_config;
 use anvilrack_store::HttpStore;
+use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
 use serde_json::Value;
 
 use crate::command_flags::{Anvilrack, AnvilrackCmd, Apply, Explain, Status};
@@ -44,39 +46,22 @@
 
 fn status(flags: &Status) -> eyre::Result<()> {
     let status = router_calls::get(flags.router, "/_status")?;
-    if flags.json {
-        println!("{status}");
-        return Ok(());
-    }
-    print_fields(&status);
+    print(&status, flags.json, status_text);
     Ok(())
 }
 
 fn explain(flags: &Explain) -> eyre::Result<()> {
-    let path = format!("/_explain/{}/{}", flags.service, flags.key);
+    let key = utf8_percent_encode(&flags.key, NON_ALPHANUMERIC);
+    let path = format!("/_explain/{}/{key}", flags.service);
     let explanation = router_calls::get(flags.router, &path)?;
-    if flags.json {
-        println!("{explanation}");
-        return Ok(());
-    }
-    print_fields(&explanation);
+    print(&explanation, flags.json, explanation_text);
     Ok(())
 }
 
-fn print_fields(value: &Value) {
-    let Value::Object(fields) = value else {
-        return;
-    };
-    for (name, value) in fields {
-        match value {
-            Value::Array(rows) => {
-                println!("{name}:");
-                for row in rows {
-                    println!("  {row}");
-                }
-            }
-            Value::String(text) => println!("{name}: {text}"),
-            other => println!("{name}: {other}"),
-        }
+fn print(value: &Value, json: bool, text: impl Fn(&Value) -> String) {
+    if json {
+        println!("{value}");
+    } else {
+        print!("{}", text(value));
     }
 }
--- a/crates/anvilrack-core/src/event_catalogue.rs
+++ b/crates/anvilrack-core/src/event_catalogue.rs
@@ -51,6 +51,7 @@
     MOVE_PLANNED = 1402, "placement.move-planned", "A shard is to move; says from where, to where and why.";
     CONFIG_TAKEN = 1501, "config.taken", "A newer configuration is in force on this router.";
     CONFIG_REFUSED = 1502, "config.refused", "An older configuration was offered and refused.";
+    CONFIG_PUT_BACK = 1503, "config.put-back", "The store held an older configuration; the newest one was written back.";
     REQUEST_ROUTED = 2001, "request.routed", "A request was answered; says to where it went and its verdict.";
     REQUEST_REFUSED = 2002, "request.refused", "A request was refused; says why.";
     PEER_LOST = 2101, "peer.lost", "A link to another router broke or went silent.";
--- a/crates/anvilrack-core/src/lib.rs
+++ b/crates/anvilrack-core/src/lib.rs
@@ -18,7 +18,9 @@
 mod event_catalogue;
 mod ids;
 mod lease_terms;
+mod metric_catalogue;
 mod owner_state;
+mod placement_note;
 mod placement_policy;
 mod request_verdict;
 mod route_table;
@@ -37,7 +39,9 @@
     ShardId, TableVersion,
 };
 pub use lease_terms::LeaseTerms;
+pub use metric_catalogue::{METRIC_CATALOGUE, MetricInfo, metrics};
 pub use owner_state::{GrantAnswer, OwnerState};
+pub use placement_note::{PlacementJournal, PlacementNote, PlacementReason, placement_notes};
 pub use placement_policy::PlacementPolicy;
 pub use request_verdict::{RefusalReason, RequestVerdict, TargetAnswer, UncertainReason};
 pub use route_table::{RouteError, RouteTable, ShardRoute};
--- a/crates/anvilrack-fakes/src/fake_store.rs
+++ b/crates/anvilrack-fakes/src/fake_store.rs
@@ -9,7 +9,7 @@
 use base64::engine::general_purpose::STANDARD;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
-use tiny_http::{Method, Request};
+use tiny_http::{Header, Method, Request, Response};
 
 use crate::StoreMemory;
 use crate::http_worker::{drop_unanswered, read_body, respond, serve_forever};
@@ -112,21 +112,21 @@
     fn get(&self, request: Request, key: &str, query: &str) {
         let Some(index) = parameter(query, "index").and_then(|text| text.parse().ok()) else {
             self.state().counters.reads += 1;
-            return self.answer_entry(request, key);
+            return self.answer_entry(request, key, is_raw(query));
         };
         self.state().counters.watches += 1;
         let wait = parameter(query, "wait")
             .and_then(parse_millis)
             .unwrap_or(WAIT_LIMIT);
         let store = self.clone();
-        let key = key.to_owned();
+        let (key, raw) = (key.to_owned(), is_raw(query));
         // A watch blocks for long, so it must not hold one of the workers.
         thread::spawn(move || {
             store.await_change(&key, index, wait.min(WAIT_LIMIT));
             if store.state().faults.down {
                 return respond(request, 503, "store is down");
             }
-            store.answer_entry(request, &key);
+            store.answer_entry(request, &key, raw);
         });
     }
 
@@ -144,11 +144,14 @@
         }
     }
 
-    fn answer_entry(&self, request: Request, key: &str) {
+    fn answer_entry(&self, request: Request, key: &str, raw: bool) {
         let entry = self.state().memory.get(key).cloned();
         let Some(entry) = entry else {
             return respond(request, 404, "");
         };
+        if raw {
+            return respond_raw(request, entry.index, entry.value);
+        }
         let body = json!([{
             "Key": key,
             "ModifyIndex": entry.index,
@@ -234,6 +237,19 @@
     }
 }
 
+fn is_raw(query: &str) -> bool {
+    query.split('&').any(|field| field == "raw")
+}
+
+fn respond_raw(request: Request, index: u64, value: Vec<u8>) {
+    let response = Response::from_data(value);
+    let index = Header::from_bytes(&b"X-Consul-Index"[..], index.to_string());
+    let _ = match index {
+        Ok(header) => request.respond(response.with_header(header)),
+        Err(()) => request.respond(response),
+    };
+}
+
 fn parameter<'a>(query: &'a str, name: &str) -> Option<&'a str> {
     query
         .split('&')
--- a/crates/anvilrack-router/src/control_port.rs
+++ b/crates/anvilrack-router/src/control_port.rs
@@ -6,12 +6,14 @@
 
 use anvilrack_core::events;
 use eyre::eyre;
-use serde_json::{Value, json};
+use percent_encoding::percent_decode_str;
 use tiny_http::{Method, Request, Response, Server};
 
 use crate::router_context::RouterContext;
+use crate::router_metrics::StateSample;
+use crate::status_report::status_report;
 use crate::target_view::TargetAnnouncement;
-use crate::{boot_clock, log_event};
+use crate::{boot_clock, explanation, log_event};
 
 /// Threads that serve this port.
 const WORKERS: usize = 4;
@@ -51,12 +53,41 @@
             context.leave();
             (200, "draining\n".to_owned())
         }
-        (Method::Get, "/_status") => (200, status(context).to_string()),
+        (Method::Get, "/metrics") => (200, context.metrics.render(sample(context))),
+        (Method::Get, url) if url.starts_with(EXPLAIN) => explain(context, &url[EXPLAIN.len()..]),
+        (Method::Get, "/_status") => (200, status_report(context).to_string()),
         _ => (404, "no such call\n".to_owned()),
     };
     let _ = request.respond(Response::from_string(text).with_status_code(status));
 }
 
+/// Path of the question who owns a key; service and key follow.
+const EXPLAIN: &str = "/_explain/";
+
+fn explain(context: &RouterContext, path: &str) -> (u16, String) {
+    let Some((service, key)) = path.split_once('/') else {
+        return (400, "ask for /_explain/SERVICE/KEY\n".to_owned());
+    };
+    let key = percent_decode_str(key).decode_utf8_lossy();
+    match explanation::explain(context, service, &key) {
+        Ok(explanation) => (200, explanation.to_string()),
+        Err(fault) => (404, fault),
+    }
+}
+
+fn sample(context: &RouterContext) -> StateSample {
+    let now = boot_clock::now();
+    let held_shards = context.owner().held().count() as u64;
+    let lease_until = context.owner().lease_until();
+    StateSample {
+        held_shards,
+        lease_left: lease_until.saturating_sub(now),
+        in_flight: context.releases.in_flight() as u64,
+        config_revision: context.routes().config().revision,
+        coordinates: context.coordinator().is_some(),
+    }
+}
+
 fn announce(context: &RouterContext, body: &[u8]) -> (u16, String) {
     let announcement: TargetAnnouncement = match serde_json::from_slice(body) {
         Ok(announcement) => announcement,
@@ -74,43 +105,3 @@
     }
     (200, "ok".to_owned())
 }
-
-/// What this router knows, for people and for scripts.
-fn status(context: &RouterContext) -> Value {
-    let now = boot_clock::now();
-    let routes = context.routes();
-    let cells: Vec<Value> = routes
-        .cells()
-        .map(|cell| {
-            json!({
-                "service": cell.service,
-                "epoch": cell.epoch,
-                "version": cell.version,
-                "coordinator": cell.coordinator,
-                "standbys": cell.standbys,
-                "members": cell.members.len(),
-                "shards": cell.shards.len(),
-                "unowned": cell.unowned(),
-            })
-        })
-        .collect();
-    let owner = context.owner();
-    let lease_left = owner.lease_until().saturating_sub(now);
-    let held = owner.held().count();
-    drop(owner);
-    json!({
-        "node": context.node(),
-        "incarnation": context.incarnation,
-        "region": context.settings.region,
-        "failure_domain": context.settings.failure_domain,
-        "service": context.service(),
-        "target_ready": context.target().is_ready(now),
-        "leaving": context.is_leaving(),
-        "lease_left_ms": u64::try_from(lease_left.as_millis()).unwrap_or(u64::MAX),
-        "held_shards": held,
-        "in_flight": context.releases.in_flight(),
-        "coordinates": context.coordinator().is_some(),
-        "config_revision": routes.config().revision,
-        "cells": cells,
-    })
-}
--- a/crates/anvilrack-router/src/coordinator_role.rs
+++ b/crates/anvilrack-router/src/coordinator_role.rs
@@ -6,14 +6,16 @@
 use std::thread;
 use std::time::Duration;
 
-use anvilrack_core::{BootTime, CellRecord, Revision, ServiceRules, events};
+use anvilrack_core::{
+    BootTime, CellRecord, PlacementNote, Revision, ServiceRules, ShardId, events, placement_notes,
+};
 use anvilrack_peer::LinkClass;
-use anvilrack_store::{KeyStore, StoreIndex, WriteOutcome};
+use anvilrack_store::{StoreIndex, WriteOutcome};
 use anvilrack_wire::{PeerReply, PeerRequest, TakeoverCall};
 
 use crate::router_context::RouterContext;
-use crate::store_records::{CONFIG_KEY, parse_json, read_cell, write_cell};
-use crate::{boot_clock, log_event};
+use crate::store_records::{read_cell, write_cell};
+use crate::{boot_clock, config_watch, log_event};
 
 /// Time between two looks at what is to be done.
 const STEP: Duration = Duration::from_millis(50);
@@ -30,19 +32,13 @@
 /// Time for a nudge; it is only a hint, so the write loop does not wait long for it.
 const NUDGE_TIMEOUT: Duration = Duration::from_millis(50);
 
-/// How long a watch on the configuration waits in one call.
-const CONFIG_WAIT: Duration = Duration::from_secs(10);
-
-/// Time before a failed call to the store is tried again.
-const STORE_RETRY: Duration = Duration::from_millis(250);
-
 /// Runs the cell until another router takes it over or the process ends.
 pub fn run(context: &Arc<RouterContext>) {
     call_members(context);
     let keeper = context.clone();
     thread::spawn(move || keep_promises(&keeper));
     let watcher = context.clone();
-    thread::spawn(move || watch_config(&watcher));
+    thread::spawn(move || config_watch::run(&watcher));
     let mut store_side = StoreSide::default();
     while context.pause(STEP) {
         if !store_side.step(context) {
@@ -85,7 +81,8 @@
     others.map(|member| member.peer_address).collect()
 }
 
-fn in_office(context: &RouterContext) -> Option<CellRecord> {
+/// The record of the cell that this router coordinates, while it does.
+pub(crate) fn in_office(context: &RouterContext) -> Option<CellRecord> {
     let coordinator = context.coordinator();
     let state = coordinator
         .as_ref()
@@ -209,9 +206,12 @@
         return;
     };
     let old = state.record().clone();
+    let moving: Vec<ShardId> = state.moves().keys().copied().collect();
     state.on_committed(sent_at);
     drop(coordinator);
-    tell_placements(&old, next);
+    let notes = placement_notes(&old, next, &moving, boot_clock::unix_ms());
+    tell_placements(next, &notes);
+    context.journal().keep(notes);
     publish(context);
     nudge_changed(context, &old, next);
 }
@@ -259,33 +259,26 @@
     }
 }
 
-fn tell_placements(old: &CellRecord, new: &CellRecord) {
-    let changed = old
-        .shards
-        .iter()
-        .chain(std::iter::repeat(&None))
-        .zip(&new.shards)
-        .zip(0_u32..);
-    for ((before, after), shard) in changed.filter(|((before, after), _)| before != after) {
-        let Some(owner) = after else { continue };
-        let from = before.as_ref().map_or("-", |owner| &*owner.node);
+fn tell_placements(record: &CellRecord, notes: &[PlacementNote]) {
+    for note in notes {
         log_event!(
             Info,
             events::PLACEMENT_DECIDED,
-            "service" = new.service,
-            "shard" = shard,
-            "from" = from,
-            "to" = owner.node,
-            "token" = owner.token
+            "service" = record.service,
+            "shard" = note.shard,
+            "from" = note.from.as_deref().unwrap_or("-"),
+            "to" = note.to,
+            "token" = note.token,
+            "reason" = note.reason.word()
         );
     }
     log_event!(
         Info,
         events::CELL_WRITTEN,
-        "service" = new.service,
-        "version" = new.version,
-        "members" = new.members.len(),
-        "unowned" = new.unowned()
+        "service" = record.service,
+        "version" = record.version,
+        "members" = record.members.len(),
+        "unowned" = record.unowned()
     );
 }
 
@@ -322,26 +315,3 @@
         }
     }
 }
-
-// --- configuration ------------------------------------------------------------------------------
-
-/// Waits for newer configurations while this router is in office.
-fn watch_config(context: &RouterContext) {
-    let mut index = 0;
-    while in_office(context).is_some() {
-        match context.store.wait(CONFIG_KEY, index, CONFIG_WAIT) {
-            Ok(Some(stored)) => {
-                index = stored.index;
-                match parse_json(&stored.value) {
-                    Ok(config) => context.accept_config(Arc::new(config)),
-                    Err(error) => log::error!("configuration in the store: {error}"),
-                }
-            }
-            Ok(None) | Err(_) => {
-                if !context.pause(STORE_RETRY) {
-                    return;
-                }
-            }
-        }
-    }
-}
--- a/crates/anvilrack-router/src/lib.rs
+++ b/crates/anvilrack-router/src/lib.rs
@@ -8,16 +8,20 @@
 //! the cell where this router holds that office, [`table_sync`] fetches other cells' tables.
 
 pub mod boot_clock;
+pub mod config_watch;
 pub mod control_port;
 pub mod coordinator_role;
 pub mod event_log;
+pub mod explanation;
 pub mod guard_pool;
 pub mod membership;
 pub mod peer_handler;
 pub mod release_tracker;
 pub mod router_context;
+pub mod router_metrics;
 pub mod router_process;
 pub mod stages;
+pub mod status_report;
 pub mod store_records;
 pub mod table_sync;
 pub mod takeover;
--- a/crates/anvilrack-router/src/peer_handler.rs
+++ b/crates/anvilrack-router/src/peer_handler.rs
@@ -8,7 +8,7 @@
 
 use crate::guard_pool::{GuardJob, GuardPool};
 use crate::router_context::RouterContext;
-use crate::{boot_clock, membership};
+use crate::{boot_clock, explanation, membership};
 
 /// Serves the requests of other routers.
 ///
@@ -66,6 +66,9 @@
             PeerRequest::Takeover(call) => self.takeover(call),
             PeerRequest::Promise(service, epoch) => self.promise(&service, epoch),
             PeerRequest::Pull(digest) => PeerReply::Update(self.context.update_for(&digest)),
+            PeerRequest::Explain(service, shard) => {
+                PeerReply::Explained(explanation::own_note(&self.context, &service, shard))
+            }
             PeerRequest::Nudge => {
                 self.context.nudge();
                 PeerReply::Nudged
--- a/crates/anvilrack-router/src/router_context.rs
+++ b/crates/anvilrack-router/src/router_context.rs
@@ -6,7 +6,7 @@
 
 use anvilrack_core::{
     CellMember, CellRecord, ConfigRecord, CoordinatorState, Incarnation, LeaseTerms, MemberReport,
-    NodeId, OwnerState, RouteTable, ServiceName, StandbyState, events,
+    NodeId, OwnerState, PlacementJournal, RouteTable, ServiceName, StandbyState, events,
 };
 use anvilrack_peer::PeerLinks;
 use anvilrack_settings::RouterSettings;
@@ -17,6 +17,7 @@
 use tokio::runtime::Handle;
 
 use crate::release_tracker::ReleaseTracker;
+use crate::router_metrics::RouterMetrics;
 use crate::target_view::TargetView;
 use crate::{boot_clock, log_event};
 
@@ -34,11 +35,14 @@
     pub store: HttpStore,
     /// Links to other routers.
     pub links: PeerLinks,
+    /// Counters for the operators' monitoring.
+    pub metrics: RouterMetrics,
     /// Shards on their way to another owner.
     pub releases: ReleaseTracker,
     owner: Mutex<OwnerState>,
     standby: Mutex<StandbyState>,
     coordinator: Mutex<Option<CoordinatorState>>,
+    journal: Mutex<PlacementJournal>,
     target: Mutex<TargetView>,
     routes: ShardedLock<Arc<RouteTable>>,
     nudges: (Sender<()>, Receiver<()>),
@@ -61,7 +65,9 @@
             owner: Mutex::new(OwnerState::new(node.clone(), incarnation, terms)),
             standby: Mutex::new(StandbyState::new(node, incarnation, terms, now)),
             coordinator: Mutex::new(None),
+            journal: Mutex::default(),
             target: Mutex::default(),
+            metrics: RouterMetrics::new(&settings.node),
             routes: ShardedLock::new(Arc::default()),
             nudges: bounded(1),
             leaving: AtomicBool::new(false),
@@ -92,6 +98,11 @@
         lock(&self.coordinator)
     }
 
+    /// The placement decisions of the cell that this router coordinates.
+    pub fn journal(&self) -> MutexGuard<'_, PlacementJournal> {
+        lock(&self.journal)
+    }
+
     /// The target beside this router.
     pub fn target(&self) -> MutexGuard<'_, TargetView> {
         lock(&self.target)
--- a/crates/anvilrack-router/src/router_process.rs
+++ b/crates/anvilrack-router/src/router_process.rs
@@ -153,6 +153,9 @@
     };
     let outcome = forward::process(context, guard, &accepted);
     let took = boot_clock::now().saturating_sub(began);
+    context
+        .metrics
+        .on_request(&accepted.request.service, &outcome.verdict, took);
     let hop = outcome.hop.as_ref().map_or("-", |hop| match hop {
         crate::stages::resolve::NextHop::Here => "here",
         crate::stages::resolve::NextHop::Peer(node, _) => node,
--- a/crates/anvilrack-wire/src/peer_message.rs
+++ b/crates/anvilrack-wire/src/peer_message.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use anvilrack_core::{
-    CellRecord, ConfigRecord, Epoch, FencingToken, MemberReport, RenewalAnswer, Revision,
-    ServiceName, ShardId, TableVersion,
+    CellRecord, ConfigRecord, Epoch, FencingToken, MemberReport, PlacementNote, RenewalAnswer,
+    Revision, ServiceName, ShardId, TableVersion,
 };
 use serde::{Deserialize, Serialize};
 
@@ -26,6 +26,8 @@
     Pull(TableDigest),
     /// Something changed for you: send your next heartbeat now.
     Nudge,
+    /// Why has that shard of your cell the owner that it has?
+    Explain(ServiceName, ShardId),
     /// Take the at-most-once record of a shard that is about to move to you.
     Handover(RecordHandover),
 }
@@ -47,6 +49,8 @@
     Update(TableUpdate),
     /// To `Nudge`.
     Nudged,
+    /// To `Explain`: the decision, where this coordinator made it.
+    Explained(Option<PlacementNote>),
     /// To `Handover`: whether the record was taken.
     HandoverTaken(bool),
 }
