Hold a configuration's placement rules against the members that are there

A region without members, or a key tied to a router that is no member, would leave keys without an owner. Before, the file was taken and the fields were ignored; now apply refuses it and says what is there, and the coordinator places shards in allowed regions alone.

--- a/crates/anvilrack-cli/src/config_apply.rs
+++ b/crates/anvilrack-cli/src/config_apply.rs
@@ -10,6 +10,7 @@
 use uuid::Uuid;
 
 use crate::config_difference::difference;
+use crate::placement_check::check_placement;
 
 /// Key of the configuration in the store.
 pub const CONFIG_KEY: &str = "anvilrack/config";
@@ -34,6 +35,7 @@
     let (current, index) = read_config(store)?;
     check_revision(&current, &document, from)?;
     check_change(&current.document, &document)?;
+    check_placement(store, &document)?;
     let next = ConfigRecord {
         revision: current.revision + 1,
         apply_id: Arc::from(Uuid::now_v7().to_string()),
--- a/crates/anvilrack-cli/src/lib.rs
+++ b/crates/anvilrack-cli/src/lib.rs
@@ -2,5 +2,6 @@
 
 pub mod config_apply;
 pub mod config_difference;
+pub mod placement_check;
 pub mod report_text;
 pub mod router_calls;
--- a/crates/anvilrack-cli/tests/apply.rs
+++ b/crates/anvilrack-cli/tests/apply.rs
@@ -5,13 +5,14 @@
 use std::time::Duration;
 
 use anvilrack_cli::config_apply::{apply, read_config};
-use anvilrack_core::{ConfigDocument, ConfigRecord};
+use anvilrack_core::{CellRecord, ConfigDocument, ConfigRecord};
 use anvilrack_store::{KeyStore, StoreError, StoreIndex, StoredValue, WriteOutcome};
 use serde_json::json;
 
 /// A store in memory that goes through a list of faults, one for each write.
 #[derive(Default)]
 struct ScriptedStore {
+    cell: Option<StoredValue>,
     value: RefCell<Option<StoredValue>>,
     writes: RefCell<VecDeque<WriteFault>>,
 }
@@ -37,6 +38,20 @@
         self
     }
 
+    /// A cell of one member, `router-1`, in the region norte.
+    fn with_cell(mut self) -> Self {
+        let member = json!({
+            "node": "router-1", "incarnation": 1, "peer_address": "10.0.0.1:1",
+            "failure_domain": "norte-a", "region": "norte", "leaving": false,
+        });
+        let mut cell = serde_json::to_value(CellRecord::default()).unwrap();
+        cell["service"] = json!("viewer");
+        cell["members"] = json!([member]);
+        let value = cell.to_string().into_bytes();
+        self.cell = Some(StoredValue { index: 1, value });
+        self
+    }
+
     fn put(&self, revision: u64, document: ConfigDocument) {
         let apply_id = format!("other-{revision}").into();
         let record = ConfigRecord {
@@ -70,7 +85,10 @@
 }
 
 impl KeyStore for ScriptedStore {
-    fn read(&self, _key: &str) -> Result<Option<StoredValue>, StoreError> {
+    fn read(&self, key: &str) -> Result<Option<StoredValue>, StoreError> {
+        if key.starts_with("anvilrack/cells/") {
+            return Ok(self.cell.clone());
+        }
         Ok(self.value.borrow().clone())
     }
 
@@ -113,6 +131,18 @@
     serde_json::from_value(document).unwrap()
 }
 
+fn document_in(region: &str, pinned: &str) -> ConfigDocument {
+    let mut document = document(4);
+    document
+        .site
+        .regions
+        .insert("sul".into(), vec!["sul-a".into()]);
+    let rules = document.services.get_mut("viewer").unwrap();
+    rules.regions = vec![region.into()];
+    rules.pinned_keys.insert("trip-1".into(), pinned.into());
+    document
+}
+
 fn slots_in(store: &ScriptedStore) -> u32 {
     read_config(store).unwrap().0.document.services["viewer"].slots
 }
@@ -149,6 +179,12 @@
         document(5), from Some(1) => Ok(2), slots 5;
     lost_request_is_sent_again: ScriptedStore::with_config(4).with_fault(WriteFault::RequestLost),
         document(5), from Some(1) => Ok(2), slots 5;
+    placement_with_members_there: ScriptedStore::with_config(5).with_cell(),
+        document_in("norte", "router-1"), from Some(1) => Ok(2), slots 4;
+    region_without_members: ScriptedStore::with_config(5).with_cell(),
+        document_in("sul", "router-1"), from Some(1) => Err("its members stand in [\"norte\"]"), slots 5;
+    key_pinned_to_a_stranger: ScriptedStore::with_config(5).with_cell(),
+        document_in("norte", "router-9"), from Some(1) => Err("`router-9`, which is no member"), slots 5;
     two_operators_at_once: ScriptedStore::with_config(4)
             .with_fault(WriteFault::Overtaken(document(7))),
         document(5), from Some(1) => Err("services.viewer.slots: 7 -> 5"), slots 7;
--- a/crates/anvilrack-core/src/coordinator_state.rs
+++ b/crates/anvilrack-core/src/coordinator_state.rs
@@ -309,7 +309,7 @@
         next.shards.resize(rules.shards.max(1) as usize, None);
         self.update_members(&mut next, now);
         self.assign_free(&mut next, rules, now);
-        self.plan_moves(now);
+        self.plan_moves(rules, now);
         if next == self.record && !self.rewrite {
             return None;
         }
@@ -388,7 +388,7 @@
         let free: Vec<ShardId> = (0..rules.shards.max(1))
             .filter(|shard| self.is_free(*shard, rules, now))
             .collect();
-        let eligible = self.eligible(now);
+        let eligible = self.eligible(rules, now);
         let mut placed = self.policy.place(&self.record, &eligible, &free);
         for (shard, node) in &mut placed {
             if let Some(successor) = self.moves.get(shard).filter(|n| eligible.contains(n)) {
@@ -418,11 +418,15 @@
     }
 
     /// Members that may be given shards.
-    fn eligible(&self, now: BootTime) -> Vec<NodeId> {
+    fn eligible(&self, rules: &ServiceRules, now: BootTime) -> Vec<NodeId> {
         self.members
             .iter()
             .filter(|(_, view)| view.ready && now < view.lease_until)
-            .filter(|(_, view)| view.member.as_ref().is_some_and(|member| !member.leaving))
+            .filter(|(_, view)| {
+                view.member
+                    .as_ref()
+                    .is_some_and(|member| !member.leaving && rules.allows(&member.region))
+            })
             .map(|(node, _)| node.clone())
             .collect()
     }
@@ -457,8 +461,8 @@
         now >= view.lease_until + self.terms.drift_margin + unfenced
     }
 
-    fn plan_moves(&mut self, now: BootTime) {
-        let eligible = self.eligible(now);
+    fn plan_moves(&mut self, rules: &ServiceRules, now: BootTime) {
+        let eligible = self.eligible(rules, now);
         self.moves
             .retain(|_, successor| eligible.contains(successor));
         let picked = self.policy.moves(&self.record, &eligible, &self.moves);
--- a/crates/anvilrack-core/src/service_rules.rs
+++ b/crates/anvilrack-core/src/service_rules.rs
@@ -68,6 +68,14 @@
     pub pinned_keys: BTreeMap<Arc<str>, NodeId>,
 }
 
+impl ServiceRules {
+    /// True where the service may run in that region.
+    #[must_use]
+    pub fn allows(&self, region: &str) -> bool {
+        self.regions.is_empty() || self.regions.iter().any(|allowed| **allowed == *region)
+    }
+}
+
 fn default_timeout_ms() -> u64 {
     10_000
 }
