Write the log through a bounded queue

A log line for each routing decision is asked for, and a log that stalls must not stall requests. Lines go into a queue of 4,096; what finds it full is dropped and counted, and E1004 tells how many. The tests stop the output altogether and then open it again; without the queue the first of them does not end. The cost of the line by request is measured once the machine is quiet: a run now, with load 90 on ten cores, gave figures that say nothing.

--- a/crates/anvilrack-core/src/event_catalogue.rs
+++ b/crates/anvilrack-core/src/event_catalogue.rs
@@ -34,6 +34,7 @@
     ROUTER_STARTED = 1001, "router.started", "A router started; says its addresses and place.";
     ROUTER_STOPPING = 1002, "router.stopping", "A graceful stop began.";
     ROUTER_STOPPED = 1003, "router.stopped", "A graceful stop ended; says what was still in flight.";
+    LOG_DROPPED = 1004, "log.dropped", "The log could not keep up; says how many lines were dropped.";
     TARGET_ANNOUNCED = 1101, "target.announced", "A target announced itself to the router beside it.";
     TARGET_READY = 1102, "target.ready", "The target's own answer about being ready changed.";
     GRANT_TAKEN = 1201, "grant.taken", "This router was granted shards; says which and with what tokens.";
--- a/crates/anvilrack-harness/tests/config_in_force.rs
+++ b/crates/anvilrack-harness/tests/config_in_force.rs
@@ -8,7 +8,7 @@
 use serde_json::{Value, json};
 
 /// Generous: a slow machine must not decide the verdict.
-const LIMIT: Duration = Duration::from_secs(60);
+const LIMIT: Duration = Duration::from_mins(1);
 
 macro_rules! config_cases {
     ($($name:ident: $act:ident, $operators:literal operators;)*) => {
--- a/crates/anvilrack-router/src/lib.rs
+++ b/crates/anvilrack-router/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod event_log;
 pub mod explanation;
 pub mod guard_pool;
+pub mod log_writer;
 pub mod membership;
 pub mod peer_handler;
 pub mod release_tracker;
--- a/crates/anvilrack-router/src/main.rs
+++ b/crates/anvilrack-router/src/main.rs
@@ -2,6 +2,7 @@
 
 use std::path::PathBuf;
 
+use anvilrack_router::log_writer::LogWriter;
 use anvilrack_router::router_process::RouterProcess;
 use anvilrack_settings::RouterSettings;
 use eyre::eyre;
@@ -23,7 +24,8 @@
 }
 
 fn main() -> eyre::Result<()> {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    let writer = LogWriter::start(std::io::stderr());
+    writer.install();
     let flags = flags::AnvilrackRouter::from_env_or_exit();
     let settings = RouterSettings::read(&flags.settings)?;
     if flags.check {
@@ -36,5 +38,6 @@
         .next()
         .ok_or_else(|| eyre!("signals ended"))?;
     process.close();
+    writer.close();
     Ok(())
 }
