Send routers what changed of a record in place of the whole of it

Cause: each change of a cell sent the whole record to every router; at 320,000 entries that is beyond the 5 KB/s that control may use.

A version alone does not name a record once the store was put back to an earlier copy, so a step names its base by epoch, version and writer. One that does not fit makes the next digest leave out that cell, which asks for all.

The table is shared by cell, so a change copies one cell's list of steps and no other. Peer addresses are looked up by name in place of a walk over members.

Ruled out: deltas by position for members, since one that joins shifts all after it.

--- a/crates/anvilrack-core/src/lib.rs
+++ b/crates/anvilrack-core/src/lib.rs
@@ -12,6 +12,7 @@
 //! * [`CoordinatorState`] decides who should own what.
 //! * [`StandbyState`] decides whether this router may replace its coordinator.
 
+mod cell_history;
 mod cell_record;
 mod clock;
 mod coordinator_state;
@@ -20,6 +21,7 @@
 mod lease_terms;
 mod owner_state;
 mod placement_policy;
+mod record_delta;
 mod request_verdict;
 mod route_table;
 mod service_rules;
@@ -39,8 +41,9 @@
 pub use lease_terms::LeaseTerms;
 pub use owner_state::{GrantAnswer, OwnerState};
 pub use placement_policy::PlacementPolicy;
+pub use record_delta::{RecordDelta, RecordStamp};
 pub use request_verdict::{RefusalReason, RequestVerdict, TargetAnswer, UncertainReason};
-pub use route_table::{RouteError, RouteTable, ShardRoute};
+pub use route_table::{RouteError, RouteTable, ShardRoute, TableChanges};
 pub use service_rules::{
     ConfigDocument, ConfigRecord, PlacementWeights, RequestClass, ServiceRules, SitePlan,
 };
--- a/crates/anvilrack-core/src/route_table.rs
+++ b/crates/anvilrack-core/src/route_table.rs
@@ -1,14 +1,15 @@
 //! Who owns a key, as far as this router knows.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use thiserror::Error;
 
+use crate::cell_history::CellHistory;
 use crate::{
-    CellRecord, ConfigRecord, FencingToken, NodeId, Revision, ServiceName, ServiceRules, ShardHash,
-    ShardId, TableVersion,
+    CellRecord, ConfigRecord, FencingToken, NodeId, RecordDelta, Revision, ServiceName,
+    ServiceRules, ShardHash, ShardId, TableVersion,
 };
 
 /// The newest records this router has seen.
@@ -18,7 +19,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct RouteTable {
     config: Arc<ConfigRecord>,
-    cells: BTreeMap<ServiceName, Arc<CellRecord>>,
+    cells: BTreeMap<ServiceName, Arc<CellHistory>>,
+    /// Cells of which a delta did not fit; the next digest asks for their records in full.
+    unfitting: BTreeSet<ServiceName>,
 }
 
 impl RouteTable {
@@ -31,13 +34,13 @@
         let rules = self.rules(service).ok_or(RouteError::UnknownService)?;
         let shard = ShardHash::new(rules.shards).shard_of(key);
         let cell = self.cells.get(service).ok_or(RouteError::NoOwner)?;
-        let owner = cell.owner(shard).ok_or(RouteError::NoOwner)?;
-        let member = cell.member(&owner.node).ok_or(RouteError::NoOwner)?;
+        let owner = cell.record().owner(shard).ok_or(RouteError::NoOwner)?;
+        let address = cell.peer_address(&owner.node);
         Ok(ShardRoute {
             shard,
             node: owner.node.clone(),
             token: owner.token,
-            peer_address: member.peer_address,
+            peer_address: address.ok_or(RouteError::NoOwner)?,
         })
     }
 
@@ -55,37 +58,70 @@
 
     /// The newest record of each cell.
     pub fn cells(&self) -> impl Iterator<Item = &Arc<CellRecord>> {
-        self.cells.values()
+        self.cells.values().map(|cell| cell.record())
     }
 
     /// The newest record of one cell.
     #[must_use]
     pub fn cell(&self, service: &str) -> Option<&Arc<CellRecord>> {
-        self.cells.get(service)
+        self.cells.get(service).map(|cell| cell.record())
     }
 
     /// The version of each cell's record, in the order of the services' names.
     #[must_use]
     pub fn digest(&self) -> Vec<(ServiceName, TableVersion)> {
-        self.cells
-            .iter()
-            .map(|(service, cell)| (service.clone(), cell.version))
+        let fitting = |service| !self.unfitting.contains(service);
+        let cells = self.cells.iter().filter(|(service, _)| fitting(*service));
+        cells
+            .map(|(service, cell)| (service.clone(), cell.record().version))
             .collect()
     }
 
-    /// The records that a peer with the given digest lacks.
+    /// What a peer with the given digest lacks: steps where they are kept, else records in full.
     #[must_use]
-    pub fn newer_than(&self, digest: &[(ServiceName, TableVersion)]) -> Vec<Arc<CellRecord>> {
+    pub fn changes_since(&self, digest: &[(ServiceName, TableVersion)]) -> TableChanges {
         let known: BTreeMap<_, _> = digest.iter().cloned().collect();
-        self.cells
-            .values()
-            .filter(|cell| {
-                known
-                    .get(&cell.service)
-                    .is_none_or(|version| *version < cell.version)
-            })
-            .cloned()
-            .collect()
+        let mut changes = TableChanges::default();
+        for (service, cell) in &self.cells {
+            let version = known.get(service).copied().unwrap_or(0);
+            if version >= cell.record().version {
+                continue;
+            }
+            match cell.deltas_since(version) {
+                Some(deltas) => changes.deltas.extend(deltas),
+                None => changes.cells.push(cell.record().clone()),
+            }
+        }
+        changes
+    }
+
+    /// Works out the records that deltas lead to, without taking them yet.
+    ///
+    /// A delta that is not newer than what this table has is passed over. One that does not fit
+    /// makes the next digest ask for that cell's record in full.
+    pub fn records_after(&mut self, deltas: &[Arc<RecordDelta>]) -> Vec<Arc<CellRecord>> {
+        let mut records: BTreeMap<ServiceName, CellRecord> = BTreeMap::new();
+        for delta in deltas {
+            let Some(cell) = self.cells.get(&delta.service) else {
+                continue;
+            };
+            let newest = records.get(&delta.service).unwrap_or(cell.record());
+            if delta.stamp.version <= newest.version {
+                continue;
+            }
+            let record = records
+                .entry(delta.service.clone())
+                .or_insert_with(|| CellRecord::clone(cell.record()));
+            if !delta.apply_to(record) {
+                self.unfitting.insert(delta.service.clone());
+            }
+        }
+        let newer = |record: &CellRecord| {
+            let known = self.cells.get(&record.service);
+            known.is_none_or(|known| known.record().version < record.version)
+        };
+        let records = records.into_values().filter(newer);
+        records.map(Arc::new).collect()
     }
 
     /// The configuration, where a peer has an older one.
@@ -96,12 +132,15 @@
 
     /// Takes a cell's record if it is newer; says whether it did.
     pub fn accept_cell(&mut self, cell: Arc<CellRecord>) -> bool {
-        let newer = self
-            .cells
-            .get(&cell.service)
-            .is_none_or(|known| known.version < cell.version);
+        self.unfitting.remove(&cell.service);
+        let Some(known) = self.cells.get_mut(&cell.service) else {
+            let history = CellHistory::new(cell.clone());
+            self.cells.insert(cell.service.clone(), Arc::new(history));
+            return true;
+        };
+        let newer = known.record().version < cell.version;
         if newer {
-            self.cells.insert(cell.service.clone(), cell);
+            Arc::make_mut(known).advance(cell);
         }
         newer
     }
@@ -116,6 +155,15 @@
     }
 }
 
+/// What a peer lacks.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct TableChanges {
+    /// Records in full.
+    pub cells: Vec<Arc<CellRecord>>,
+    /// Steps, in the order in which they apply.
+    pub deltas: Vec<Arc<RecordDelta>>,
+}
+
 /// Where requests for a shard go.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ShardRoute {
--- /dev/null
+++ b/crates/anvilrack-core/tests/record_delta.rs
@@ -0,0 +1,191 @@
+//! Steps between records, and tables that follow each other by steps.
+
+use std::sync::Arc;
+
+use anvilrack_core::{
+    CellMember, CellRecord, RecordDelta, RouteTable, ServiceName, ShardOwner, WriterStamp,
+};
+
+/// A cell of four members and eight shards.
+fn first_record() -> CellRecord {
+    let members: Vec<CellMember> = (0..4).map(new_member).collect();
+    let shards = (0..8).map(|shard| Some(new_owner(shard % 4, shard + 1)));
+    CellRecord {
+        service: "bookings".into(),
+        epoch: 1,
+        version: 1,
+        writer: new_stamp(1),
+        coordinator: "router-0".into(),
+        standbys: vec!["router-1".into()],
+        last_token: 8,
+        shards: shards.collect(),
+        members,
+        ..CellRecord::default()
+    }
+}
+
+fn new_stamp(sequence: u64) -> WriterStamp {
+    WriterStamp {
+        node: "router-0".into(),
+        incarnation: 7,
+        sequence,
+    }
+}
+
+fn new_member(number: u64) -> CellMember {
+    CellMember {
+        node: format!("router-{number}").into(),
+        incarnation: 7,
+        peer_address: ([127, 0, 0, 1], 9_000).into(),
+        failure_domain: "norte-a".into(),
+        region: "norte".into(),
+        leaving: false,
+    }
+}
+
+fn new_owner(member: u64, token: u64) -> ShardOwner {
+    ShardOwner {
+        node: format!("router-{member}").into(),
+        incarnation: 7,
+        token,
+        record_lost: false,
+    }
+}
+
+/// The next write after `record`, with a change.
+fn next_record(record: &CellRecord, change: impl FnOnce(&mut CellRecord)) -> CellRecord {
+    let mut next = record.clone();
+    next.version += 1;
+    next.writer.sequence += 1;
+    change(&mut next);
+    next
+}
+
+macro_rules! step_cases {
+    ($($name:ident: $change:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let old = first_record();
+                let new = next_record(&old, $change);
+                let mut record = old.clone();
+                assert!(RecordDelta::new(&old, &new).apply_to(&mut record));
+                assert_eq!(record, new);
+            }
+        )*
+    };
+}
+
+step_cases! {
+    nothing_but_the_version_changes: |_| {};
+    a_shard_changes_its_owner: |next| next.shards[3] = Some(new_owner(0, 9));
+    a_shard_loses_its_owner: |next| next.shards[3] = None;
+    shards_are_added: |next| next.shards.resize(12, None);
+    shards_are_taken_away: |next| next.shards.truncate(2);
+    a_member_starts_again: |next| next.members[1].incarnation = 8;
+    a_member_is_leaving: |next| next.members[2].leaving = true;
+    a_member_is_lost: |next| drop(next.members.remove(1));
+    a_member_joins_at_the_end: |next| next.members.push(new_member(5));
+    a_member_joins_at_the_front: |next| next.members.insert(0, new_member(5));
+    members_stand_in_another_order: |next| next.members.rotate_left(1);
+    the_cell_is_taken_over: |next| {
+        next.epoch = 2;
+        next.coordinator = "router-1".into();
+        next.standbys = vec!["router-2".into(), "router-3".into()];
+    };
+    a_configuration_is_taken: |next| next.config_revision = 3;
+}
+
+#[test]
+fn a_delta_fits_no_other_base_of_the_same_version() {
+    let old = first_record();
+    let delta = RecordDelta::new(&old, &next_record(&old, |_| {}));
+    let mut other = old.clone();
+    other.writer.sequence = 99;
+    let before = other.clone();
+    assert!(!delta.apply_to(&mut other));
+    assert_eq!(other, before);
+}
+
+// --- tables -------------------------------------------------------------------------------------
+
+/// Two tables with the same first record, of which only the first has seen `steps` more.
+fn tables_apart(steps: u32) -> (RouteTable, RouteTable) {
+    let mut record = first_record();
+    let (mut ahead, mut behind) = (RouteTable::default(), RouteTable::default());
+    ahead.accept_cell(Arc::new(record.clone()));
+    behind.accept_cell(Arc::new(record.clone()));
+    for step in 0..steps {
+        let shard = step as usize % 8;
+        let owner = new_owner(0, 100 + u64::from(step));
+        record = next_record(&record, |next| next.shards[shard] = Some(owner));
+        ahead.accept_cell(Arc::new(record.clone()));
+    }
+    (ahead, behind)
+}
+
+fn catch_up(ahead: &RouteTable, behind: &mut RouteTable) {
+    let changes = ahead.changes_since(&behind.digest());
+    for cell in changes.cells {
+        behind.accept_cell(cell);
+    }
+    for record in behind.records_after(&changes.deltas) {
+        behind.accept_cell(record);
+    }
+}
+
+macro_rules! catch_up_cases {
+    ($($name:ident: $steps:literal steps, $deltas:literal deltas, $full:literal in_full;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let (ahead, mut behind) = tables_apart($steps);
+                let changes = ahead.changes_since(&behind.digest());
+                assert_eq!((changes.deltas.len(), changes.cells.len()), ($deltas, $full));
+                catch_up(&ahead, &mut behind);
+                assert_eq!(ahead.cell("bookings"), behind.cell("bookings"));
+            }
+        )*
+    };
+}
+
+catch_up_cases! {
+    a_table_that_is_not_behind_gets_nothing: 0 steps, 0 deltas, 0 in_full;
+    a_table_one_step_behind_gets_a_delta: 1 steps, 1 deltas, 0 in_full;
+    a_table_some_steps_behind_gets_them_all: 5 steps, 5 deltas, 0 in_full;
+    a_table_that_lacks_more_than_the_record_gets_it_in_full: 9 steps, 0 deltas, 1 in_full;
+    a_table_too_far_behind_gets_the_record_in_full: 100 steps, 0 deltas, 1 in_full;
+}
+
+#[test]
+fn a_new_table_gets_the_record_in_full() {
+    let (ahead, _) = tables_apart(3);
+    let mut table = RouteTable::default();
+    catch_up(&ahead, &mut table);
+    assert_eq!(ahead.cell("bookings"), table.cell("bookings"));
+}
+
+#[test]
+fn deltas_that_come_again_or_late_change_nothing() {
+    let (ahead, mut behind) = tables_apart(3);
+    let late = ahead.changes_since(&behind.digest()).deltas;
+    catch_up(&ahead, &mut behind);
+    assert!(behind.records_after(&late).is_empty());
+    assert_eq!(ahead.cell("bookings"), behind.cell("bookings"));
+}
+
+#[test]
+fn a_delta_that_does_not_fit_makes_the_table_ask_for_all() {
+    let (ahead, mut behind) = tables_apart(1);
+    let mut other = first_record();
+    other.version += 1;
+    other.writer.sequence = 99;
+    let last = next_record(&other, |_| {});
+    let misfit = Arc::new(RecordDelta::new(&other, &last));
+    assert!(behind.records_after(&[misfit]).is_empty());
+    let nothing: Vec<(ServiceName, u64)> = Vec::new();
+    assert_eq!(behind.digest(), nothing);
+    catch_up(&ahead, &mut behind);
+    assert_eq!(ahead.cell("bookings"), behind.cell("bookings"));
+    assert_eq!(behind.digest().len(), 1);
+}
--- a/crates/anvilrack-router/src/router_context.rs
+++ b/crates/anvilrack-router/src/router_context.rs
@@ -6,7 +6,7 @@
 
 use anvilrack_core::{
     CellMember, CellRecord, ConfigRecord, CoordinatorState, Incarnation, LeaseTerms, MemberReport,
-    NodeId, OwnerState, RouteTable, ServiceName, StandbyState, events,
+    NodeId, OwnerState, RecordDelta, RouteTable, ServiceName, StandbyState, events,
 };
 use anvilrack_peer::PeerLinks;
 use anvilrack_settings::RouterSettings;
@@ -130,8 +130,10 @@
     /// What a peer with that digest lacks.
     pub fn update_for(&self, digest: &TableDigest) -> TableUpdate {
         let routes = self.routes();
+        let changes = routes.changes_since(&digest.cells);
         TableUpdate {
-            cells: routes.newer_than(&digest.cells),
+            cells: changes.cells,
+            deltas: changes.deltas,
             config: routes.config_newer_than(digest.revision),
         }
     }
@@ -141,11 +143,26 @@
         for cell in update.cells {
             self.accept_cell(cell);
         }
+        if !update.deltas.is_empty() {
+            self.accept_deltas(&update.deltas);
+        }
         if let Some(config) = update.config {
             self.accept_config(config);
         }
     }
 
+    fn accept_deltas(&self, deltas: &[Arc<RecordDelta>]) {
+        let mut records = Vec::new();
+        self.change_routes(|routes| {
+            records = routes.records_after(deltas);
+            // A delta that does not fit is remembered, whether or not another one did.
+            true
+        });
+        for record in records {
+            self.accept_cell(record);
+        }
+    }
+
     /// Takes a cell's record if it is newer.
     ///
     /// The owner's own state follows in the same step, so that a route never points here before
--- a/crates/anvilrack-wire/src/peer_message.rs
+++ b/crates/anvilrack-wire/src/peer_message.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use anvilrack_core::{
-    CellRecord, ConfigRecord, Epoch, FencingToken, MemberReport, RenewalAnswer, Revision,
-    ServiceName, ShardId, TableVersion,
+    CellRecord, ConfigRecord, Epoch, FencingToken, MemberReport, RecordDelta, RenewalAnswer,
+    Revision, ServiceName, ShardId, TableVersion,
 };
 use serde::{Deserialize, Serialize};
 
@@ -83,8 +83,10 @@
 /// Newer records than the receiver has.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct TableUpdate {
-    /// Cells' records.
+    /// Cells' records in full, for a receiver that is too far behind.
     pub cells: Vec<Arc<CellRecord>>,
+    /// Steps from the records that the receiver has, in the order in which they apply.
+    pub deltas: Vec<Arc<RecordDelta>>,
     /// The configuration.
     pub config: Option<Arc<ConfigRecord>>,
 }
