--- a/crates/anvilrack-load/src/history_check.rs
+++ b/crates/anvilrack-load/src/history_check.rs
@@ -96,16 +96,30 @@
     by_key.into_values().map(overlaps).sum()
 }
 
-/// Pairs of neighbouring runs, by their beginning, that no single owner can explain.
+/// Runs of a key that no single owner can explain: they began while an earlier run on another target
+/// was under way, or have an older token than that.
 fn overlaps(mut runs: Vec<OwnedRun<'_>>) -> u64 {
     runs.sort_by_key(|owned| owned.run.began_us);
-    let pairs = runs.windows(2).filter(|pair| {
-        let [earlier, later] = pair else { return false };
-        let overlap = later.run.began_us < earlier.run.ended_us;
-        let goes_back = later.token < earlier.token;
-        earlier.target != later.target && (overlap || goes_back)
-    });
-    pairs.count() as u64
+    let mut seen: BTreeMap<usize, TargetSpan> = BTreeMap::new();
+    let mut count = 0;
+    for owned in runs {
+        let others = seen.iter().filter(|(target, _)| **target != owned.target);
+        let conflicts = others.filter(|(_, span)| {
+            owned.run.began_us < span.last_end_us || owned.token < span.greatest_token
+        });
+        count += conflicts.count() as u64;
+        let span = seen.entry(owned.target).or_default();
+        span.last_end_us = span.last_end_us.max(owned.run.ended_us);
+        span.greatest_token = span.greatest_token.max(owned.token);
+    }
+    count
+}
+
+/// What a target has run of a key so far.
+#[derive(Default)]
+struct TargetSpan {
+    last_end_us: u64,
+    greatest_token: u64,
 }
 
 /// The token in a fence of the form `shard;token;lease-end`; zero where there is none.
--- a/crates/anvilrack-load/src/lib.rs
+++ b/crates/anvilrack-load/src/lib.rs
@@ -8,12 +8,16 @@
 mod load_history;
 mod load_options;
 mod load_report;
+mod load_shape;
+mod load_spread;
 mod load_worker;
 mod request_plan;
 
-pub use history_check::{fetch_runs, judge};
+pub use history_check::{RunsOfTarget, fetch_runs, judge};
 pub use load_history::{LoadHistory, LoadRecord, ToldVerdict};
 pub use load_options::LoadOptions;
 pub use load_report::LoadReport;
+pub use load_shape::{LENAVERDE, LOAD_SHAPES, LoadShape, ROTEIRO_COMUM, ServiceShape};
+pub use load_spread::{RunSpread, longest_gaps};
 pub use load_worker::run_load;
 pub use request_plan::{PlannedRequest, RequestPlan};
--- a/crates/anvilrack-load/src/load_history.rs
+++ b/crates/anvilrack-load/src/load_history.rs
@@ -1,9 +1,13 @@
 //! What the callers were told.
 
+use std::io::{self, Write};
 use std::time::Duration;
 
+use serde::Serialize;
+
 /// What a caller was told of one request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum ToldVerdict {
     /// It ran, and the answer is the right one.
     Ran,
@@ -16,7 +20,7 @@
 }
 
 /// One request and what came of it.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize)]
 pub struct LoadRecord {
     /// HTTP method.
     pub method: &'static str,
@@ -26,6 +30,8 @@
     pub id: String,
     /// What the caller was told.
     pub told: ToldVerdict,
+    /// When it was sent, or was due in an open load, since the load began.
+    pub sent_at: Duration,
     /// Time from sending to the whole answer.
     pub latency: Duration,
 }
@@ -38,3 +44,18 @@
     /// How long the load lasted.
     pub elapsed: Duration,
 }
+
+impl LoadHistory {
+    /// Writes one JSON line for each request.
+    ///
+    /// # Errors
+    ///
+    /// Where the output takes no more.
+    pub fn write_lines(&self, output: &mut impl Write) -> io::Result<()> {
+        for record in &self.records {
+            serde_json::to_writer(&mut *output, record)?;
+            output.write_all(b"\n")?;
+        }
+        output.flush()
+    }
+}
--- a/crates/anvilrack-load/src/load_worker.rs
+++ b/crates/anvilrack-load/src/load_worker.rs
@@ -56,6 +56,7 @@
             key: request.key,
             id: request.id,
             told,
+            sent_at: sent_at.saturating_duration_since(began),
             latency: sent_at.elapsed(),
         });
     }
--- a/crates/anvilrack-load/src/main.rs
+++ b/crates/anvilrack-load/src/main.rs
@@ -1,12 +1,17 @@
 //! `anvilrack-load`: load with a history checker.
 
+use std::fs::File;
+use std::io::BufWriter;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::time::Duration;
 
 use anvilrack_load::{LoadOptions, fetch_runs, judge, run_load};
 use eyre::{WrapErr, bail};
 
 mod flags {
+    use super::PathBuf;
+
     xflags::xflags! {
         /// Sends requests, then holds what callers were told against what targets have run.
         cmd anvilrack-load {
@@ -34,6 +39,8 @@
             optional --timeout-ms ms: u64
             /// Seed of all random choices.
             optional --seed seed: u64
+            /// Write one JSON line for each request to this file.
+            optional --history file: PathBuf
             /// Print JSON.
             optional --json
         }
@@ -45,6 +52,9 @@
     let flags = flags::AnvilrackLoad::from_env_or_exit();
     let targets = parse_addresses(&flags.targets)?;
     let history = run_load(&options_of(&flags)?);
+    if let Some(file) = &flags.history {
+        history.write_lines(&mut BufWriter::new(File::create(file)?))?;
+    }
     let report = judge(&history, &fetch_runs(&targets)?);
     if flags.json {
         println!("{}", serde_json::to_string(&report)?);
--- /dev/null
+++ b/crates/anvilrack-load/tests/load_spread.rs
@@ -0,0 +1,73 @@
+//! Evenness of runs, gaps of keys, and the shapes.
+
+use std::time::Duration;
+
+use anvilrack_load::{
+    LOAD_SHAPES, LoadHistory, LoadRecord, LoadShape, RunSpread, ToldVerdict, longest_gaps,
+};
+
+macro_rules! spread_cases {
+    ($($name:ident: $runs:expr => $max:literal;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let spread = RunSpread::new(&$runs);
+                assert!((spread.max_over_mean - $max).abs() < 1e-9, "{spread:?}");
+            }
+        )*
+    };
+}
+
+spread_cases! {
+    even_runs_have_no_imbalance: [100, 100, 100] => 1.0;
+    one_target_with_all_runs_is_all_imbalance: [300, 0, 0] => 3.0;
+    targets_without_runs_have_none: [0, 0] => 0.0;
+    no_targets_have_none: [] => 0.0;
+}
+
+fn answer_at(ms: u64, told: ToldVerdict) -> LoadRecord {
+    LoadRecord {
+        method: "GET",
+        key: "key-1".to_owned(),
+        id: ms.to_string(),
+        told,
+        sent_at: Duration::from_millis(ms),
+        latency: Duration::from_millis(1),
+    }
+}
+
+macro_rules! gap_cases {
+    ($($name:ident: $records:expr => $gap_ms:literal;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let records = Vec::from($records);
+                let elapsed = Duration::from_secs(1);
+                let gaps = longest_gaps(&LoadHistory { records, elapsed });
+                let longest = gaps.get("key-1").copied().unwrap_or_default();
+                assert_eq!(longest, Duration::from_millis($gap_ms));
+            }
+        )*
+    };
+}
+
+use ToldVerdict::{MayHaveRun, NotRun, Ran};
+
+gap_cases! {
+    the_longest_gap_counts: [answer_at(0, Ran), answer_at(10, Ran), answer_at(40, Ran)] => 30;
+    records_may_come_in_any_order: [answer_at(40, Ran), answer_at(0, Ran), answer_at(10, Ran)] => 30;
+    refusals_do_not_end_a_gap: [answer_at(0, Ran), answer_at(10, NotRun), answer_at(40, Ran)] => 40;
+    answers_that_are_unknown_do_not_end_a_gap:
+        [answer_at(0, Ran), answer_at(10, MayHaveRun), answer_at(40, Ran)] => 40;
+    one_answer_has_no_gap: [answer_at(40, Ran)] => 0;
+}
+
+#[test]
+fn each_shape_is_found_by_its_name() {
+    for shape in LOAD_SHAPES {
+        let found = LoadShape::named(shape.name).unwrap();
+        let loads = found.loads(&[([127, 0, 0, 1], 1).into()], 10.0, Duration::from_secs(1));
+        assert_eq!(loads.len(), shape.services.len());
+    }
+    assert!(LoadShape::named("nowhere").is_none());
+}
