--- a/crates/anvilrack-core/src/lib.rs
+++ b/crates/anvilrack-core/src/lib.rs
@@ -12,6 +12,7 @@
 //! * [`CoordinatorState`] decides who should own what.
 //! * [`StandbyState`] decides whether this router may replace its coordinator.
 
+mod cell_history;
 mod cell_record;
 mod clock;
 mod coordinator_state;
@@ -22,6 +23,7 @@
 mod owner_state;
 mod placement_note;
 mod placement_policy;
+mod record_delta;
 mod request_verdict;
 mod route_table;
 mod service_rules;
@@ -43,8 +45,9 @@
 pub use owner_state::{GrantAnswer, OwnerState};
 pub use placement_note::{PlacementJournal, PlacementNote, PlacementReason, placement_notes};
 pub use placement_policy::PlacementPolicy;
+pub use record_delta::{RecordDelta, RecordStamp};
 pub use request_verdict::{RefusalReason, RequestVerdict, TargetAnswer, UncertainReason};
-pub use route_table::{RouteError, RouteTable, ShardRoute};
+pub use route_table::{RouteError, RouteTable, ShardRoute, TableChanges};
 pub use service_rules::{
     ConfigDocument, ConfigRecord, PlacementWeights, RequestClass, ServiceRules, SitePlan,
 };
