Keep an at-most-once record at the guard and move it with shards

Cause: a claim that was sent twice ran twice. Nothing remembered what had run, and a planned move had nothing to hand over.

The record goes by service, key and idempotency key: at work, done with its answer, or unknown. It is bounded in entries, bytes and time and refuses new claims when full. An entry is never dropped early; a dated key older than the kept time is not run. A planned move takes the entries along, and also how long ago an earlier owner's record was lost: else a loss followed by a planned move would have forgotten the loss.

Ruled out: forgetting the oldest entry when full (a silent second run); telling a duplicate that may not wait 'not run' (the first may run).

Conclusion: duplicates join, get the kept answer or are told honestly.

--- a/crates/anvilrack-core/src/event_catalogue.rs
+++ b/crates/anvilrack-core/src/event_catalogue.rs
@@ -54,4 +54,8 @@
     REQUEST_ROUTED = 2001, "request.routed", "A request was answered; says to where it went and its verdict.";
     REQUEST_REFUSED = 2002, "request.refused", "A request was refused; says why.";
     PEER_LOST = 2101, "peer.lost", "A link to another router broke or went silent.";
+    RECORD_HANDED_OVER = 2201, "record.handed-over", "The at-most-once record of a shard went to its next owner; says how many entries.";
+    RECORD_NOT_TAKEN = 2202, "record.not-taken", "The next owner did not take the at-most-once record; older requests will be told that they may have run.";
+    RECORD_TAKEN = 2203, "record.taken", "This router took the at-most-once record of a shard that moves to it.";
+    RECORD_FULL = 2204, "record.full", "The at-most-once record has no room; new non-idempotent requests are refused.";
 }
--- a/crates/anvilrack-core/src/lib.rs
+++ b/crates/anvilrack-core/src/lib.rs
@@ -20,8 +20,10 @@
 mod lease_terms;
 mod owner_state;
 mod placement_policy;
+mod request_identity;
 mod request_verdict;
 mod route_table;
+mod run_record;
 mod service_rules;
 mod shard_hash;
 mod standby_state;
@@ -39,8 +41,13 @@
 pub use lease_terms::LeaseTerms;
 pub use owner_state::{GrantAnswer, OwnerState};
 pub use placement_policy::PlacementPolicy;
+pub use request_identity::{fingerprint_of, first_sent_at};
 pub use request_verdict::{RefusalReason, RequestVerdict, TargetAnswer, UncertainReason};
 pub use route_table::{RouteError, RouteTable, ShardRoute};
+pub use run_record::{
+    ExportedRun, ExportedShard, RecordKey, RecordLimits, RecordRequest, RecordStep, RunOutcome,
+    RunRecord,
+};
 pub use service_rules::{
     ConfigDocument, ConfigRecord, PlacementWeights, RequestClass, ServiceRules, SitePlan,
 };
--- a/crates/anvilrack-core/src/owner_state.rs
+++ b/crates/anvilrack-core/src/owner_state.rs
@@ -151,6 +151,13 @@
         self.lease_until = BootTime::ZERO;
     }
 
+    /// When the grant of a shard began, where an earlier owner's at-most-once record is gone.
+    #[must_use]
+    pub fn record_lost_at(&self, shard: ShardId) -> Option<BootTime> {
+        let grant = self.grants.get(&shard).filter(|grant| grant.record_lost);
+        grant.map(|grant| grant.since)
+    }
+
     /// The shards granted and not given back.
     pub fn held(&self) -> impl Iterator<Item = (ShardId, FencingToken)> + '_ {
         self.grants
--- /dev/null
+++ b/crates/anvilrack-core/src/request_identity.rs
@@ -0,0 +1,49 @@
+//! What can be told of a request from its texts alone.
+
+use std::time::Duration;
+
+use uuid::Uuid;
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::BootTime;
+
+/// Fingerprint of some texts; where one ends and the next begins makes a difference.
+///
+/// ```
+/// use anvilrack_core::fingerprint_of;
+///
+/// assert_ne!(fingerprint_of(&[b"ab", b"c"]), fingerprint_of(&[b"a", b"bc"]));
+/// ```
+#[must_use]
+pub fn fingerprint_of(parts: &[&[u8]]) -> u64 {
+    let mut hash = Xxh3::new();
+    for part in parts {
+        hash.update(&(part.len() as u64).to_le_bytes());
+        hash.update(part);
+    }
+    hash.digest()
+}
+
+/// When a request was first sent, by its idempotency key, on this router's clock since start.
+///
+/// Only a UUID of version 7 tells; `None` for any other form, and for one that lies in the future by more
+/// than `margin`.
+#[must_use]
+pub fn first_sent_at(
+    idempotency_key: &str,
+    unix_now: Duration,
+    now: BootTime,
+    margin: Duration,
+) -> Option<BootTime> {
+    let id = Uuid::try_parse(idempotency_key).ok()?;
+    if id.get_version_num() != 7 {
+        return None;
+    }
+    let (seconds, nanos) = id.get_timestamp()?.to_unix();
+    let sent = Duration::new(seconds, nanos);
+    if sent > unix_now + margin {
+        return None;
+    }
+    let age = unix_now.saturating_sub(sent);
+    Some(now.saturating_sub(age))
+}
--- /dev/null
+++ b/crates/anvilrack-core/tests/run_record.rs
@@ -0,0 +1,223 @@
+//! The at-most-once record: joins, kept answers, bounds, moves and losses.
+
+use std::time::Duration;
+
+use anvilrack_core::{
+    BootTime, RecordKey, RecordLimits, RecordRequest, RecordStep, RefusalReason, RequestVerdict,
+    RunRecord, TargetAnswer, UncertainReason, first_sent_at,
+};
+
+const KEEP: Duration = Duration::from_mins(5);
+const MARGIN: Duration = Duration::from_secs(2);
+
+fn at(seconds: u64) -> BootTime {
+    Duration::from_secs(10_000 + seconds)
+}
+
+fn new_record() -> RunRecord {
+    RunRecord::new(RecordLimits::default())
+}
+
+fn claim(id: &str, first_sent: Option<BootTime>) -> RecordRequest {
+    RecordRequest {
+        key: RecordKey {
+            service: "bookings".into(),
+            key: "seat-1".into(),
+            idempotency_key: id.into(),
+        },
+        shard: 3,
+        fingerprint: 11,
+        first_sent,
+        record_lost_at: None,
+    }
+}
+
+fn answer(size: usize) -> RequestVerdict {
+    RequestVerdict::Ran(TargetAnswer {
+        status: 201,
+        content_type: None,
+        body: vec![7; size].into(),
+    })
+}
+
+fn may_have_run(reason: UncertainReason) -> RecordStep {
+    RecordStep::Answer(RequestVerdict::MayHaveRun(reason))
+}
+
+fn refused(step: &RecordStep, expected: RefusalReason) -> bool {
+    matches!(step, RecordStep::Answer(RequestVerdict::NotRun(reason, _)) if *reason == expected)
+}
+
+macro_rules! record_cases {
+    ($($name:ident($record:ident) $body:block)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let mut $record = new_record();
+                $body
+            }
+        )*
+    };
+}
+
+record_cases! {
+    a_duplicate_joins_then_gets_the_kept_answer(record) {
+        let request = claim("a", Some(at(0)));
+        assert_eq!(record.begin(&request, at(0)), RecordStep::Run);
+        assert_eq!(record.begin(&request, at(1)), RecordStep::Join);
+        record.settle(&request.key, &answer(5), at(2));
+        assert_eq!(record.begin(&request, at(3)), RecordStep::Answer(answer(5)));
+    }
+
+    an_unknown_outcome_never_runs_again(record) {
+        let request = claim("a", Some(at(0)));
+        record.begin(&request, at(0));
+        let verdict = RequestVerdict::MayHaveRun(UncertainReason::ConnectionLost);
+        record.settle(&request.key, &verdict, at(1));
+        let expected = may_have_run(UncertainReason::ConnectionLost);
+        assert_eq!(record.begin(&request, at(2)), expected);
+    }
+
+    a_request_that_surely_has_not_run_may_run(record) {
+        let request = claim("a", Some(at(0)));
+        record.begin(&request, at(0));
+        let verdict = RequestVerdict::NotRun(RefusalReason::TargetRefused, MARGIN);
+        record.settle(&request.key, &verdict, at(1));
+        assert_eq!(record.entries(), 0);
+        assert_eq!(record.bytes(), 0);
+        assert_eq!(record.begin(&request, at(2)), RecordStep::Run);
+    }
+
+    a_key_used_for_a_different_request_is_refused(record) {
+        let request = claim("a", Some(at(0)));
+        record.begin(&request, at(0));
+        let other = RecordRequest { fingerprint: 12, ..request };
+        assert!(refused(&record.begin(&other, at(1)), RefusalReason::KeyReused));
+    }
+
+    nothing_is_forgotten_before_its_time(record) {
+        let request = claim("not-a-uuid", None);
+        record.begin(&request, at(0));
+        record.settle(&request.key, &answer(5), at(10));
+        let kept = at(10) + KEEP;
+        assert_eq!(record.begin(&request, kept), RecordStep::Answer(answer(5)));
+        assert_eq!(record.begin(&request, kept + Duration::from_millis(1)), RecordStep::Run);
+    }
+
+    a_dated_key_from_before_the_kept_time_is_not_run(record) {
+        let request = claim("a", Some(at(0)));
+        let expected = may_have_run(UncertainReason::RecordLost);
+        assert_eq!(record.begin(&request, at(0) + KEEP), expected);
+        let fresh = claim("b", Some(at(0) + KEEP));
+        assert_eq!(record.begin(&fresh, at(0) + KEEP), RecordStep::Run);
+    }
+
+    of_a_long_answer_only_the_outcome_is_kept(record) {
+        let request = claim("a", Some(at(0)));
+        record.begin(&request, at(0));
+        record.settle(&request.key, &answer(300 * 1024), at(1));
+        let expected = may_have_run(UncertainReason::AnswerTooLarge);
+        assert_eq!(record.begin(&request, at(2)), expected);
+    }
+
+    after_a_loss_what_was_sent_before_is_not_run(record) {
+        let lost = |id: &str, first_sent| RecordRequest {
+            record_lost_at: Some(at(100)),
+            ..claim(id, first_sent)
+        };
+        let expected = may_have_run(UncertainReason::RecordLost);
+        assert_eq!(record.begin(&lost("old", Some(at(90))), at(101)), expected);
+        assert_eq!(record.begin(&lost("near", Some(at(101))), at(101)), expected);
+        assert_eq!(record.begin(&lost("form", None), at(101)), expected);
+        assert_eq!(record.begin(&lost("new", Some(at(103))), at(103)), RecordStep::Run);
+        assert_eq!(record.begin(&lost("form", None), at(100) + KEEP), RecordStep::Run);
+    }
+
+    the_next_owner_knows_of_runs_and_of_an_earlier_loss(record) {
+        let done = RecordRequest { record_lost_at: Some(at(100)), ..claim("done", Some(at(110))) };
+        let open = claim("open", Some(at(111)));
+        record.begin(&done, at(110));
+        record.settle(&done.key, &answer(5), at(110));
+        record.begin(&open, at(111));
+        let exported = record.export(3, Some(at(100)), at(112));
+        assert_eq!(record.export(4, None, at(112)).runs, vec![]);
+        let mut next = new_record();
+        assert!(next.import(3, exported, at(113)));
+        assert_eq!(next.begin(&done, at(114)), RecordStep::Answer(answer(5)));
+        assert_eq!(next.begin(&open, at(114)), may_have_run(UncertainReason::TimedOut));
+        let old = claim("old", Some(at(90)));
+        assert_eq!(next.begin(&old, at(114)), may_have_run(UncertainReason::RecordLost));
+    }
+
+    a_kept_answer_outlives_a_record_that_comes_back(record) {
+        let request = claim("a", Some(at(0)));
+        record.begin(&request, at(0));
+        let open = record.export(3, None, at(1));
+        record.settle(&request.key, &answer(5), at(2));
+        assert!(record.import(3, open, at(3)));
+        assert_eq!(record.begin(&request, at(4)), RecordStep::Answer(answer(5)));
+    }
+}
+
+#[test]
+fn a_full_record_refuses_and_forgets_nothing() {
+    let limits = RecordLimits {
+        entries: 2,
+        ..RecordLimits::default()
+    };
+    let mut record = RunRecord::new(limits);
+    let (first, second) = (claim("a", Some(at(0))), claim("b", Some(at(0))));
+    for request in [&first, &second] {
+        record.begin(request, at(0));
+        record.settle(&request.key, &answer(5), at(0));
+    }
+    let third = record.begin(&claim("c", Some(at(1))), at(1));
+    assert!(refused(&third, RefusalReason::RecordFull));
+    assert_eq!(record.begin(&first, at(1)), RecordStep::Answer(answer(5)));
+    let exported = new_record_with("d").export(3, None, at(1));
+    assert!(!record.import(3, exported, at(1)));
+    let later = at(1) + KEEP;
+    assert_eq!(
+        record.begin(&claim("c", Some(later)), later),
+        RecordStep::Run
+    );
+}
+
+fn new_record_with(id: &str) -> RunRecord {
+    let mut record = new_record();
+    record.begin(&claim(id, Some(at(0))), at(0));
+    record
+}
+
+#[test]
+fn the_bound_on_bytes_holds_for_answers_still_to_come() {
+    let limits = RecordLimits {
+        bytes: 1024 * 1024,
+        ..RecordLimits::default()
+    };
+    let mut record = RunRecord::new(limits);
+    let ids = (0..100).map(|number| format!("id-{number}"));
+    let claims: Vec<_> = ids.map(|id| claim(&id, Some(at(0)))).collect();
+    let begun = claims
+        .iter()
+        .filter(|claim| record.begin(claim, at(0)) == RecordStep::Run);
+    let begun: Vec<_> = begun.collect();
+    assert_eq!(begun.len(), 3);
+    for claim in begun {
+        record.settle(&claim.key, &answer(256 * 1024), at(1));
+    }
+    assert!(record.bytes() <= limits.bytes);
+}
+
+#[test]
+fn only_a_time_ordered_uuid_tells_when_it_was_made() {
+    let id = "017f22e2-79b0-7cc3-98c4-dc0c0c07398f";
+    let made = Duration::from_millis(0x017f_22e2_79b0);
+    let sent = first_sent_at(id, made + Duration::from_secs(5), at(100), MARGIN);
+    assert_eq!(sent, Some(at(95)));
+    let future = first_sent_at(id, made - Duration::from_secs(3), at(100), MARGIN);
+    assert_eq!(future, None);
+    let random = "f81d4fae-7dec-41d0-a765-00a0c91e6bf6";
+    assert_eq!(first_sent_at(random, made, at(100), MARGIN), None);
+    assert_eq!(first_sent_at("order 17", made, at(100), MARGIN), None);
+}
--- a/crates/anvilrack-router/src/membership.rs
+++ b/crates/anvilrack-router/src/membership.rs
@@ -14,7 +14,7 @@
 
 use crate::router_context::RouterContext;
 use crate::store_records::read_cell;
-use crate::{boot_clock, log_event, takeover};
+use crate::{boot_clock, log_event, record_handover, takeover};
 
 /// Time for one heartbeat.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -164,6 +164,7 @@
 
 /// Stops serving a shard, waits for its last request, and remembers it as given back.
 fn release_shard(context: &RouterContext, order: &ReleaseOrder) {
+    let lost_at = context.owner().record_lost_at(order.shard);
     let Some(token) = context.owner().release(order.shard) else {
         return;
     };
@@ -181,7 +182,7 @@
     context.releases.release(ReleaseReport {
         shard: order.shard,
         token,
-        record_at: None,
+        record_at: record_handover::hand_over(context, order, token, lost_at),
     });
     context.nudge();
 }
--- a/crates/anvilrack-router/src/peer_handler.rs
+++ b/crates/anvilrack-router/src/peer_handler.rs
@@ -8,7 +8,7 @@
 
 use crate::guard_pool::{GuardJob, GuardPool};
 use crate::router_context::RouterContext;
-use crate::{boot_clock, membership};
+use crate::{boot_clock, membership, record_handover};
 
 /// Serves the requests of other routers.
 ///
@@ -70,7 +70,9 @@
                 self.context.nudge();
                 PeerReply::Nudged
             }
-            PeerRequest::Handover(_) => PeerReply::HandoverTaken(false),
+            PeerRequest::Handover(handover) => {
+                PeerReply::HandoverTaken(record_handover::take(&self.context, handover))
+            }
         };
         reply.send(answer);
     }
--- a/crates/anvilrack-router/src/router_context.rs
+++ b/crates/anvilrack-router/src/router_context.rs
@@ -17,6 +17,7 @@
 use tokio::runtime::Handle;
 
 use crate::release_tracker::ReleaseTracker;
+use crate::run_keeper::RunKeeper;
 use crate::target_view::TargetView;
 use crate::{boot_clock, log_event};
 
@@ -36,6 +37,8 @@
     pub links: PeerLinks,
     /// Shards on their way to another owner.
     pub releases: ReleaseTracker,
+    /// The at-most-once record.
+    pub runs: RunKeeper,
     owner: Mutex<OwnerState>,
     standby: Mutex<StandbyState>,
     coordinator: Mutex<Option<CoordinatorState>>,
@@ -58,6 +61,7 @@
             store: HttpStore::new(settings.store),
             links: PeerLinks::new(runtime),
             releases: ReleaseTracker::default(),
+            runs: RunKeeper::new(&settings.limits),
             owner: Mutex::new(OwnerState::new(node.clone(), incarnation, terms)),
             standby: Mutex::new(StandbyState::new(node, incarnation, terms, now)),
             coordinator: Mutex::new(None),
--- a/crates/anvilrack-router/src/stages/guard.rs
+++ b/crates/anvilrack-router/src/stages/guard.rs
@@ -1,6 +1,11 @@
 //! Fourth stage, beside the owner: may this request go to the target now?
 
-use anvilrack_core::{BootTime, RefusalReason, RequestVerdict, ShardHash};
+use std::time::Duration;
+
+use anvilrack_core::{
+    BootTime, GrantAnswer, RecordKey, RecordRequest, RefusalReason, RequestVerdict, ServiceRules,
+    ShardHash, ShardId, fingerprint_of, first_sent_at,
+};
 use anvilrack_wire::ForwardRequest;
 
 use super::RETRY_SOON;
@@ -8,11 +13,12 @@
 use super::deliver::{self, DeliveryOrder, TargetClient};
 use crate::boot_clock;
 use crate::router_context::RouterContext;
+use crate::run_keeper::RunTicket;
 
-/// Checks a request against the grant and passes it to the target.
+/// Checks a request against the grant and the at-most-once record, and passes it to the target.
 ///
 /// The use of the shard is counted first and the grant looked at after that: so a release that
-/// finds no use can be sure that none will begin.
+/// finds no use can be sure that none will begin, and that the record of the shard is complete.
 pub fn process(
     context: &RouterContext,
     client: &TargetClient,
@@ -26,16 +32,73 @@
     let Some(rules) = context.routes().rules(&request.service).cloned() else {
         return refuse(RefusalReason::UnknownService);
     };
+    let shard = ShardHash::new(rules.shards).shard_of(&request.key);
+    let deadline = deadline.min(boot_clock::now() + BootTime::from_millis(rules.max_timeout_ms));
+    let _in_use = context.releases.enter(shard);
+    let grant = match context.owner().grant(shard, boot_clock::now()) {
+        Ok(grant) => grant,
+        Err(reason) => return refuse(reason),
+    };
+    let ticket = match begin_run(context, request, shard, grant, deadline) {
+        Ok(ticket) => ticket,
+        Err(verdict) => return verdict,
+    };
+    let verdict = run(context, client, request, &rules, shard, deadline);
+    if let Some(ticket) = ticket {
+        ticket.settle(&verdict);
+    }
+    verdict
+}
+
+/// Enters a non-idempotent request into the record; one without an idempotency key has no entry.
+fn begin_run<'a>(
+    context: &'a RouterContext,
+    request: &ForwardRequest,
+    shard: ShardId,
+    grant: GrantAnswer,
+    deadline: BootTime,
+) -> Result<Option<RunTicket<'a>>, RequestVerdict> {
+    let Some(idempotency_key) = request.recorded_key() else {
+        return Ok(None);
+    };
+    let unix_now = Duration::from_millis(boot_clock::unix_ms());
+    let margin = context.runs.clock_margin();
+    let entry = RecordRequest {
+        key: RecordKey {
+            service: request.service.clone(),
+            key: request.key.clone(),
+            idempotency_key: idempotency_key.clone(),
+        },
+        shard,
+        fingerprint: fingerprint_of(&[
+            request.method.as_bytes(),
+            request.path.as_bytes(),
+            &request.body.0,
+        ]),
+        first_sent: first_sent_at(idempotency_key, unix_now, boot_clock::now(), margin),
+        record_lost_at: grant.record_lost.then_some(grant.since),
+    };
+    context.runs.begin(&entry, deadline).map(Some)
+}
+
+/// Finds room and puts the request to the target; waiting may take time, so the grant is looked at
+/// after that.
+fn run(
+    context: &RouterContext,
+    client: &TargetClient,
+    request: &ForwardRequest,
+    rules: &ServiceRules,
+    shard: ShardId,
+    deadline: BootTime,
+) -> RequestVerdict {
+    let refuse = |reason| RequestVerdict::NotRun(reason, RETRY_SOON);
     let Some(address) = context.target().address() else {
         return refuse(RefusalReason::NoOwner);
     };
-    let shard = ShardHash::new(rules.shards).shard_of(&request.key);
-    let deadline = deadline.min(boot_clock::now() + BootTime::from_millis(rules.max_timeout_ms));
-    let _permit = match admit::process(context, request, &rules, deadline) {
+    let _permit = match admit::process(context, request, rules, deadline) {
         Ok(permit) => permit,
         Err(reason) => return refuse(reason),
     };
-    let _in_use = context.releases.enter(shard);
     let grant = context.owner().grant(shard, boot_clock::now());
     match grant {
         Ok(grant) => {
--- a/crates/anvilrack-settings/src/router_settings.rs
+++ b/crates/anvilrack-settings/src/router_settings.rs
@@ -48,6 +48,12 @@
     pub default_timeout_ms: u64,
     /// Longest time that a graceful stop waits for requests in flight, in milliseconds.
     pub stop_ms: u64,
+    /// Entries of the at-most-once record.
+    pub record_entries: usize,
+    /// Bytes of the at-most-once record.
+    pub record_bytes: usize,
+    /// How long the at-most-once record keeps an outcome, in milliseconds.
+    pub record_keep_ms: u64,
 }
 
 impl Default for RouterLimits {
@@ -58,6 +64,9 @@
             body_bytes: 4 * 1024 * 1024,
             default_timeout_ms: 2_000,
             stop_ms: 15_000,
+            record_entries: 262_144,
+            record_bytes: 128 * 1024 * 1024,
+            record_keep_ms: 300_000,
         }
     }
 }
@@ -123,6 +132,18 @@
             ("limits.caller_workers", self.caller_workers, 1, 4_096),
             ("limits.guard_workers", self.guard_workers, 1, 4_096),
             ("limits.body_bytes", self.body_bytes, 1, 16 * 1024 * 1024),
+            (
+                "limits.record_entries",
+                self.record_entries,
+                1,
+                16 * 1024 * 1024,
+            ),
+            (
+                "limits.record_bytes",
+                self.record_bytes,
+                1024 * 1024,
+                4 * 1024 * 1024 * 1024,
+            ),
         ];
         for (field, value, low, high) in counts {
             if !(low..=high).contains(&value) {
@@ -140,6 +161,12 @@
                 600_000,
             ),
             ("limits.stop_ms", self.stop_ms, 0, 600_000),
+            (
+                "limits.record_keep_ms",
+                self.record_keep_ms,
+                1_000,
+                86_400_000,
+            ),
         ];
         for (field, value, low, high) in times {
             if !(low..=high).contains(&value) {
--- a/crates/anvilrack-wire/src/forward_message.rs
+++ b/crates/anvilrack-wire/src/forward_message.rs
@@ -37,6 +37,14 @@
     pub fn is_idempotent(&self) -> bool {
         !matches!(&*self.method, "POST" | "PATCH")
     }
+
+    /// The idempotency key of a non-idempotent request: what the at-most-once record goes by.
+    #[must_use]
+    pub fn recorded_key(&self) -> Option<&Arc<str>> {
+        self.idempotency_key
+            .as_ref()
+            .filter(|_| !self.is_idempotent())
+    }
 }
 
 /// A verdict on the wire.
--- a/crates/anvilrack-wire/src/peer_message.rs
+++ b/crates/anvilrack-wire/src/peer_message.rs
@@ -5,7 +5,7 @@
 
 use anvilrack_core::{
     CellRecord, ConfigRecord, Epoch, FencingToken, MemberReport, RenewalAnswer, Revision,
-    ServiceName, ShardId, TableVersion,
+    ServiceName, ShardId, TableVersion, UncertainReason,
 };
 use serde::{Deserialize, Serialize};
 
@@ -107,6 +107,8 @@
     pub token: FencingToken,
     /// What was kept.
     pub entries: Vec<RecordEntry>,
+    /// How long ago an earlier owner's record of this shard was lost, where that still matters.
+    pub lost_age: Option<Duration>,
 }
 
 /// One non-idempotent request that has run, or may have.
@@ -118,7 +120,7 @@
     pub idempotency_key: Arc<str>,
     /// Fingerprint of method, path and body.
     pub fingerprint: u64,
-    /// How long ago the request came in.
+    /// How long its outcome has been kept.
     pub age: Duration,
     /// What came of it.
     pub outcome: RecordOutcome,
@@ -130,5 +132,5 @@
     /// It ran, and this is its answer.
     Done(ForwardReply),
     /// It may have run.
-    Unknown,
+    Unknown(UncertainReason),
 }
