--- a/crates/anvilrack-core/src/lib.rs
+++ b/crates/anvilrack-core/src/lib.rs
@@ -24,8 +24,10 @@
 mod placement_note;
 mod placement_policy;
 mod record_delta;
+mod request_identity;
 mod request_verdict;
 mod route_table;
+mod run_record;
 mod service_rules;
 mod shard_hash;
 mod standby_state;
@@ -46,8 +48,13 @@
 pub use placement_note::{PlacementJournal, PlacementNote, PlacementReason, placement_notes};
 pub use placement_policy::PlacementPolicy;
 pub use record_delta::{RecordDelta, RecordStamp};
+pub use request_identity::{fingerprint_of, first_sent_at};
 pub use request_verdict::{RefusalReason, RequestVerdict, TargetAnswer, UncertainReason};
 pub use route_table::{RouteError, RouteTable, ShardRoute, TableChanges};
+pub use run_record::{
+    ExportedRun, ExportedShard, RecordKey, RecordLimits, RecordRequest, RecordStep, RunOutcome,
+    RunRecord,
+};
 pub use service_rules::{
     ConfigDocument, ConfigRecord, PlacementWeights, RequestClass, ServiceRules, SitePlan,
 };
--- a/crates/anvilrack-wire/src/peer_message.rs
+++ b/crates/anvilrack-wire/src/peer_message.rs
@@ -5,7 +5,7 @@
 
 use anvilrack_core::{
     CellRecord, ConfigRecord, Epoch, FencingToken, MemberReport, PlacementNote, RecordDelta,
-    RenewalAnswer, Revision, ServiceName, ShardId, TableVersion,
+    RenewalAnswer, Revision, ServiceName, ShardId, TableVersion, UncertainReason,
 };
 use serde::{Deserialize, Serialize};
 
@@ -113,6 +113,8 @@
     pub token: FencingToken,
     /// What was kept.
     pub entries: Vec<RecordEntry>,
+    /// How long ago an earlier owner's record of this shard was lost, where that still matters.
+    pub lost_age: Option<Duration>,
 }
 
 /// One non-idempotent request that has run, or may have.
@@ -124,7 +126,7 @@
     pub idempotency_key: Arc<str>,
     /// Fingerprint of method, path and body.
     pub fingerprint: u64,
-    /// How long ago the request came in.
+    /// How long its outcome has been kept.
     pub age: Duration,
     /// What came of it.
     pub outcome: RecordOutcome,
@@ -136,5 +138,5 @@
     /// It ran, and this is its answer.
     Done(ForwardReply),
     /// It may have run.
-    Unknown,
+    Unknown(UncertainReason),
 }
