Admit to a target what it can run, in the order of class and deadline

Cause: the admission stage let everything through. A target with 4 slots got as many requests as there were workers, and requests timed out after they had reached it.

What changes: `AdmissionQueue` (pure, time passed in) holds the slots and a short queue, two places for each slot: class first, then callers within their fair share, then deadline; reads and archive look-ups have a floor in starts and in places. What cannot make its deadline is refused at once, with the time the queue takes to drain as Retry-After; where even the newest running request is older than the mean latency, its age counts instead, so a frozen target refuses at once. Requests at the target are bounded by slots and by connections less two, and kept connections are used before new ones.

Edits in others' files: guard.rs returns the admission's verdict and closes the permit with the verdict of the delivery; router_process.rs takes a place in the entry shares; RouterSettings has `policies`, with the plain rules as baselines.

Ruled out on the way: answers lost by the router. Callers at times get no answer, while the router's log shows one for each request that it saw. tiny_http's pool of threads counts a thread as idle until it wakes, so several connections accepted at once can queue for one thread and wait until another connection closes.

--- /dev/null
+++ b/crates/anvilrack-core/src/admission_queue.rs
@@ -0,0 +1,334 @@
+//! Which requests go to a target now, which wait and which are refused.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::{BootTime, LatencyLimit, RefusalReason, RequestClass};
+
+/// Requests that may wait for each slot.
+const WAITING_PER_SLOT: usize = 2;
+
+/// A waiting read goes first once this many others were started before it.
+const READ_FLOOR: u32 = 4;
+
+/// A waiting archive look-up goes first once this many others were started before it.
+const ARCHIVE_FLOOR: u32 = 9;
+
+/// Each class may use this part of the waiting room, as a divisor, whatever else waits.
+const ROOM_FLOOR: usize = 4;
+
+/// Names a request that was admitted or that waits.
+pub type TicketId = u64;
+
+/// What the queue looks at in a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AdmissionRequest {
+    /// How urgent it is.
+    pub class: RequestClass,
+    /// When its time is over.
+    pub deadline: BootTime,
+    /// Who asks.
+    pub caller: Arc<str>,
+}
+
+/// What becomes of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AdmissionStep {
+    /// It has a slot and goes to the target now.
+    Enter(TicketId),
+    /// It waits; ask again at the latest at the given time.
+    Wait(TicketId, BootTime),
+    /// It does not run; the caller may come back after the given time.
+    Refuse(RefusalReason, Duration),
+}
+
+/// The slots of one target and the short queue in front of them.
+///
+/// Free slots go by class, then to callers within their fair share, then by deadline. A class that
+/// was passed over often enough goes first once, so that none starves.
+#[derive(Clone, Debug)]
+pub struct AdmissionQueue {
+    limit: LatencyLimit,
+    last_ticket: TicketId,
+    running: BTreeMap<TicketId, RunningRequest>,
+    waiting: BTreeMap<TicketId, AdmissionRequest>,
+    refused: BTreeMap<TicketId, RefusalReason>,
+    passed_over: BTreeMap<RequestClass, u32>,
+    news: Vec<TicketId>,
+}
+
+#[derive(Clone, Debug)]
+struct RunningRequest {
+    caller: Arc<str>,
+    began: BootTime,
+}
+
+impl AdmissionQueue {
+    /// You give the limit on requests side by side.
+    #[must_use]
+    pub fn new(limit: LatencyLimit) -> Self {
+        Self {
+            limit,
+            last_ticket: 0,
+            running: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            refused: BTreeMap::new(),
+            passed_over: BTreeMap::new(),
+            news: Vec::new(),
+        }
+    }
+
+    /// Takes another number of slots from a newer configuration.
+    pub fn set_slots(&mut self, slots: u32) {
+        self.limit.set_slots(slots);
+    }
+
+    // --- a request's way ------------------------------------------------------------------------
+
+    /// A request came in.
+    pub fn offer(&mut self, request: AdmissionRequest, now: BootTime) -> AdmissionStep {
+        let latest = self.latest_start(&request);
+        let ahead = self.ahead_of(&request);
+        let wait = if self.has_room() && ahead == 0 {
+            Duration::ZERO
+        } else {
+            self.time_for(ahead + 1, now)
+        };
+        if now + wait > latest || now >= request.deadline {
+            return AdmissionStep::Refuse(RefusalReason::DeadlineTooShort, self.drain_time(now));
+        }
+        if !self.has_room() && !self.make_place(&request) {
+            return AdmissionStep::Refuse(RefusalReason::Overloaded, self.drain_time(now));
+        }
+        self.last_ticket += 1;
+        let ticket = self.last_ticket;
+        self.waiting.insert(ticket, request);
+        self.start_waiting(now);
+        self.poll(ticket, now)
+    }
+
+    /// Asks again about a request that was told to wait.
+    pub fn poll(&mut self, ticket: TicketId, now: BootTime) -> AdmissionStep {
+        if self.running.contains_key(&ticket) {
+            return AdmissionStep::Enter(ticket);
+        }
+        if let Some(reason) = self.refused.remove(&ticket) {
+            return AdmissionStep::Refuse(reason, self.drain_time(now));
+        }
+        let Some(request) = self.waiting.get(&ticket) else {
+            return AdmissionStep::Refuse(RefusalReason::Overloaded, self.drain_time(now));
+        };
+        let latest = self.latest_start(request);
+        if now >= latest {
+            self.waiting.remove(&ticket);
+            return AdmissionStep::Refuse(RefusalReason::DeadlineTooShort, self.drain_time(now));
+        }
+        AdmissionStep::Wait(ticket, latest)
+    }
+
+    /// A request that had a slot is over.
+    ///
+    /// `measured` says whether the target worked on it, so that its time tells of the target.
+    pub fn leave(&mut self, ticket: TicketId, measured: bool, now: BootTime) {
+        let full = self.running.len() >= self.limit.limit() as usize;
+        if let Some(request) = self.running.remove(&ticket).filter(|_| measured) {
+            let took = now.saturating_sub(request.began);
+            self.limit.record(took, full, now);
+        }
+        self.start_waiting(now);
+    }
+
+    /// Waiting requests that were settled since the last call: those who wait for them should ask
+    /// again.
+    pub fn take_news(&mut self) -> Vec<TicketId> {
+        std::mem::take(&mut self.news)
+    }
+
+    // --- choosing -------------------------------------------------------------------------------
+
+    fn start_waiting(&mut self, now: BootTime) {
+        self.drop_late(now);
+        while self.has_room() {
+            let Some(ticket) = self.choose() else { break };
+            let Some(request) = self.waiting.remove(&ticket) else {
+                break;
+            };
+            self.count_passed_over(request.class);
+            let caller = request.caller;
+            let running = RunningRequest { caller, began: now };
+            self.running.insert(ticket, running);
+            self.news.push(ticket);
+        }
+    }
+
+    /// Takes out what cannot make its deadline any more.
+    fn drop_late(&mut self, now: BootTime) {
+        let late: Vec<TicketId> = self
+            .waiting
+            .iter()
+            .filter(|(_, request)| now >= self.latest_start(request))
+            .map(|(ticket, _)| *ticket)
+            .collect();
+        for ticket in late {
+            self.settle(ticket, RefusalReason::DeadlineTooShort);
+        }
+    }
+
+    fn choose(&self) -> Option<TicketId> {
+        let classes: BTreeSet<RequestClass> = self.waiting.values().map(|r| r.class).collect();
+        let overdue = classes.iter().rev().find(|class| self.is_overdue(**class));
+        let class = *overdue.or(classes.first())?;
+        let share = self.fair_share();
+        let held = self.held_by_caller();
+        let of_class = self.waiting.iter().filter(|(_, r)| r.class == class);
+        let next = of_class.min_by_key(|(ticket, request)| {
+            let above_share = held.get(&request.caller).copied().unwrap_or(0) >= share;
+            (above_share, request.deadline, **ticket)
+        });
+        next.map(|(ticket, _)| *ticket)
+    }
+
+    fn is_overdue(&self, class: RequestClass) -> bool {
+        let passed_over = self.passed_over.get(&class).copied().unwrap_or(0);
+        match class {
+            RequestClass::Claim => false,
+            RequestClass::Read => passed_over >= READ_FLOOR,
+            RequestClass::Archive => passed_over >= ARCHIVE_FLOOR,
+        }
+    }
+
+    fn count_passed_over(&mut self, started: RequestClass) {
+        self.passed_over.insert(started, 0);
+        let classes: BTreeSet<RequestClass> = self.waiting.values().map(|r| r.class).collect();
+        for class in classes.into_iter().filter(|class| *class != started) {
+            *self.passed_over.entry(class).or_default() += 1;
+        }
+    }
+
+    // --- the waiting room -----------------------------------------------------------------------
+
+    /// Finds a place for a request in the waiting room, if need be by refusing a lesser one.
+    fn make_place(&mut self, request: &AdmissionRequest) -> bool {
+        if self.waiting.len() < self.room() {
+            return true;
+        }
+        let Some(ticket) = self.least_worthy(request) else {
+            return false;
+        };
+        self.settle(ticket, RefusalReason::Overloaded);
+        true
+    }
+
+    /// Refuses a request that waits.
+    fn settle(&mut self, ticket: TicketId, reason: RefusalReason) {
+        self.waiting.remove(&ticket);
+        self.refused.insert(ticket, reason);
+        self.news.push(ticket);
+    }
+
+    /// The waiting request that has to go for `request`, if one does.
+    ///
+    /// A lower class goes first, down to its floor; then within the class a request of a caller
+    /// who takes more of the queue than the one who asks.
+    fn least_worthy(&self, request: &AdmissionRequest) -> Option<TicketId> {
+        let floor = (self.room() / ROOM_FLOOR).max(1);
+        let of_class = |class| self.waiting.values().filter(|r| r.class == class).count();
+        let lower = [
+            RequestClass::Archive,
+            RequestClass::Read,
+            RequestClass::Claim,
+        ]
+        .into_iter()
+        .filter(|class| *class != request.class)
+        .find(|class| {
+            let gives_way = *class > request.class || of_class(request.class) < floor;
+            gives_way && of_class(*class) > floor
+        });
+        let held = self.held_by_caller();
+        let held_by = |caller| held.get(caller).copied().unwrap_or(0);
+        let class = lower.unwrap_or(request.class);
+        let least = self
+            .waiting
+            .iter()
+            .filter(|(_, waiting)| waiting.class == class)
+            .max_by_key(|(ticket, r)| (held_by(&r.caller), r.deadline, **ticket));
+        let (ticket, waiting) = least?;
+        let greedier = held_by(&waiting.caller) > held_by(&request.caller) + 1;
+        (lower.is_some() || greedier).then_some(*ticket)
+    }
+
+    fn room(&self) -> usize {
+        self.limit.limit() as usize * WAITING_PER_SLOT
+    }
+
+    fn has_room(&self) -> bool {
+        self.running.len() < self.limit.limit() as usize
+    }
+
+    fn held_by_caller(&self) -> BTreeMap<Arc<str>, usize> {
+        let running = self.running.values().map(|r| &r.caller);
+        let waiting = self.waiting.values().map(|r| &r.caller);
+        let mut held = BTreeMap::new();
+        for caller in running.chain(waiting) {
+            *held.entry(caller.clone()).or_default() += 1;
+        }
+        held
+    }
+
+    /// Slots and places that each present caller may take while others wait.
+    fn fair_share(&self) -> usize {
+        let callers = self.held_by_caller().len().max(1);
+        (self.limit.limit() as usize + self.waiting.len()).div_ceil(callers)
+    }
+
+    // --- estimates ------------------------------------------------------------------------------
+
+    fn ahead_of(&self, request: &AdmissionRequest) -> usize {
+        let rank = (request.class, request.deadline);
+        let waiting = self.waiting.values();
+        waiting.filter(|r| (r.class, r.deadline) <= rank).count()
+    }
+
+    /// The last moment at which a request can start and still be answered in time.
+    fn latest_start(&self, request: &AdmissionRequest) -> BootTime {
+        request.deadline.saturating_sub(self.limit.mean())
+    }
+
+    /// Time until so many more requests have had a slot.
+    ///
+    /// Where even the newest running request is older than the mean, the target is slower than
+    /// it was, and the mean does not count.
+    fn time_for(&self, requests: usize, now: BootTime) -> Duration {
+        let newest = self.running.values().map(|r| r.began).max();
+        let age = newest.map_or(Duration::ZERO, |began| now.saturating_sub(began));
+        let service = self.limit.mean().max(age);
+        let requests = u32::try_from(requests).unwrap_or(u32::MAX);
+        service.saturating_mul(requests) / self.limit.limit()
+    }
+
+    /// Time until what waits now has had a slot: when it is worth coming back.
+    fn drain_time(&self, now: BootTime) -> Duration {
+        self.time_for(self.waiting.len() + 1, now)
+    }
+
+    // --- reading --------------------------------------------------------------------------------
+
+    /// Requests at the target.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Requests that wait.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// The limit on requests side by side.
+    #[must_use]
+    pub fn limit(&self) -> &LatencyLimit {
+        &self.limit
+    }
+}
--- a/crates/anvilrack-core/src/event_catalogue.rs
+++ b/crates/anvilrack-core/src/event_catalogue.rs
@@ -54,4 +54,6 @@
     REQUEST_ROUTED = 2001, "request.routed", "A request was answered; says to where it went and its verdict.";
     REQUEST_REFUSED = 2002, "request.refused", "A request was refused; says why.";
     PEER_LOST = 2101, "peer.lost", "A link to another router broke or went silent.";
+    ADMISSION_REFUSED = 2301, "admission.refused", "A target has no room for a request; says why, its class and what runs and waits.";
+    ENTRY_REFUSED = 2302, "entry.refused", "One service or one caller has its share of a router's workers already.";
 }
--- a/crates/anvilrack-core/src/lib.rs
+++ b/crates/anvilrack-core/src/lib.rs
@@ -12,11 +12,14 @@
 //! * [`CoordinatorState`] decides who should own what.
 //! * [`StandbyState`] decides whether this router may replace its coordinator.
 
+mod admission_queue;
 mod cell_record;
 mod clock;
 mod coordinator_state;
 mod event_catalogue;
+mod fair_share;
 mod ids;
+mod latency_limit;
 mod lease_terms;
 mod owner_state;
 mod placement_policy;
@@ -26,16 +29,19 @@
 mod shard_hash;
 mod standby_state;
 
+pub use admission_queue::{AdmissionQueue, AdmissionRequest, AdmissionStep, TicketId};
 pub use cell_record::{CellMember, CellRecord, ShardOwner, WriterStamp};
 pub use clock::BootTime;
 pub use coordinator_state::{
     CoordinatorState, MemberReport, ReleaseOrder, ReleaseReport, RenewalAnswer,
 };
 pub use event_catalogue::{EVENT_CATALOGUE, LogEvent, events};
+pub use fair_share::FairShare;
 pub use ids::{
     DomainName, Epoch, FencingToken, Incarnation, NodeId, RegionName, Revision, ServiceName,
     ShardId, TableVersion,
 };
+pub use latency_limit::LatencyLimit;
 pub use lease_terms::LeaseTerms;
 pub use owner_state::{GrantAnswer, OwnerState};
 pub use placement_policy::PlacementPolicy;
--- a/crates/anvilrack-core/src/service_rules.rs
+++ b/crates/anvilrack-core/src/service_rules.rs
@@ -87,6 +87,18 @@
     Archive,
 }
 
+impl RequestClass {
+    /// The word for logs.
+    #[must_use]
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::Claim => "claim",
+            Self::Read => "read",
+            Self::Archive => "archive",
+        }
+    }
+}
+
 /// How placement weighs its three aims; greater means more important.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- /dev/null
+++ b/crates/anvilrack-core/tests/admission_queue.rs
@@ -0,0 +1,185 @@
+//! Which requests get a target's slots, step by step on a simulated clock.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use anvilrack_core::{
+    AdmissionQueue, AdmissionRequest, AdmissionStep, BootTime, LatencyLimit, RefusalReason,
+    RequestClass, TicketId,
+};
+
+const SLOTS: u32 = 4;
+const SERVICE: Duration = Duration::from_millis(10);
+const STEP: Duration = Duration::from_millis(1);
+
+/// One source of requests: so many in each millisecond.
+struct LoadSource {
+    class: RequestClass,
+    caller: &'static str,
+    per_step: usize,
+    timeout: Duration,
+}
+
+fn source(class: RequestClass, caller: &'static str, per_step: usize) -> LoadSource {
+    LoadSource {
+        class,
+        caller,
+        per_step,
+        timeout: Duration::from_millis(200),
+    }
+}
+
+#[derive(Default)]
+struct SourceOutcome {
+    ran: usize,
+    late: usize,
+    refused: usize,
+}
+
+/// Runs sources against a target that takes `SERVICE` for each request.
+fn simulate(sources: &[LoadSource], steps: u32) -> Vec<SourceOutcome> {
+    let mut queue = AdmissionQueue::new(LatencyLimit::new(SLOTS).with_fixed_limit());
+    let mut outcomes: Vec<SourceOutcome> =
+        sources.iter().map(|_| SourceOutcome::default()).collect();
+    let mut waiting: BTreeMap<TicketId, (usize, BootTime)> = BTreeMap::new();
+    let mut running: Vec<(BootTime, TicketId, usize, BootTime)> = Vec::new();
+    for step in 0..steps {
+        let now = STEP * step;
+        let ended = running.extract_if(.., |(ends, ..)| *ends <= now);
+        for (_, ticket, index, deadline) in ended.collect::<Vec<_>>() {
+            queue.leave(ticket, true, now);
+            outcomes[index].ran += 1;
+            outcomes[index].late += usize::from(now > deadline);
+        }
+        for (index, source) in sources.iter().enumerate() {
+            for _ in 0..source.per_step {
+                let deadline = now + source.timeout;
+                let request = AdmissionRequest {
+                    class: source.class,
+                    deadline,
+                    caller: source.caller.into(),
+                };
+                match queue.offer(request, now) {
+                    AdmissionStep::Enter(ticket) => {
+                        running.push((now + SERVICE, ticket, index, deadline));
+                    }
+                    AdmissionStep::Wait(ticket, _) => {
+                        waiting.insert(ticket, (index, deadline));
+                    }
+                    AdmissionStep::Refuse(..) => outcomes[index].refused += 1,
+                }
+            }
+        }
+        for ticket in waiting.keys().copied().collect::<Vec<_>>() {
+            match queue.poll(ticket, now) {
+                AdmissionStep::Wait(..) => continue,
+                AdmissionStep::Enter(_) => {
+                    let (index, deadline) = waiting[&ticket];
+                    running.push((now + SERVICE, ticket, index, deadline));
+                }
+                AdmissionStep::Refuse(..) => outcomes[waiting[&ticket].0].refused += 1,
+            }
+            waiting.remove(&ticket);
+        }
+        assert!(queue.in_flight() <= SLOTS as usize);
+        assert!(queue.waiting() <= 2 * SLOTS as usize);
+    }
+    outcomes
+}
+
+macro_rules! overload_cases {
+    ($($name:ident: $sources:expr => $check:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let outcomes = simulate(&$sources, 3_000);
+                assert!(outcomes.iter().all(|outcome| outcome.late == 0), "answered late");
+                let ran: Vec<usize> = outcomes.iter().map(|outcome| outcome.ran).collect();
+                let check: fn(&[usize]) -> bool = $check;
+                assert!(check(&ran), "{ran:?}");
+            }
+        )*
+    };
+}
+
+// The target's capacity is 1200 requests in 3000 steps.
+overload_cases! {
+    claims_above_capacity_keep_all_slots_busy:
+        [source(RequestClass::Claim, "a", 1)] => |ran| ran[0] > 1_100;
+    archive_flood_leaves_the_slots_to_claims:
+        [source(RequestClass::Claim, "a", 2), source(RequestClass::Archive, "b", 8)]
+            => |ran| ran[0] > 1_000 && ran[1] > 60;
+    claims_above_capacity_leave_a_floor_to_reads_and_archive:
+        [source(RequestClass::Claim, "a", 4), source(RequestClass::Read, "b", 4),
+         source(RequestClass::Archive, "c", 4)]
+            => |ran| ran[0] > 700 && ran[1] > 150 && ran[2] > 60;
+    greedy_caller_leaves_its_share_to_a_modest_one:
+        [source(RequestClass::Read, "greedy", 10), source(RequestClass::Read, "modest", 1)]
+            => |ran| ran[1] > 500 && ran[0] > 500;
+    two_modest_callers_beside_a_greedy_one:
+        [source(RequestClass::Read, "greedy", 20), source(RequestClass::Read, "b", 1),
+         source(RequestClass::Read, "c", 1)]
+            => |ran| ran[1] > 330 && ran[2] > 330;
+}
+
+fn busy_queue() -> AdmissionQueue {
+    let mut queue = AdmissionQueue::new(LatencyLimit::new(1));
+    // One measured request sets the mean latency to 10 ms.
+    let AdmissionStep::Enter(first) = queue.offer(read_until(1_000), BootTime::ZERO) else {
+        panic!("an empty queue has room");
+    };
+    queue.leave(first, true, SERVICE);
+    let step = queue.offer(read_until(1_000), SERVICE);
+    assert!(matches!(step, AdmissionStep::Enter(_)));
+    queue
+}
+
+fn read_until(deadline_ms: u64) -> AdmissionRequest {
+    AdmissionRequest {
+        class: RequestClass::Read,
+        deadline: BootTime::from_millis(deadline_ms),
+        caller: "a".into(),
+    }
+}
+
+#[test]
+fn hopeless_deadline_is_refused_at_once_with_the_drain_time() {
+    let mut queue = busy_queue();
+    let step = queue.offer(read_until(25), SERVICE);
+    let refusal = AdmissionStep::Refuse(RefusalReason::DeadlineTooShort, SERVICE);
+    assert_eq!(step, refusal);
+}
+
+#[test]
+fn retry_after_grows_with_what_waits() {
+    let mut queue = busy_queue();
+    for _ in 0..2 {
+        let step = queue.offer(read_until(1_000), SERVICE);
+        assert!(matches!(step, AdmissionStep::Wait(..)));
+    }
+    let step = queue.offer(read_until(1_000), SERVICE);
+    assert_eq!(
+        step,
+        AdmissionStep::Refuse(RefusalReason::Overloaded, SERVICE * 3)
+    );
+}
+
+#[test]
+fn frozen_target_makes_the_wait_hopeless_at_once() {
+    let mut queue = busy_queue();
+    // The one that runs has been there for half a second: the mean of 10 ms tells nothing.
+    let now = SERVICE + Duration::from_millis(500);
+    let step = queue.offer(read_until(900), now);
+    assert!(matches!(
+        step,
+        AdmissionStep::Refuse(RefusalReason::DeadlineTooShort, _)
+    ));
+}
+
+#[test]
+fn refusal_before_the_target_tells_nothing_of_its_latency() {
+    let mut queue = busy_queue();
+    queue.leave(2, false, SERVICE);
+    assert_eq!(queue.limit().mean(), SERVICE);
+    assert_eq!(queue.in_flight(), 0);
+}
--- /dev/null
+++ b/crates/anvilrack-router/src/admission_desk.rs
@@ -0,0 +1,144 @@
+//! The queue in front of the target beside this router.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use anvilrack_core::{
+    AdmissionQueue, AdmissionRequest, AdmissionStep, LatencyLimit, RefusalReason, ServiceRules,
+    TicketId,
+};
+use anvilrack_settings::AdmissionMode;
+
+use crate::boot_clock;
+
+/// Connections of a target that are left for its own health checks.
+const SPARE_CONNECTIONS: u32 = 2;
+
+/// The [`AdmissionQueue`] of one target, with the threads that wait at it.
+#[derive(Debug)]
+pub struct AdmissionDesk {
+    mode: AdmissionMode,
+    state: Mutex<DeskState>,
+}
+
+#[derive(Debug)]
+struct DeskState {
+    queue: AdmissionQueue,
+    /// What each waiting thread waits on; one each, so that only those with news are woken.
+    sleepers: BTreeMap<TicketId, Arc<Condvar>>,
+}
+
+/// Why there is no room, and when to come back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AdmitRefusal {
+    /// The reason.
+    pub reason: RefusalReason,
+    /// Time until the queue as it is now has drained.
+    pub retry_after: Duration,
+}
+
+impl AdmissionDesk {
+    /// You say by which rules room is found.
+    #[must_use]
+    pub fn new(mode: AdmissionMode) -> Self {
+        let limit = LatencyLimit::new(1);
+        let limit = match mode {
+            AdmissionMode::Adaptive => limit,
+            AdmissionMode::Slots | AdmissionMode::None => limit.with_fixed_limit(),
+        };
+        let state = DeskState {
+            queue: AdmissionQueue::new(limit),
+            sleepers: BTreeMap::new(),
+        };
+        Self {
+            mode,
+            state: Mutex::new(state),
+        }
+    }
+
+    /// Waits for room as long as the request's deadline allows.
+    ///
+    /// # Errors
+    ///
+    /// The reason to refuse; the request has not run.
+    pub fn enter(
+        &self,
+        request: AdmissionRequest,
+        rules: &ServiceRules,
+    ) -> Result<TicketId, AdmitRefusal> {
+        let mut state = self.state();
+        state.queue.set_slots(self.most_at_once(rules));
+        let mut step = state.queue.offer(request, boot_clock::now());
+        state.wake();
+        loop {
+            match step {
+                AdmissionStep::Enter(ticket) => return Ok(ticket),
+                AdmissionStep::Refuse(reason, retry_after) => {
+                    return Err(AdmitRefusal {
+                        reason,
+                        retry_after,
+                    });
+                }
+                AdmissionStep::Wait(ticket, until) => {
+                    state = sleep(state, ticket, until);
+                    step = state.queue.poll(ticket, boot_clock::now());
+                }
+            }
+        }
+    }
+
+    /// Gives room back; `measured` says whether the target worked on the request.
+    pub fn leave(&self, ticket: TicketId, measured: bool) {
+        let mut state = self.state();
+        state.queue.leave(ticket, measured, boot_clock::now());
+        state.wake();
+    }
+
+    /// Requests that run and that wait.
+    #[must_use]
+    pub fn load(&self) -> (usize, usize) {
+        let state = self.state();
+        (state.queue.in_flight(), state.queue.waiting())
+    }
+
+    /// Each request at the target has a connection, and kept ones are used before new ones are
+    /// opened; so this bounds the connections too.
+    fn most_at_once(&self, rules: &ServiceRules) -> u32 {
+        let connections = rules.connections.saturating_sub(SPARE_CONNECTIONS).max(1);
+        match self.mode {
+            AdmissionMode::Adaptive | AdmissionMode::Slots => rules.slots.min(connections),
+            AdmissionMode::None => connections,
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, DeskState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl DeskState {
+    fn wake(&mut self) {
+        for ticket in self.queue.take_news() {
+            if let Some(sleeper) = self.sleepers.remove(&ticket) {
+                sleeper.notify_one();
+            }
+        }
+    }
+}
+
+/// Waits for news of a ticket, at most until the given time.
+fn sleep(
+    mut state: MutexGuard<'_, DeskState>,
+    ticket: TicketId,
+    until: Duration,
+) -> MutexGuard<'_, DeskState> {
+    let sleeper = Arc::new(Condvar::new());
+    state.sleepers.insert(ticket, sleeper.clone());
+    let time = until.saturating_sub(boot_clock::now());
+    let mut state = sleeper
+        .wait_timeout(state, time)
+        .map_or_else(|error| error.into_inner().0, |(state, _)| state);
+    state.sleepers.remove(&ticket);
+    state
+}
--- a/crates/anvilrack-router/src/lib.rs
+++ b/crates/anvilrack-router/src/lib.rs
@@ -7,9 +7,11 @@
 //! Beside the stages run a few threads: [`membership`] keeps the lease, [`coordinator_role`] runs
 //! the cell where this router holds that office, [`table_sync`] fetches other cells' tables.
 
+pub mod admission_desk;
 pub mod boot_clock;
 pub mod control_port;
 pub mod coordinator_role;
+pub mod entry_shares;
 pub mod event_log;
 pub mod guard_pool;
 pub mod membership;
--- a/crates/anvilrack-router/src/router_context.rs
+++ b/crates/anvilrack-router/src/router_context.rs
@@ -16,6 +16,8 @@
 use crossbeam::sync::ShardedLock;
 use tokio::runtime::Handle;
 
+use crate::admission_desk::AdmissionDesk;
+use crate::entry_shares::EntryShares;
 use crate::release_tracker::ReleaseTracker;
 use crate::target_view::TargetView;
 use crate::{boot_clock, log_event};
@@ -36,6 +38,10 @@
     pub links: PeerLinks,
     /// Shards on their way to another owner.
     pub releases: ReleaseTracker,
+    /// Room at the target beside this router.
+    pub admission: AdmissionDesk,
+    /// Callers' workers, shared by services and by callers.
+    pub entry: EntryShares,
     owner: Mutex<OwnerState>,
     standby: Mutex<StandbyState>,
     coordinator: Mutex<Option<CoordinatorState>>,
@@ -58,6 +64,8 @@
             store: HttpStore::new(settings.store),
             links: PeerLinks::new(runtime),
             releases: ReleaseTracker::default(),
+            admission: AdmissionDesk::new(settings.policies.admission),
+            entry: EntryShares::new(settings.limits.caller_workers),
             owner: Mutex::new(OwnerState::new(node.clone(), incarnation, terms)),
             standby: Mutex::new(StandbyState::new(node, incarnation, terms, now)),
             coordinator: Mutex::new(None),
--- a/crates/anvilrack-router/src/router_process.rs
+++ b/crates/anvilrack-router/src/router_process.rs
@@ -151,6 +151,16 @@
             return verdict;
         }
     };
+    let request = &accepted.request;
+    let Some(_place) = context.entry.enter(&request.service, &request.caller) else {
+        log_event!(
+            Info,
+            events::ENTRY_REFUSED,
+            "service" = request.service,
+            "caller" = request.caller
+        );
+        return overloaded();
+    };
     let outcome = forward::process(context, guard, &accepted);
     let took = boot_clock::now().saturating_sub(began);
     let hop = outcome.hop.as_ref().map_or("-", |hop| match hop {
--- a/crates/anvilrack-router/src/stages/admit.rs
+++ b/crates/anvilrack-router/src/stages/admit.rs
@@ -1,24 +1,81 @@
-//! Between the grant and the target: is there room for this request?
+//! Between the guard and the target: is there room for this request?
 
-use anvilrack_core::{BootTime, RefusalReason, ServiceRules};
+use anvilrack_core::{
+    AdmissionRequest, BootTime, RequestClass, RequestVerdict, ServiceRules, TicketId, events,
+};
 use anvilrack_wire::ForwardRequest;
 
+use crate::admission_desk::AdmissionDesk;
+use crate::log_event;
 use crate::router_context::RouterContext;
 
 /// Room at the target for one request; dropping it gives the room back.
 #[derive(Debug)]
-pub struct AdmitPermit;
+pub struct AdmitPermit<'a> {
+    desk: &'a AdmissionDesk,
+    ticket: TicketId,
+    measured: bool,
+}
 
 /// Finds room for a request, waiting for it no longer than the deadline allows.
 ///
 /// # Errors
 ///
-/// The reason to refuse; the request has not run.
-pub fn process(
-    _context: &RouterContext,
-    _request: &ForwardRequest,
-    _rules: &ServiceRules,
-    _deadline: BootTime,
-) -> Result<AdmitPermit, RefusalReason> {
-    Ok(AdmitPermit)
+/// The verdict to tell: the request has not run.
+pub fn process<'a>(
+    context: &'a RouterContext,
+    request: &ForwardRequest,
+    rules: &ServiceRules,
+    deadline: BootTime,
+) -> Result<AdmitPermit<'a>, RequestVerdict> {
+    let class = class_of(request, rules);
+    let asked = AdmissionRequest {
+        class,
+        deadline,
+        caller: request.caller.clone(),
+    };
+    let desk = &context.admission;
+    let refusal = match desk.enter(asked, rules) {
+        Ok(ticket) => {
+            return Ok(AdmitPermit {
+                desk,
+                ticket,
+                measured: false,
+            });
+        }
+        Err(refusal) => refusal,
+    };
+    let (in_flight, waiting) = desk.load();
+    log_event!(
+        Info,
+        events::ADMISSION_REFUSED,
+        "service" = request.service,
+        "reason" = refusal.reason.word(),
+        "class" = class.word(),
+        "in_flight" = in_flight,
+        "waiting" = waiting
+    );
+    Err(RequestVerdict::NotRun(refusal.reason, refusal.retry_after))
+}
+
+/// A request that changes something is a claim in each service.
+fn class_of(request: &ForwardRequest, rules: &ServiceRules) -> RequestClass {
+    if request.is_idempotent() {
+        rules.class
+    } else {
+        RequestClass::Claim
+    }
+}
+
+impl AdmitPermit<'_> {
+    /// Gives the room back after the target was asked, and takes its latency into account.
+    pub fn close(mut self, verdict: &RequestVerdict) {
+        self.measured = !verdict.surely_not_run();
+    }
+}
+
+impl Drop for AdmitPermit<'_> {
+    fn drop(&mut self) {
+        self.desk.leave(self.ticket, self.measured);
+    }
 }
--- a/crates/anvilrack-router/src/stages/guard.rs
+++ b/crates/anvilrack-router/src/stages/guard.rs
@@ -31,9 +31,9 @@
     };
     let shard = ShardHash::new(rules.shards).shard_of(&request.key);
     let deadline = deadline.min(boot_clock::now() + BootTime::from_millis(rules.max_timeout_ms));
-    let _permit = match admit::process(context, request, &rules, deadline) {
+    let permit = match admit::process(context, request, &rules, deadline) {
         Ok(permit) => permit,
-        Err(reason) => return refuse(reason),
+        Err(verdict) => return verdict,
     };
     let _in_use = context.releases.enter(shard);
     let grant = context.owner().grant(shard, boot_clock::now());
@@ -46,7 +46,9 @@
                 lease_until: grant.lease_until,
                 deadline,
             };
-            deliver::process(client, request, &order)
+            let verdict = deliver::process(client, request, &order);
+            permit.close(&verdict);
+            verdict
         }
         Err(reason) => refuse(reason),
     }
--- a/crates/anvilrack-settings/src/lib.rs
+++ b/crates/anvilrack-settings/src/lib.rs
@@ -8,8 +8,10 @@
 mod checked_file;
 pub mod config_file;
 mod field_fault;
+mod load_policies;
 mod router_settings;
 
 pub use checked_file::read_checked;
 pub use field_fault::{FieldFault, SettingsError};
+pub use load_policies::{AdmissionMode, ChoiceMode, LoadPolicies};
 pub use router_settings::{RouterLimits, RouterSettings};
--- a/crates/anvilrack-settings/src/router_settings.rs
+++ b/crates/anvilrack-settings/src/router_settings.rs
@@ -7,7 +7,7 @@
 use anvilrack_core::{DomainName, NodeId, RegionName};
 use serde::Deserialize;
 
-use crate::{FieldFault, SettingsError, read_checked};
+use crate::{FieldFault, LoadPolicies, SettingsError, read_checked};
 
 /// Everything a router learns from its settings file.
 #[derive(Clone, Debug, Deserialize)]
@@ -32,6 +32,9 @@
     /// Bounds on what the router holds.
     #[serde(default)]
     pub limits: RouterLimits,
+    /// Which rules for load are in use; the plain ones are there to compare with.
+    #[serde(default)]
+    pub policies: LoadPolicies,
 }
 
 /// Bounds on what a router holds at once.
