Choose among targets that may all take a request, and avoid sick ones

Cause: a service that is not divided by key sent each request to its key's owner, so a slow, frozen or lying target kept its sixth of the work.

What changes: idempotent requests of such a service go by `TargetChoice` (pure; draws and time are passed in): two drawn among the nearest, two among all, the less costly taken, where the cost is the latency seen times the requests under way. A near target is left for one at half its cost. A target that has just come gets a tenth of its share at first. `TargetHealth` makes a target suspect by own evidence alone: three failures in a row, or silence with requests under way. Suspects get one probe at a time, after pauses that double with each relapse within a minute. With more than a third of the targets suspect the observer doubts itself and uses all. Non-idempotent requests still go to the owner. Random choice, round robin and "owner" stay as baselines in `policies.choice`.

Edits in others' files: guard.rs takes `resolve::spread_grant` in place of the owner's grant for such a request; forward.rs calls `resolve::record` after each send; router_context.rs has `choices`. The spread request carries the newest token known for its shard: a greater one would make the target refuse the shard's owner.

--- a/crates/anvilrack-core/src/event_catalogue.rs
+++ b/crates/anvilrack-core/src/event_catalogue.rs
@@ -56,4 +56,5 @@
     PEER_LOST = 2101, "peer.lost", "A link to another router broke or went silent.";
     ADMISSION_REFUSED = 2301, "admission.refused", "A target has no room for a request; says why, its class and what runs and waits.";
     ENTRY_REFUSED = 2302, "entry.refused", "One service or one caller has its share of a router's workers already.";
+    TARGET_SUSPECTED = 2303, "target.suspected", "This router's own requests say that a target is sick, or well again.";
 }
--- a/crates/anvilrack-core/src/lib.rs
+++ b/crates/anvilrack-core/src/lib.rs
@@ -28,6 +28,8 @@
 mod service_rules;
 mod shard_hash;
 mod standby_state;
+mod target_choice;
+mod target_health;
 
 pub use admission_queue::{AdmissionQueue, AdmissionRequest, AdmissionStep, TicketId};
 pub use cell_record::{CellMember, CellRecord, ShardOwner, WriterStamp};
@@ -52,3 +54,5 @@
 };
 pub use shard_hash::ShardHash;
 pub use standby_state::{StandbyState, TakeoverStep};
+pub use target_choice::{ChoiceDraws, TargetChoice, TargetDistance};
+pub use target_health::{HealthOutcome, TargetHealth};
--- /dev/null
+++ b/crates/anvilrack-core/tests/target_choice.rs
@@ -0,0 +1,135 @@
+//! Targets that may all take a request are chosen by cost, and sick ones avoided.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use anvilrack_core::{BootTime, CellMember, HealthOutcome, TargetChoice};
+
+const PLACES: [(&str, &str); 6] = [
+    ("norte", "norte-a"),
+    ("norte", "norte-b"),
+    ("centro", "centro-a"),
+    ("centro", "centro-b"),
+    ("sul", "sul-a"),
+    ("sul", "sul-b"),
+];
+
+fn member(index: usize) -> CellMember {
+    let (region, domain) = PLACES[index];
+    CellMember {
+        node: format!("router-{}", index + 1).into(),
+        incarnation: 1,
+        peer_address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        failure_domain: domain.into(),
+        region: region.into(),
+        leaving: false,
+    }
+}
+
+/// A linear congruential generator: the same seed gives the same draws.
+struct DrawSource(u64);
+
+impl DrawSource {
+    fn draw(&mut self) -> u64 {
+        self.0 = self
+            .0
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1);
+        self.0 >> 33
+    }
+}
+
+/// How a target behaves at a given millisecond; none where it gives no answer.
+type Behaviour = fn(target: usize, ms: u64) -> Option<u64>;
+
+/// Sends two requests each millisecond for six seconds, and counts those sent in the last five.
+fn simulate(behaviour: Behaviour) -> [usize; 6] {
+    let members: Vec<CellMember> = (0..6).map(member).collect();
+    let mut choice = TargetChoice::default();
+    choice.set_members(&members[0], members.iter(), BootTime::ZERO);
+    let mut draws = DrawSource(7);
+    let mut ends: BTreeMap<(u64, usize), (usize, u64, bool)> = BTreeMap::new();
+    let mut counts = [0; 6];
+    for sent in 0..12_000_usize {
+        let ms = sent as u64 / 2;
+        let now = BootTime::from_millis(ms);
+        while let Some(entry) = ends.first_entry().filter(|entry| entry.key().0 <= ms) {
+            let (target, began, answered) = entry.remove();
+            let outcome = if answered {
+                HealthOutcome::Answered
+            } else {
+                HealthOutcome::Failed
+            };
+            let took = Duration::from_millis(ms - began);
+            choice.end(&members[target].node, outcome, took, now);
+        }
+        let node = choice
+            .choose(std::array::from_fn(|_| draws.draw()), now)
+            .unwrap();
+        let target = members
+            .iter()
+            .position(|member| member.node == node)
+            .unwrap();
+        choice.begin(&node, now);
+        counts[target] += usize::from(ms >= 1_000);
+        // An unanswered request fails at its deadline of two seconds.
+        let latency = behaviour(target, ms);
+        ends.insert(
+            (ms + latency.unwrap_or(2_000), sent),
+            (target, ms, latency.is_some()),
+        );
+    }
+    counts
+}
+
+macro_rules! choice_cases {
+    ($($name:ident: $behaviour:expr => $check:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let counts = simulate($behaviour);
+                let check: fn([usize; 6]) -> bool = $check;
+                assert!(check(counts), "{counts:?}");
+            }
+        )*
+    };
+}
+
+// 10000 requests count; the first target is in the same failure domain as the router.
+choice_cases! {
+    near_target_that_keeps_up_gets_most: |target, _| Some(if target == 0 { 1 } else { 12 })
+        => |counts| counts[0] > 8_000;
+    slow_near_target_is_left: |target, _| Some(if target == 0 { 120 } else { 10 })
+        => |counts| counts[0] < 1_000 && counts[1..].iter().all(|count| *count > 1_000);
+    even_targets_share_the_load: |_, _| Some(10)
+        => |counts| counts.iter().all(|count| *count > 500);
+    frozen_target_gets_probes_only: |target, ms| (target != 0 || ms < 1_000).then_some(10)
+        => |counts| counts[0] < 150;
+    flapping_target_gets_little: |target, ms| (target != 0 || (ms / 500) % 2 == 0).then_some(10)
+        => |counts| counts[0] < 1_500;
+    when_all_look_sick_all_get_work: |_, ms| (ms < 1_000).then_some(10)
+        => |counts| counts.iter().all(|count| *count > 100);
+}
+
+#[test]
+fn cold_starter_gets_less_than_its_share() {
+    let members: Vec<CellMember> = (0..6).map(member).collect();
+    let mut choice = TargetChoice::default();
+    choice.set_members(&members[0], members[1..].iter(), BootTime::ZERO);
+    choice.set_members(&members[0], members.iter(), BootTime::from_secs(1));
+    let mut draws = DrawSource(7);
+    let mut counts = [0, 0];
+    for (index, at) in [BootTime::from_secs(1), BootTime::from_secs(20)]
+        .into_iter()
+        .enumerate()
+    {
+        for _ in 0..1_000 {
+            let node = choice
+                .choose(std::array::from_fn(|_| draws.draw()), at)
+                .unwrap();
+            counts[index] += usize::from(node == members[0].node);
+        }
+    }
+    assert!(counts[0] < 100 && counts[1] > 500, "{counts:?}");
+}
--- /dev/null
+++ b/crates/anvilrack-harness/examples/measure_load.rs
@@ -0,0 +1,93 @@
+//! Compares rules for load: alternating runs of the same load on six routers.
+//!
+//! `measure_load admission adaptive,slots,none` or
+//! `measure_load choice two-choices,random,round-robin,owner`. Prints one row for each run.
+
+use std::time::Duration;
+
+use anvilrack_fakes::TargetFaults;
+use anvilrack_harness::{Deployment, DeploymentPlan};
+use anvilrack_load::{LoadOptions, fetch_runs, run_load};
+use serde_json::json;
+
+const ROUTERS: usize = 6;
+const SLOTS: u32 = 2;
+const SERVICE_TIME: Duration = Duration::from_millis(20);
+/// Requests a second that all targets can run.
+const CAPACITY: f64 = 600.0;
+const ROUNDS: usize = 2;
+const LOADS: [f64; 4] = [0.5, 1.0, 2.0, 4.0];
+/// What the one slow target needs more, in milliseconds.
+const SLOW_MS: u64 = 100;
+
+fn main() -> eyre::Result<()> {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let [policy, modes] = arguments.as_slice() else {
+        eyre::bail!("usage: measure_load admission|choice MODE,MODE...");
+    };
+    println!("slow mode round load offered goodput not_run unknown p50_ms p99_ms max/mean");
+    for slow in [false, true] {
+        for round in 1..=ROUNDS {
+            for mode in modes.split(',') {
+                measure(policy, mode, round, slow)?;
+            }
+        }
+    }
+    Ok(())
+}
+
+/// One deployment through all loads.
+fn measure(policy: &str, mode: &str, round: usize, slow: bool) -> eyre::Result<()> {
+    let mut deployment = Deployment::with_plan(plan(policy, mode))?;
+    deployment.await_ready()?;
+    if slow {
+        let faults = TargetFaults {
+            slow_ms: SLOW_MS,
+            ..TargetFaults::default()
+        };
+        deployment.set_target_faults(0, &faults)?;
+    }
+    for load in LOADS {
+        let before = runs_by_target(&deployment)?;
+        let options = LoadOptions {
+            rate: Some(CAPACITY * load),
+            workers: 96,
+            claim_share: 0.1,
+            timeout: Duration::from_millis(400),
+            ..deployment.load()
+        };
+        let report = deployment.judge(&run_load(&options))?;
+        let after = runs_by_target(&deployment)?;
+        let ran: Vec<_> = after.iter().zip(&before).map(|(a, b)| a - b).collect();
+        let most = ran.iter().copied().max().unwrap_or(0) as f64;
+        let mean = ran.iter().sum::<usize>() as f64 / ran.len() as f64;
+        println!(
+            "{slow} {mode} {round} {load} {} {:.0} {} {} {:.1} {:.1} {:.2}{}",
+            report.sent,
+            report.requests_per_second,
+            report.not_run,
+            report.may_have_run,
+            report.p50_us as f64 / 1e3,
+            report.p99_us as f64 / 1e3,
+            most / mean.max(1.0),
+            if report.is_clean() { "" } else { " NOT CLEAN" }
+        );
+    }
+    Ok(())
+}
+
+fn plan(policy: &str, mode: &str) -> DeploymentPlan {
+    let mut plan = DeploymentPlan::new("documents", ROUTERS);
+    plan.slots = SLOTS;
+    plan.service_time = SERVICE_TIME;
+    let rules = &mut plan.config["services"]["documents"];
+    rules["slots"] = json!(SLOTS);
+    rules["divided_by_key"] = json!(policy != "choice");
+    plan.settings = json!({ "policies": { policy: mode } });
+    plan
+}
+
+fn runs_by_target(deployment: &Deployment) -> eyre::Result<Vec<usize>> {
+    let runs = fetch_runs(&deployment.target_addresses)?;
+    Ok(runs.iter().map(Vec::len).collect())
+}
--- a/crates/anvilrack-router/src/lib.rs
+++ b/crates/anvilrack-router/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod release_tracker;
 pub mod router_context;
 pub mod router_process;
+pub mod spread_choices;
 pub mod stages;
 pub mod store_records;
 pub mod table_sync;
--- a/crates/anvilrack-router/src/router_context.rs
+++ b/crates/anvilrack-router/src/router_context.rs
@@ -19,6 +19,7 @@
 use crate::admission_desk::AdmissionDesk;
 use crate::entry_shares::EntryShares;
 use crate::release_tracker::ReleaseTracker;
+use crate::spread_choices::SpreadChoices;
 use crate::target_view::TargetView;
 use crate::{boot_clock, log_event};
 
@@ -42,6 +43,8 @@
     pub admission: AdmissionDesk,
     /// Callers' workers, shared by services and by callers.
     pub entry: EntryShares,
+    /// Targets of services that are not divided by key.
+    pub choices: SpreadChoices,
     owner: Mutex<OwnerState>,
     standby: Mutex<StandbyState>,
     coordinator: Mutex<Option<CoordinatorState>>,
@@ -60,7 +63,9 @@
         let incarnation = boot_clock::unix_ms();
         let node = settings.node.clone();
         let now = boot_clock::now();
+        let own = member_of(&settings, incarnation, false);
         Self {
+            choices: SpreadChoices::new(settings.policies.choice, own),
             store: HttpStore::new(settings.store),
             links: PeerLinks::new(runtime),
             releases: ReleaseTracker::default(),
@@ -196,14 +201,7 @@
 
     /// This router as it describes itself to its cell.
     pub fn member(&self) -> CellMember {
-        CellMember {
-            node: self.node().clone(),
-            incarnation: self.incarnation,
-            peer_address: self.settings.peer_address(),
-            failure_domain: self.settings.failure_domain.clone(),
-            region: self.settings.region.clone(),
-            leaving: self.is_leaving(),
-        }
+        member_of(&self.settings, self.incarnation, self.is_leaving())
     }
 
     /// What this router says in its next heartbeat.
@@ -253,6 +251,17 @@
     }
 }
 
+fn member_of(settings: &RouterSettings, incarnation: Incarnation, leaving: bool) -> CellMember {
+    CellMember {
+        node: settings.node.clone(),
+        incarnation,
+        peer_address: settings.peer_address(),
+        failure_domain: settings.failure_domain.clone(),
+        region: settings.region.clone(),
+        leaving,
+    }
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/anvilrack-router/src/stages/forward.rs
+++ b/crates/anvilrack-router/src/stages/forward.rs
@@ -46,7 +46,12 @@
         tries += 1;
         let hop = resolve::process(context, &accepted.request);
         let (verdict, hop) = match hop {
-            Ok(hop) => (send(context, guard, accepted, &hop), Some(hop)),
+            Ok(hop) => {
+                let sent_at = boot_clock::now();
+                let verdict = send(context, guard, accepted, &hop);
+                resolve::record(context, &accepted.request, &hop, sent_at, &verdict);
+                (verdict, Some(hop))
+            }
             Err(reason) => (RequestVerdict::NotRun(reason, RETRY_SOON), None),
         };
         let pause = ROUTE_STEP.mul_f64(rand::rng().random_range(0.5..1.5));
--- a/crates/anvilrack-router/src/stages/guard.rs
+++ b/crates/anvilrack-router/src/stages/guard.rs
@@ -6,6 +6,7 @@
 use super::RETRY_SOON;
 use super::admit;
 use super::deliver::{self, DeliveryOrder, TargetClient};
+use super::resolve;
 use crate::boot_clock;
 use crate::router_context::RouterContext;
 
@@ -36,7 +37,11 @@
         Err(verdict) => return verdict,
     };
     let _in_use = context.releases.enter(shard);
-    let grant = context.owner().grant(shard, boot_clock::now());
+    let grant = if resolve::may_spread(&rules, request) {
+        resolve::spread_grant(context, request, shard, deadline)
+    } else {
+        context.owner().grant(shard, boot_clock::now())
+    };
     match grant {
         Ok(grant) => {
             let order = DeliveryOrder {
