--- a/crates/anvilrack-core/src/event_catalogue.rs
+++ b/crates/anvilrack-core/src/event_catalogue.rs
@@ -60,4 +60,7 @@
     RECORD_NOT_TAKEN = 2202, "record.not-taken", "The next owner did not take the at-most-once record; older requests will be told that they may have run.";
     RECORD_TAKEN = 2203, "record.taken", "This router took the at-most-once record of a shard that moves to it.";
     RECORD_FULL = 2204, "record.full", "The at-most-once record has no room; new non-idempotent requests are refused.";
+    ADMISSION_REFUSED = 2301, "admission.refused", "A target has no room for a request; says why, its class and what runs and waits.";
+    ENTRY_REFUSED = 2302, "entry.refused", "One service or one caller has its share of a router's workers already.";
+    TARGET_SUSPECTED = 2303, "target.suspected", "This router's own requests say that a target is sick, or well again.";
 }
--- a/crates/anvilrack-core/src/lib.rs
+++ b/crates/anvilrack-core/src/lib.rs
@@ -12,12 +12,15 @@
 //! * [`CoordinatorState`] decides who should own what.
 //! * [`StandbyState`] decides whether this router may replace its coordinator.
 
+mod admission_queue;
 mod cell_history;
 mod cell_record;
 mod clock;
 mod coordinator_state;
 mod event_catalogue;
+mod fair_share;
 mod ids;
+mod latency_limit;
 mod lease_terms;
 mod metric_catalogue;
 mod owner_state;
@@ -31,17 +34,22 @@
 mod service_rules;
 mod shard_hash;
 mod standby_state;
+mod target_choice;
+mod target_health;
 
+pub use admission_queue::{AdmissionQueue, AdmissionRequest, AdmissionStep, TicketId};
 pub use cell_record::{CellMember, CellRecord, ShardOwner, WriterStamp};
 pub use clock::BootTime;
 pub use coordinator_state::{
     CoordinatorState, MemberReport, ReleaseOrder, ReleaseReport, RenewalAnswer,
 };
 pub use event_catalogue::{EVENT_CATALOGUE, LogEvent, events};
+pub use fair_share::FairShare;
 pub use ids::{
     DomainName, Epoch, FencingToken, Incarnation, NodeId, RegionName, Revision, ServiceName,
     ShardId, TableVersion,
 };
+pub use latency_limit::LatencyLimit;
 pub use lease_terms::LeaseTerms;
 pub use metric_catalogue::{METRIC_CATALOGUE, MetricInfo, metrics};
 pub use owner_state::{GrantAnswer, OwnerState};
@@ -60,3 +68,5 @@
 };
 pub use shard_hash::ShardHash;
 pub use standby_state::{StandbyState, TakeoverStep};
+pub use target_choice::{ChoiceDraws, TargetChoice, TargetDistance};
+pub use target_health::{HealthOutcome, TargetHealth};
--- a/crates/anvilrack-router/src/lib.rs
+++ b/crates/anvilrack-router/src/lib.rs
@@ -7,10 +7,12 @@
 //! Beside the stages run a few threads: [`membership`] keeps the lease, [`coordinator_role`] runs
 //! the cell where this router holds that office, [`table_sync`] fetches other cells' tables.
 
+pub mod admission_desk;
 pub mod boot_clock;
 pub mod config_watch;
 pub mod control_port;
 pub mod coordinator_role;
+pub mod entry_shares;
 pub mod event_log;
 pub mod explanation;
 pub mod guard_pool;
@@ -23,6 +25,7 @@
 pub mod router_metrics;
 pub mod router_process;
 pub mod run_keeper;
+pub mod spread_choices;
 pub mod stages;
 pub mod status_report;
 pub mod store_records;
--- a/crates/anvilrack-router/src/stages/guard.rs
+++ b/crates/anvilrack-router/src/stages/guard.rs
@@ -11,6 +11,7 @@
 use super::RETRY_SOON;
 use super::admit;
 use super::deliver::{self, DeliveryOrder, TargetClient};
+use super::resolve;
 use crate::boot_clock;
 use crate::router_context::RouterContext;
 use crate::run_keeper::RunTicket;
@@ -35,7 +36,7 @@
     let shard = ShardHash::new(rules.shards).shard_of(&request.key);
     let deadline = deadline.min(boot_clock::now() + BootTime::from_millis(rules.max_timeout_ms));
     let _in_use = context.releases.enter(shard);
-    let grant = match context.owner().grant(shard, boot_clock::now()) {
+    let grant = match grant_for(context, &rules, request, shard, deadline) {
         Ok(grant) => grant,
         Err(reason) => return refuse(reason),
     };
@@ -95,11 +96,11 @@
     let Some(address) = context.target().address() else {
         return refuse(RefusalReason::NoOwner);
     };
-    let _permit = match admit::process(context, request, rules, deadline) {
+    let permit = match admit::process(context, request, rules, deadline) {
         Ok(permit) => permit,
-        Err(reason) => return refuse(reason),
+        Err(verdict) => return verdict,
     };
-    let grant = context.owner().grant(shard, boot_clock::now());
+    let grant = grant_for(context, rules, request, shard, deadline);
     match grant {
         Ok(grant) => {
             let order = DeliveryOrder {
@@ -109,8 +110,25 @@
                 lease_until: grant.lease_until,
                 deadline,
             };
-            deliver::process(client, request, &order)
+            let verdict = deliver::process(client, request, &order);
+            permit.close(&verdict);
+            verdict
         }
         Err(reason) => refuse(reason),
     }
 }
+
+/// Leave to put this request to the target: as the shard's owner, or for a request that any target of
+/// the service may run.
+fn grant_for(
+    context: &RouterContext,
+    rules: &ServiceRules,
+    request: &ForwardRequest,
+    shard: ShardId,
+    deadline: BootTime,
+) -> Result<GrantAnswer, RefusalReason> {
+    if resolve::may_spread(rules, request) {
+        return resolve::spread_grant(context, request, shard, deadline);
+    }
+    context.owner().grant(shard, boot_clock::now())
+}
