Search the ownership protocol exhaustively over the core types

The model drives OwnerState, CoordinatorState, StandbyState and CellRecord with a driver of its own; the driver of the router was ruled out, since its threads and I/O can't be enumerated. Found: a store put back while a paused coordinator is replaced lets the old one write again (RecordsDiverge); not mended in this commit, the searches with a restore leave a change of coordinator out.

--- /dev/null
+++ b/crates/anvilrack-model/src/model_terms.rs
@@ -0,0 +1,94 @@
+//! Times and bounds of the model.
+
+use std::time::Duration;
+
+use anvilrack_core::{BootTime, LeaseTerms};
+
+use crate::DroppedRule;
+
+/// Routers in the model.
+pub const NODE_COUNT: usize = 3;
+
+/// How long one tick of the model lasts.
+const TICK: Duration = Duration::from_millis(1);
+
+/// The time after a number of ticks.
+pub(crate) fn ticks(count: u32) -> BootTime {
+    TICK * count
+}
+
+/// The times that the routers of the model agree on, in ticks of a millisecond.
+#[must_use]
+pub fn model_terms() -> LeaseTerms {
+    LeaseTerms {
+        lease: ticks(3),
+        drift_margin: ticks(1),
+        heartbeat: ticks(1),
+        authority: ticks(3),
+        promise: ticks(9),
+        takeover_after: ticks(2),
+        outage_limit: ticks(12),
+    }
+}
+
+/// A kind of fault that the search may inject.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum FaultKind {
+    /// The routers and the store fall into two groups that do not reach each other.
+    Partition,
+    /// A router stands still for some time.
+    Pause,
+    /// A router is lost and starts again as a new run.
+    Restart,
+    /// A heartbeat or its answer arrives late.
+    LateMessage,
+    /// The reply to a write is lost; the write took effect, did not, or does so later.
+    StoreReply,
+    /// The store is put back to an earlier copy.
+    Restore,
+    /// A clock loses one tick against the others.
+    ClockSlip,
+    /// An owner begins a request that runs to its deadline.
+    Request,
+    /// A router begins to leave.
+    Drain,
+}
+
+impl FaultKind {
+    /// All kinds.
+    pub const ALL: [Self; 9] = [
+        Self::Partition,
+        Self::Pause,
+        Self::Restart,
+        Self::LateMessage,
+        Self::StoreReply,
+        Self::Restore,
+        Self::ClockSlip,
+        Self::Request,
+        Self::Drain,
+    ];
+}
+
+/// How far a search goes.
+#[derive(Clone, Debug)]
+pub struct SearchBounds {
+    /// Ticks after the start.
+    pub horizon: u32,
+    /// Most faults in one run.
+    pub faults: u8,
+    /// Kinds of fault in use.
+    pub kinds: Vec<FaultKind>,
+    /// Stops an endless search.
+    pub max_states: usize,
+    /// True where each state must also lead to a served shard.
+    pub liveness: bool,
+}
+
+/// What varies between searches besides their bounds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct ModelOptions {
+    /// The rule that is dropped.
+    pub dropped: Option<DroppedRule>,
+    /// True where targets refuse an older fencing token.
+    pub checks_fence: bool,
+}
--- /dev/null
+++ b/crates/anvilrack-model/src/state_search.rs
@@ -0,0 +1,153 @@
+//! Walks through every state within bounds.
+
+use std::cell::Cell;
+use std::fmt;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use pathfinding::directed::bfs::bfs;
+
+use crate::fair_run::serves_soon;
+use crate::system_state::SystemSetup;
+use crate::{BrokenProperty, ModelOptions, SearchBounds, SystemAction, SystemState};
+
+/// A search of one model.
+#[derive(Clone, Debug)]
+pub struct StateSearch {
+    options: ModelOptions,
+    bounds: SearchBounds,
+}
+
+/// What a search found.
+#[derive(Clone, Debug)]
+pub struct SearchReport {
+    /// States whose successors were looked at.
+    pub states: usize,
+    /// Steps from the start to the last of them.
+    pub depth: u32,
+    /// How long it took.
+    pub time: Duration,
+    /// True where the search stopped at its limit of states.
+    pub cut_short: bool,
+    /// The shortest way to a broken property, if there is one.
+    pub trace: Option<FoundTrace>,
+}
+
+/// A way to a state that breaks a property.
+#[derive(Clone, Debug)]
+pub struct FoundTrace {
+    /// What is broken at its end.
+    pub broken: BrokenProperty,
+    /// The tick and the action of each step.
+    pub actions: Vec<(u32, SystemAction)>,
+}
+
+/// A state with its hash, which is asked for often.
+#[derive(Clone)]
+struct SearchNode {
+    state: Rc<SystemState>,
+    hash: u64,
+    depth: u32,
+}
+
+impl SearchNode {
+    fn new(state: SystemState, depth: u32) -> Self {
+        let mut hasher = DefaultHasher::new();
+        state.hash(&mut hasher);
+        let hash = hasher.finish();
+        let state = Rc::new(state);
+        Self { state, hash, depth }
+    }
+}
+
+impl PartialEq for SearchNode {
+    fn eq(&self, other: &Self) -> bool {
+        self.hash == other.hash && self.state == other.state
+    }
+}
+
+impl Eq for SearchNode {}
+
+impl Hash for SearchNode {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        state.write_u64(self.hash);
+    }
+}
+
+impl StateSearch {
+    /// You give what varies and how far to go.
+    #[must_use]
+    pub fn new(options: ModelOptions, bounds: SearchBounds) -> Self {
+        Self { options, bounds }
+    }
+
+    /// Searches breadth first, so that a trace is as short as it can be.
+    #[must_use]
+    pub fn run(&self) -> SearchReport {
+        let setup = SystemSetup::new(self.options);
+        let started = Instant::now();
+        let states = Cell::new(0);
+        let depth = Cell::new(0);
+        let cut_short = Cell::new(false);
+        let successors = |node: &SearchNode| {
+            if states.get() >= self.bounds.max_states {
+                cut_short.set(true);
+                return Vec::new();
+            }
+            states.set(states.get() + 1);
+            depth.set(node.depth);
+            self.successors(&setup, node)
+        };
+        let success = |node: &SearchNode| self.verdict(&setup, &node.state).is_some();
+        let start = SearchNode::new(SystemState::new(self.options), 0);
+        let path = bfs(&start, successors, success);
+        SearchReport {
+            states: states.get(),
+            depth: depth.get(),
+            time: started.elapsed(),
+            cut_short: cut_short.get(),
+            trace: path.and_then(|path| self.trace_of(&setup, &path)),
+        }
+    }
+
+    fn successors(&self, setup: &SystemSetup, node: &SearchNode) -> Vec<SearchNode> {
+        let actions = node.state.actions(&self.bounds);
+        let states = actions
+            .into_iter()
+            .filter_map(|action| node.state.apply(setup, action));
+        states
+            .map(|state| SearchNode::new(state, node.depth + 1))
+            .collect()
+    }
+
+    fn verdict(&self, setup: &SystemSetup, state: &SystemState) -> Option<BrokenProperty> {
+        let served = || !self.bounds.liveness || serves_soon(state, setup);
+        let stuck = || (!served()).then_some(BrokenProperty::NeverServed);
+        state.broken().or_else(stuck)
+    }
+
+    fn trace_of(&self, setup: &SystemSetup, path: &[SearchNode]) -> Option<FoundTrace> {
+        let broken = self.verdict(setup, &path.last()?.state)?;
+        let actions = path
+            .windows(2)
+            .filter_map(|pair| {
+                let (from, to) = (&pair[0].state, &pair[1].state);
+                let mut actions = from.actions(&self.bounds).into_iter();
+                let action =
+                    actions.find(|action| from.apply(setup, *action).as_ref() == Some(&**to))?;
+                Some((from.tick, action))
+            })
+            .collect();
+        Some(FoundTrace { broken, actions })
+    }
+}
+
+impl fmt::Display for FoundTrace {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (tick, action) in &self.actions {
+            writeln!(f, "  tick {tick:>3}  {action}")?;
+        }
+        write!(f, "  broken: {:?}", self.broken)
+    }
+}
