Retry within a budget, and replace links that go silent

Cause: a link that something between its ends had lost track of held a call until its deadline; retries had no budget, waited at any number of workers, and an idempotent request was never sent again.

A link with open calls on which nothing came back for 150 ms is pinged; without a pong in 400 ms its calls end as SilentLink and the next one opens a new link. forward sends idempotent requests again, and recorded claims where the link failed; one retry for ten first tries, 50 saved up, five sends, a quarter of the callers' workers may wait. While a shard moves nothing is sent to the owner that gives it up. After a try that may have run no later refusal is told as not-run.

Ruled out: pings alone (a link is only asked when calls are open), and a timeout for each try (a slow target is no silent link).

--- a/crates/anvilrack-core/src/lib.rs
+++ b/crates/anvilrack-core/src/lib.rs
@@ -22,6 +22,7 @@
 mod placement_policy;
 mod request_identity;
 mod request_verdict;
+mod retry_budget;
 mod route_table;
 mod run_record;
 mod service_rules;
@@ -43,6 +44,7 @@
 pub use placement_policy::PlacementPolicy;
 pub use request_identity::{fingerprint_of, first_sent_at};
 pub use request_verdict::{RefusalReason, RequestVerdict, TargetAnswer, UncertainReason};
+pub use retry_budget::{ResendSafety, RetryBudget, RetryStep, retry_pause, retry_step};
 pub use route_table::{RouteError, RouteTable, ShardRoute};
 pub use run_record::{
     ExportedRun, ExportedShard, RecordKey, RecordLimits, RecordRequest, RecordStep, RunOutcome,
--- a/crates/anvilrack-core/src/request_verdict.rs
+++ b/crates/anvilrack-core/src/request_verdict.rs
@@ -30,6 +30,16 @@
         }
     }
 
+    /// The verdict for a request of which an earlier try may have run: it is not told as not run
+    /// any more.
+    #[must_use]
+    pub fn weakened_by(self, earlier: Option<UncertainReason>) -> Self {
+        match (self, earlier) {
+            (Self::NotRun(..), Some(reason)) => Self::MayHaveRun(reason),
+            (verdict, _) => verdict,
+        }
+    }
+
     /// True where sending the request again cannot make it run twice.
     #[must_use]
     pub fn surely_not_run(&self) -> bool {
--- /dev/null
+++ b/crates/anvilrack-core/tests/retry_budget.rs
@@ -0,0 +1,100 @@
+//! Retries: which verdicts are tried again, and how many in all.
+
+use std::time::Duration;
+
+use anvilrack_core::{
+    RefusalReason, RequestVerdict, ResendSafety, RetryBudget, RetryStep, UncertainReason,
+    retry_pause, retry_step,
+};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+/// Requests of one trial.
+const TRIES: u32 = 100_000;
+
+macro_rules! budget_cases {
+    ($($name:ident: $failing:literal failing, seed $seed:literal;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                keep_to_the_share($failing, $seed);
+            }
+        )*
+    };
+}
+
+budget_cases! {
+    all_fail: 1.0 failing, seed 7;
+    half_fail: 0.5 failing, seed 11;
+    few_fail: 0.02 failing, seed 13;
+}
+
+fn keep_to_the_share(failing: f64, seed: u64) {
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut budget = RetryBudget::new();
+    let (mut failed, mut retries) = (0, 0);
+    for _ in 0..TRIES {
+        budget.on_first_try();
+        while random.random_bool(failing) {
+            failed += 1;
+            if !budget.take_retry() {
+                break;
+            }
+            retries += 1;
+        }
+    }
+    assert!(retries <= TRIES / 10 + 50, "{retries} retries");
+    // Few failures are all retried.
+    assert!(failing > 0.05 || retries == failed, "{retries} of {failed}");
+}
+
+#[test]
+fn pauses_grow_to_a_bound_and_are_spread() {
+    let mut random = StdRng::seed_from_u64(17);
+    for retry in 0..40 {
+        let pause = retry_pause(retry, random.random());
+        let average =
+            Duration::from_millis(20 * 2_u64.pow(retry.min(5))).min(Duration::from_millis(200));
+        assert!(pause >= average.mul_f64(0.5) && pause <= average.mul_f64(1.5));
+    }
+}
+
+macro_rules! step_cases {
+    ($($name:ident: $verdict:expr, $safety:ident, link lost $lost:literal => $step:ident;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let step = retry_step(&$verdict, ResendSafety::$safety, $lost);
+                assert_eq!(step, RetryStep::$step);
+            }
+        )*
+    };
+}
+
+fn not_run(reason: RefusalReason) -> RequestVerdict {
+    RequestVerdict::NotRun(reason, Duration::from_secs(1))
+}
+
+const LOST: RequestVerdict = RequestVerdict::MayHaveRun(UncertainReason::ConnectionLost);
+
+step_cases! {
+    idempotent_is_sent_again: LOST, Idempotent, link lost false => SendAgain;
+    recorded_is_sent_again_over_a_new_link: LOST, Recorded, link lost true => SendAgain;
+    recorded_is_told_where_the_target_failed: LOST, Recorded, link lost false => Tell;
+    unrecorded_is_never_sent_again: LOST, Unsafe, link lost true => Tell;
+    a_lost_record_is_told: RequestVerdict::MayHaveRun(UncertainReason::RecordLost), Idempotent, link lost false => Tell;
+    not_owner_is_sent_again: not_run(RefusalReason::NotOwner), Unsafe, link lost false => SendAgain;
+    moving_waits_for_the_table: not_run(RefusalReason::Moving), Unsafe, link lost false => AwaitRoute;
+    overload_is_told: not_run(RefusalReason::Overloaded), Idempotent, link lost false => Tell;
+    quarantine_is_told: not_run(RefusalReason::Quarantined), Idempotent, link lost false => Tell;
+}
+
+#[test]
+fn a_verdict_only_gets_weaker() {
+    let refused = not_run(RefusalReason::NotOwner);
+    assert_eq!(refused.clone().weakened_by(None), refused);
+    assert_eq!(
+        refused.weakened_by(Some(UncertainReason::ConnectionLost)),
+        LOST
+    );
+}
--- a/crates/anvilrack-harness/src/deployment.rs
+++ b/crates/anvilrack-harness/src/deployment.rs
@@ -276,6 +276,12 @@
         Ok(serde_json::from_str(&answer.text()?)?)
     }
 
+    /// Where other routers reach router `index`.
+    #[must_use]
+    pub fn peer_address(&self, index: usize) -> SocketAddr {
+        self.peers[index]
+    }
+
     /// The index of the router that coordinates the cell, as router `index` knows it.
     ///
     /// # Errors
--- a/crates/anvilrack-peer/src/lib.rs
+++ b/crates/anvilrack-peer/src/lib.rs
@@ -7,6 +7,7 @@
 //! This is the only crate that runs asynchronous code; the callers block on a channel.
 
 mod body_stream;
+mod link_watch;
 mod peer_links;
 mod peer_server;
 
--- a/crates/anvilrack-peer/src/peer_links.rs
+++ b/crates/anvilrack-peer/src/peer_links.rs
@@ -2,9 +2,8 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use anvilrack_wire::{PeerReply, PeerRequest, decode, encode};
 use bytes::Bytes;
@@ -15,6 +14,7 @@
 use tokio::runtime::Handle;
 
 use crate::body_stream::{LINK_WINDOW, STREAM_WINDOW, read_body};
+use crate::link_watch::{LinkProgress, watch_link};
 
 /// Time to open a link.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -43,12 +43,16 @@
     /// The time allowed passed after the call went out.
     #[error("peer did not answer in time")]
     TimedOut,
+    /// The call went out over a link on which nothing comes back any more, not even a ping.
+    #[error("link to the peer has gone silent")]
+    SilentLink,
 }
 
 /// The links of this process to other routers, opened on demand.
 ///
-/// A link on which nothing at all came back while a call timed out is given up: something between
-/// the ends may have lost track of it. The next call opens a new one.
+/// A link on which calls are open and nothing at all comes back is given up: something between the
+/// ends may have lost track of it. Its calls end with [`PeerError::SilentLink`], and the next call
+/// opens a new one.
 pub struct PeerLinks {
     runtime: Handle,
     links: Arc<LinkTable>,
@@ -65,35 +69,6 @@
     progress: Arc<LinkProgress>,
 }
 
-/// When something last came back over a link.
-struct LinkProgress {
-    opened: Instant,
-    last_answer_ms: AtomicU64,
-    last_used_ms: AtomicU64,
-}
-
-impl LinkProgress {
-    fn new() -> Self {
-        Self {
-            opened: Instant::now(),
-            last_answer_ms: AtomicU64::new(0),
-            last_used_ms: AtomicU64::new(0),
-        }
-    }
-
-    fn now_ms(&self) -> u64 {
-        u64::try_from(self.opened.elapsed().as_millis()).unwrap_or(u64::MAX)
-    }
-
-    fn on_answer(&self) {
-        self.last_answer_ms.store(self.now_ms(), Ordering::Relaxed);
-    }
-
-    fn answered_since(&self, since_ms: u64) -> bool {
-        self.last_answer_ms.load(Ordering::Relaxed) > since_ms
-    }
-}
-
 impl PeerLinks {
     /// You give the runtime on which the links live.
     #[must_use]
@@ -169,21 +144,43 @@
         timeout: Duration,
     ) -> Result<PeerReply, PeerError> {
         let deadline = tokio::time::Instant::now() + timeout;
+        let kept = self.table().contains_key(&(peer, class));
+        let answer = self.call_once(peer, class, body.clone(), deadline).await;
+        // A link that was kept may have been closed by the peer since it was last used.
+        if kept && matches!(answer, Err(PeerError::NotSent(_))) {
+            return self.call_once(peer, class, body, deadline).await;
+        }
+        answer
+    }
+
+    async fn call_once(
+        &self,
+        peer: SocketAddr,
+        class: LinkClass,
+        body: Bytes,
+        deadline: tokio::time::Instant,
+    ) -> Result<PeerReply, PeerError> {
         let connect_by = deadline.min(tokio::time::Instant::now() + CONNECT_TIMEOUT);
         let link = tokio::time::timeout_at(connect_by, self.link(peer, class))
             .await
             .map_err(|_| PeerError::NotSent("no link in time".to_owned()))?
             .map_err(PeerError::NotSent)?;
         let sent_at_ms = link.progress.now_ms();
-        link.progress
-            .last_used_ms
-            .store(sent_at_ms, Ordering::Relaxed);
+        let open_call = link.progress.begin_call();
         let exchange = exchange(link.sender.clone(), &link.progress, body);
-        let answer = match tokio::time::timeout_at(deadline, exchange).await {
-            Ok(answer) => answer,
-            Err(_) => Err(PeerError::TimedOut),
+        let answer = tokio::select! {
+            answer = tokio::time::timeout_at(deadline, exchange) => {
+                answer.unwrap_or(Err(PeerError::TimedOut))
+            }
+            () = link.progress.silence() => Err(PeerError::SilentLink),
+        };
+        drop(open_call);
+        let broken = match &answer {
+            Ok(_) => false,
+            Err(PeerError::TimedOut) => !link.progress.answered_since(sent_at_ms),
+            Err(_) => true,
         };
-        if answer.is_err() && !link.progress.answered_since(sent_at_ms) {
+        if broken {
             self.give_up(peer, class, &link);
         }
         answer
@@ -219,13 +216,9 @@
 }
 
 fn drop_least_used(table: &mut HashMap<(SocketAddr, LinkClass), PeerLink>) {
-    let idle_ms = |link: &PeerLink| {
-        let last_used = link.progress.last_used_ms.load(Ordering::Relaxed);
-        link.progress.now_ms().saturating_sub(last_used)
-    };
     let oldest = table
         .iter()
-        .max_by_key(|(_, link)| idle_ms(link))
+        .max_by_key(|(_, link)| link.progress.idle_ms())
         .map(|(key, _)| *key);
     if let Some(key) = oldest {
         table.remove(&key);
@@ -239,21 +232,23 @@
     stream
         .set_nodelay(true)
         .map_err(|error| error.to_string())?;
-    let (sender, connection) = h2::client::Builder::new()
+    let (sender, mut connection) = h2::client::Builder::new()
         .initial_window_size(STREAM_WINDOW)
         .initial_connection_window_size(LINK_WINDOW)
         .handshake::<_, Bytes>(stream)
         .await
         .map_err(|error| error.to_string())?;
+    let pings = connection.ping_pong();
+    let pings = pings.ok_or_else(|| "link takes no pings".to_owned())?;
+    let progress = Arc::new(LinkProgress::new());
+    let watched = progress.clone();
     tokio::spawn(async move {
-        if let Err(error) = connection.await {
-            log::debug!("link to {peer} ended: {error}");
+        tokio::select! {
+            ended = connection => log::debug!("link to {peer} ended: {ended:?}"),
+            () = watch_link(pings, watched) => log::debug!("link to {peer} has gone silent"),
         }
     });
-    Ok(PeerLink {
-        sender,
-        progress: Arc::new(LinkProgress::new()),
-    })
+    Ok(PeerLink { sender, progress })
 }
 
 async fn exchange(
@@ -270,10 +265,9 @@
     stream.send_data(body, true).map_err(unanswered)?;
     let answer = answer.await.map_err(unanswered)?;
     progress.on_answer();
-    let body = read_body(&mut answer.into_body())
+    let body = read_body(&mut answer.into_body(), || progress.on_answer())
         .await
         .map_err(unanswered)?;
-    progress.on_answer();
     decode(&body).map_err(|error| PeerError::Unanswered(error.to_string()))
 }
 
--- a/crates/anvilrack-peer/src/peer_server.rs
+++ b/crates/anvilrack-peer/src/peer_server.rs
@@ -116,7 +116,7 @@
     mut respond: SendResponse<Bytes>,
     service: Arc<S>,
 ) -> Result<(), h2::Error> {
-    let body = read_body(&mut request.into_body()).await?;
+    let body = read_body(&mut request.into_body(), || ()).await?;
     let Ok(message) = decode::<PeerRequest>(&body) else {
         return send_status(&mut respond, StatusCode::BAD_REQUEST);
     };
--- a/crates/anvilrack-router/src/lib.rs
+++ b/crates/anvilrack-router/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod peer_handler;
 pub mod record_handover;
 pub mod release_tracker;
+pub mod retry_keeper;
 pub mod router_context;
 pub mod router_process;
 pub mod run_keeper;
--- a/crates/anvilrack-router/src/router_context.rs
+++ b/crates/anvilrack-router/src/router_context.rs
@@ -17,6 +17,7 @@
 use tokio::runtime::Handle;
 
 use crate::release_tracker::ReleaseTracker;
+use crate::retry_keeper::RetryKeeper;
 use crate::run_keeper::RunKeeper;
 use crate::target_view::TargetView;
 use crate::{boot_clock, log_event};
@@ -39,6 +40,8 @@
     pub releases: ReleaseTracker,
     /// The at-most-once record.
     pub runs: RunKeeper,
+    /// The retry budget.
+    pub retries: RetryKeeper,
     owner: Mutex<OwnerState>,
     standby: Mutex<StandbyState>,
     coordinator: Mutex<Option<CoordinatorState>>,
@@ -62,6 +65,7 @@
             links: PeerLinks::new(runtime),
             releases: ReleaseTracker::default(),
             runs: RunKeeper::new(&settings.limits),
+            retries: RetryKeeper::new(&settings.limits),
             owner: Mutex::new(OwnerState::new(node.clone(), incarnation, terms)),
             standby: Mutex::new(StandbyState::new(node, incarnation, terms, now)),
             coordinator: Mutex::new(None),
