Quarantine requests that crash the targets that run them

Cause: a request that crashed its target and was sent again walked through the fleet with its shard.

The guard marks what went to a target that broke off and does not listen any more.

Ruled out: a flat long time (an innocent read of a hot key that was there at both crashes would be refused for long); marks forgotten each for itself (core test with 48 h for each mark: 10 crashes in 60 h; with the marks of a request forgotten together: at most 7).

Conclusion: two targets at most within the bounded time. A target that is listening again within milliseconds of its crash is not noticed.

--- a/crates/anvilrack-core/src/event_catalogue.rs
+++ b/crates/anvilrack-core/src/event_catalogue.rs
@@ -58,4 +58,6 @@
     RECORD_NOT_TAKEN = 2202, "record.not-taken", "The next owner did not take the at-most-once record; older requests will be told that they may have run.";
     RECORD_TAKEN = 2203, "record.taken", "This router took the at-most-once record of a shard that moves to it.";
     RECORD_FULL = 2204, "record.full", "The at-most-once record has no room; new non-idempotent requests are refused.";
+    CRASH_SUSPECTED = 2205, "crash.suspected", "A target crashed while it ran this request; says at how many crashes the request was.";
+    REQUEST_QUARANTINED = 2206, "request.quarantined", "A request that was at two crashes is kept off the targets; says for how long still.";
 }
--- a/crates/anvilrack-core/src/lib.rs
+++ b/crates/anvilrack-core/src/lib.rs
@@ -15,6 +15,7 @@
 mod cell_record;
 mod clock;
 mod coordinator_state;
+mod crash_quarantine;
 mod event_catalogue;
 mod ids;
 mod lease_terms;
@@ -34,6 +35,7 @@
 pub use coordinator_state::{
     CoordinatorState, MemberReport, ReleaseOrder, ReleaseReport, RenewalAnswer,
 };
+pub use crash_quarantine::{CrashId, CrashMark, CrashQuarantine, CrashReport, RequestPrint};
 pub use event_catalogue::{EVENT_CATALOGUE, LogEvent, events};
 pub use ids::{
     DomainName, Epoch, FencingToken, Incarnation, NodeId, RegionName, Revision, ServiceName,
--- /dev/null
+++ b/crates/anvilrack-core/tests/crash_quarantine.rs
@@ -0,0 +1,118 @@
+//! Crashing requests: suspects, quarantine, and how word of them spreads.
+
+use std::time::Duration;
+
+use anvilrack_core::{BootTime, CrashQuarantine};
+use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
+
+const KILLER: u64 = 7;
+
+fn at(seconds: u64) -> BootTime {
+    Duration::from_secs(1_000 + seconds)
+}
+
+#[test]
+fn the_second_crash_keeps_the_request_off_for_a_bounded_time() {
+    let mut quarantine = CrashQuarantine::new("router-1/1");
+    assert_eq!(quarantine.on_crash(KILLER, at(0), at(1)), 1);
+    assert_eq!(quarantine.kept_off(KILLER, at(1)), None);
+    assert_eq!(quarantine.on_crash(KILLER, at(5), at(6)), 2);
+    assert_eq!(
+        quarantine.kept_off(KILLER, at(6)),
+        Some(Duration::from_mins(2))
+    );
+    assert_eq!(
+        quarantine.kept_off(KILLER, at(125)),
+        Some(Duration::from_secs(1))
+    );
+    assert_eq!(quarantine.kept_off(KILLER, at(126)), None);
+    assert_eq!(quarantine.kept_off(8, at(6)), None);
+}
+
+#[test]
+fn one_crash_counts_once_for_all_requests_that_it_cut_off() {
+    let mut quarantine = CrashQuarantine::new("router-1/1");
+    for began in [0, 3, 9, 10] {
+        assert_eq!(quarantine.on_crash(KILLER, at(began), at(10)), 1);
+    }
+    assert_eq!(quarantine.on_crash(KILLER, at(11), at(12)), 2);
+}
+
+/// A request that is sent again for ever, as soon as it is let through.
+#[test]
+fn over_a_weekend_one_request_takes_a_handful_of_targets() {
+    let mut quarantine = CrashQuarantine::new("router-1/1");
+    let mut crashes = 0;
+    for minute in 0..60 * 60 {
+        let now = at(minute * 60);
+        if quarantine.kept_off(KILLER, now).is_none() {
+            quarantine.on_crash(KILLER, now, now + Duration::from_secs(1));
+            crashes += 1;
+        }
+        assert!(minute > 1 || crashes <= 2);
+    }
+    assert!(crashes <= 7, "{crashes} crashes");
+}
+
+macro_rules! spread_cases {
+    ($($name:ident: seed $seed:literal;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                spread_in_any_order($seed);
+            }
+        )*
+    };
+}
+
+spread_cases! {
+    reports_settle_in_any_order_a: seed 3;
+    reports_settle_in_any_order_b: seed 5;
+    reports_settle_in_any_order_c: seed 9;
+}
+
+fn spread_in_any_order(seed: u64) {
+    let mut random = StdRng::seed_from_u64(seed);
+    let names = ["a", "b", "c", "d"];
+    let mut routers: Vec<_> = names
+        .iter()
+        .map(|name| CrashQuarantine::new(name))
+        .collect();
+    routers[0].on_crash(KILLER, at(0), at(1));
+    routers[1].on_crash(KILLER, at(2), at(3));
+    routers[2].on_crash(random.random(), at(2), at(3));
+    let mut pairs: Vec<_> = (0..4).flat_map(|a| (0..4).map(move |b| (a, b))).collect();
+    for _ in 0..3 {
+        pairs.shuffle(&mut random);
+        for (from, to) in pairs.iter().filter(|(from, to)| from != to) {
+            let report = routers[*from].report(routers[*to].digest(), at(4));
+            routers[*to].merge(&report, at(4));
+        }
+    }
+    for router in &routers {
+        assert_eq!(router.digest(), routers[0].digest());
+        assert_eq!(router.report(routers[0].digest(), at(4)).marks, vec![]);
+        assert_eq!(
+            router.kept_off(KILLER, at(4)),
+            Some(Duration::from_secs(119))
+        );
+    }
+}
+
+#[test]
+fn what_is_remembered_and_told_is_bounded() {
+    let mut quarantine = CrashQuarantine::new("router-1/1");
+    for request in 0..5_000 {
+        quarantine.on_crash(request, at(request), at(request) + Duration::from_millis(1));
+    }
+    let report = quarantine.report(0, at(5_000));
+    assert_eq!(report.marks.len(), 128);
+    assert!(report.marks.iter().all(|mark| mark.request >= 5_000 - 128));
+    let mut other = CrashQuarantine::new("router-2/1");
+    for round in 0..50 {
+        other.merge(&quarantine.report(round, at(5_000)), at(5_000));
+    }
+    assert_eq!(other.report(0, at(5_000)).marks.len(), 128);
+}
--- a/crates/anvilrack-router/src/lib.rs
+++ b/crates/anvilrack-router/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod boot_clock;
 pub mod control_port;
 pub mod coordinator_role;
+pub mod crash_keeper;
 pub mod event_log;
 pub mod guard_pool;
 pub mod membership;
--- a/crates/anvilrack-router/src/membership.rs
+++ b/crates/anvilrack-router/src/membership.rs
@@ -57,11 +57,14 @@
         service: service.clone(),
         report: context.report(),
         digest: context.digest(),
+        crashes: context.crashes.report(),
     };
     let sent_at = boot_clock::now();
     let Some(reply) = ask_coordinator(context, cell, request) else {
         return false;
     };
+    // Before the record: a shard must not come here without word of what crashed its last owner.
+    context.crashes.on_reply(&reply.crashes);
     context.accept_update(reply.update);
     let answer = reply.answer;
     context.standby().on_answer(boot_clock::now());
@@ -118,6 +121,7 @@
     Some(HeartbeatReply {
         answer,
         update: context.update_for(&request.digest),
+        crashes: context.crashes.on_report(&request.crashes),
     })
 }
 
--- a/crates/anvilrack-router/src/router_context.rs
+++ b/crates/anvilrack-router/src/router_context.rs
@@ -16,6 +16,7 @@
 use crossbeam::sync::ShardedLock;
 use tokio::runtime::Handle;
 
+use crate::crash_keeper::CrashKeeper;
 use crate::release_tracker::ReleaseTracker;
 use crate::retry_keeper::RetryKeeper;
 use crate::run_keeper::RunKeeper;
@@ -42,6 +43,8 @@
     pub runs: RunKeeper,
     /// The retry budget.
     pub retries: RetryKeeper,
+    /// Requests that crash targets.
+    pub crashes: CrashKeeper,
     owner: Mutex<OwnerState>,
     standby: Mutex<StandbyState>,
     coordinator: Mutex<Option<CoordinatorState>>,
@@ -66,6 +69,7 @@
             releases: ReleaseTracker::default(),
             runs: RunKeeper::new(&settings.limits),
             retries: RetryKeeper::new(&settings.limits),
+            crashes: CrashKeeper::new(&format!("{node}/{incarnation}")),
             owner: Mutex::new(OwnerState::new(node.clone(), incarnation, terms)),
             standby: Mutex::new(StandbyState::new(node, incarnation, terms, now)),
             coordinator: Mutex::new(None),
--- a/crates/anvilrack-router/src/stages/deliver.rs
+++ b/crates/anvilrack-router/src/stages/deliver.rs
@@ -1,6 +1,8 @@
 //! Fifth stage: to the target and back.
 
-use std::net::SocketAddr;
+use std::io::ErrorKind;
+use std::net::{SocketAddr, TcpStream};
+use std::thread;
 use std::time::Duration;
 
 use anvilrack_core::{
@@ -16,6 +18,12 @@
 /// Time to open a connection to the target, which runs on the same VM.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// How often to look whether a target is gone that broke a connection off.
+const GONE_LOOKS: usize = 5;
+
+/// Time between two such looks.
+const GONE_STEP: Duration = Duration::from_millis(10);
+
 /// Longest answer that is kept whole, in bytes.
 const ANSWER_LIMIT: u64 = 16 * 1024 * 1024;
 
@@ -93,6 +101,20 @@
     }
 }
 
+/// True where nothing listens at the target's address any more.
+///
+/// A process that dies closes its connections one after the other, so this looks more than once.
+#[must_use]
+pub fn is_gone(address: SocketAddr) -> bool {
+    (0..GONE_LOOKS).any(|look| {
+        if look > 0 {
+            thread::sleep(GONE_STEP);
+        }
+        let tried = TcpStream::connect_timeout(&address, CONNECT_TIMEOUT);
+        tried.is_err_and(|error| error.kind() == ErrorKind::ConnectionRefused)
+    })
+}
+
 fn build_message(
     request: &ForwardRequest,
     order: &DeliveryOrder,
@@ -151,7 +173,7 @@
         ureq::Error::Timeout(ureq::Timeout::Connect) | ureq::Error::ConnectionFailed => {
             RequestVerdict::NotRun(RefusalReason::TargetRefused, RETRY_SOON)
         }
-        ureq::Error::Io(error) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
+        ureq::Error::Io(error) if error.kind() == ErrorKind::ConnectionRefused => {
             RequestVerdict::NotRun(RefusalReason::TargetRefused, RETRY_SOON)
         }
         ureq::Error::Timeout(_) => RequestVerdict::MayHaveRun(UncertainReason::TimedOut),
--- a/crates/anvilrack-router/src/stages/forward.rs
+++ b/crates/anvilrack-router/src/stages/forward.rs
@@ -68,6 +68,13 @@
     guard: &GuardPool,
     accepted: &AcceptedRequest,
 ) -> ForwardOutcome {
+    if let Err(verdict) = check_quarantine(context, &accepted.request) {
+        return ForwardOutcome {
+            verdict,
+            hop: None,
+            tries: 0,
+        };
+    }
     context.retries.on_first_try();
     let mut tries = RequestTries::new(context, guard, accepted);
     loop {
@@ -167,6 +174,18 @@
     }
 }
 
+/// Refuses a request that crashes targets; one with an entry in the record is left to its owner,
+/// which alone can tell whether it may have run.
+fn check_quarantine(
+    context: &RouterContext,
+    request: &ForwardRequest,
+) -> Result<(), RequestVerdict> {
+    match request.recorded_key() {
+        Some(_) => Ok(()),
+        None => context.crashes.check(request),
+    }
+}
+
 fn safety_of(request: &ForwardRequest) -> ResendSafety {
     if request.is_idempotent() {
         return ResendSafety::Idempotent;
--- a/crates/anvilrack-router/src/stages/guard.rs
+++ b/crates/anvilrack-router/src/stages/guard.rs
@@ -4,7 +4,7 @@
 
 use anvilrack_core::{
     BootTime, GrantAnswer, RecordKey, RecordRequest, RefusalReason, RequestVerdict, ServiceRules,
-    ShardHash, ShardId, fingerprint_of, first_sent_at,
+    ShardHash, ShardId, UncertainReason, fingerprint_of, first_sent_at,
 };
 use anvilrack_wire::ForwardRequest;
 
@@ -92,6 +92,9 @@
     deadline: BootTime,
 ) -> RequestVerdict {
     let refuse = |reason| RequestVerdict::NotRun(reason, RETRY_SOON);
+    if let Err(verdict) = context.crashes.check(request) {
+        return verdict;
+    }
     let Some(address) = context.target().address() else {
         return refuse(RefusalReason::NoOwner);
     };
@@ -109,8 +112,31 @@
                 lease_until: grant.lease_until,
                 deadline,
             };
-            deliver::process(client, request, &order)
+            let began = boot_clock::now();
+            let verdict = deliver::process(client, request, &order);
+            watch_crash(context, request, &order, &verdict, began);
+            verdict
         }
         Err(reason) => refuse(reason),
     }
 }
+
+/// Remembers a request whose target broke off and is gone, before its verdict goes out.
+fn watch_crash(
+    context: &RouterContext,
+    request: &ForwardRequest,
+    order: &DeliveryOrder,
+    verdict: &RequestVerdict,
+    began: BootTime,
+) {
+    let broke_off = matches!(
+        verdict,
+        RequestVerdict::MayHaveRun(
+            UncertainReason::ConnectionLost | UncertainReason::AnswerCutShort
+        )
+    );
+    if broke_off && deliver::is_gone(order.address) {
+        context.crashes.on_crash(request, began);
+        context.nudge();
+    }
+}
--- a/crates/anvilrack-wire/src/peer_message.rs
+++ b/crates/anvilrack-wire/src/peer_message.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use anvilrack_core::{
-    CellRecord, ConfigRecord, Epoch, FencingToken, MemberReport, RenewalAnswer, Revision,
-    ServiceName, ShardId, TableVersion, UncertainReason,
+    CellRecord, ConfigRecord, CrashReport, Epoch, FencingToken, MemberReport, RenewalAnswer,
+    Revision, ServiceName, ShardId, TableVersion, UncertainReason,
 };
 use serde::{Deserialize, Serialize};
 
@@ -60,6 +60,8 @@
     pub report: MemberReport,
     /// What the member already knows.
     pub digest: TableDigest,
+    /// Requests that crashed targets.
+    pub crashes: CrashReport,
 }
 
 /// The coordinator's answer to a heartbeat.
@@ -69,6 +71,8 @@
     pub answer: RenewalAnswer,
     /// What the member lacks.
     pub update: TableUpdate,
+    /// Requests that crashed targets.
+    pub crashes: CrashReport,
 }
 
 /// Which versions a router has.
