--- a/crates/anvilrack-core/src/lib.rs
+++ b/crates/anvilrack-core/src/lib.rs
@@ -17,6 +17,7 @@
 mod cell_record;
 mod clock;
 mod coordinator_state;
+mod crash_quarantine;
 mod event_catalogue;
 mod fair_share;
 mod ids;
@@ -29,6 +30,7 @@
 mod record_delta;
 mod request_identity;
 mod request_verdict;
+mod retry_budget;
 mod route_table;
 mod run_record;
 mod service_rules;
@@ -43,6 +45,7 @@
 pub use coordinator_state::{
     CoordinatorState, MemberReport, ReleaseOrder, ReleaseReport, RenewalAnswer,
 };
+pub use crash_quarantine::{CrashId, CrashMark, CrashQuarantine, CrashReport, RequestPrint};
 pub use event_catalogue::{EVENT_CATALOGUE, LogEvent, events};
 pub use fair_share::FairShare;
 pub use ids::{
@@ -58,6 +61,7 @@
 pub use record_delta::{RecordDelta, RecordStamp};
 pub use request_identity::{fingerprint_of, first_sent_at};
 pub use request_verdict::{RefusalReason, RequestVerdict, TargetAnswer, UncertainReason};
+pub use retry_budget::{ResendSafety, RetryBudget, RetryStep, retry_pause, retry_step};
 pub use route_table::{RouteError, RouteTable, ShardRoute, TableChanges};
 pub use run_record::{
     ExportedRun, ExportedShard, RecordKey, RecordLimits, RecordRequest, RecordStep, RunOutcome,
--- a/crates/anvilrack-router/src/router_context.rs
+++ b/crates/anvilrack-router/src/router_context.rs
@@ -18,8 +18,10 @@
 use tokio::runtime::Handle;
 
 use crate::admission_desk::AdmissionDesk;
+use crate::crash_keeper::CrashKeeper;
 use crate::entry_shares::EntryShares;
 use crate::release_tracker::ReleaseTracker;
+use crate::retry_keeper::RetryKeeper;
 use crate::router_metrics::RouterMetrics;
 use crate::run_keeper::RunKeeper;
 use crate::spread_choices::SpreadChoices;
@@ -52,6 +54,10 @@
     pub entry: EntryShares,
     /// Targets of services that are not divided by key.
     pub choices: SpreadChoices,
+    /// The retry budget.
+    pub retries: RetryKeeper,
+    /// Requests that crash targets.
+    pub crashes: CrashKeeper,
     owner: Mutex<OwnerState>,
     standby: Mutex<StandbyState>,
     coordinator: Mutex<Option<CoordinatorState>>,
@@ -80,6 +86,8 @@
             runs: RunKeeper::new(&settings.limits),
             admission: AdmissionDesk::new(settings.policies.admission),
             entry: EntryShares::new(settings.limits.caller_workers),
+            retries: RetryKeeper::new(&settings.limits),
+            crashes: CrashKeeper::new(&format!("{node}/{incarnation}")),
             owner: Mutex::new(OwnerState::new(node.clone(), incarnation, terms)),
             standby: Mutex::new(StandbyState::new(node, incarnation, terms, now)),
             coordinator: Mutex::new(None),
--- a/crates/anvilrack-router/src/stages/guard.rs
+++ b/crates/anvilrack-router/src/stages/guard.rs
@@ -4,7 +4,7 @@
 
 use anvilrack_core::{
     BootTime, GrantAnswer, RecordKey, RecordRequest, RefusalReason, RequestVerdict, ServiceRules,
-    ShardHash, ShardId, fingerprint_of, first_sent_at,
+    ShardHash, ShardId, UncertainReason, fingerprint_of, first_sent_at,
 };
 use anvilrack_wire::ForwardRequest;
 
@@ -93,6 +93,9 @@
     deadline: BootTime,
 ) -> RequestVerdict {
     let refuse = |reason| RequestVerdict::NotRun(reason, RETRY_SOON);
+    if let Err(verdict) = context.crashes.check(request) {
+        return verdict;
+    }
     let Some(address) = context.target().address() else {
         return refuse(RefusalReason::NoOwner);
     };
@@ -110,8 +113,10 @@
                 lease_until: grant.lease_until,
                 deadline,
             };
+            let began = boot_clock::now();
             let verdict = deliver::process(client, request, &order);
             permit.close(&verdict);
+            watch_crash(context, request, &order, &verdict, began);
             verdict
         }
         Err(reason) => refuse(reason),
@@ -132,3 +137,23 @@
     }
     context.owner().grant(shard, boot_clock::now())
 }
+
+/// Remembers a request whose target broke off and is gone, before its verdict goes out.
+fn watch_crash(
+    context: &RouterContext,
+    request: &ForwardRequest,
+    order: &DeliveryOrder,
+    verdict: &RequestVerdict,
+    began: BootTime,
+) {
+    let broke_off = matches!(
+        verdict,
+        RequestVerdict::MayHaveRun(
+            UncertainReason::ConnectionLost | UncertainReason::AnswerCutShort
+        )
+    );
+    if broke_off && deliver::is_gone(order.address) {
+        context.crashes.on_crash(request, began);
+        context.nudge();
+    }
+}
--- a/crates/anvilrack-wire/src/peer_message.rs
+++ b/crates/anvilrack-wire/src/peer_message.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use anvilrack_core::{
-    CellRecord, ConfigRecord, Epoch, FencingToken, MemberReport, PlacementNote, RecordDelta,
-    RenewalAnswer, Revision, ServiceName, ShardId, TableVersion, UncertainReason,
+    CellRecord, ConfigRecord, CrashReport, Epoch, FencingToken, MemberReport, PlacementNote,
+    RecordDelta, RenewalAnswer, Revision, ServiceName, ShardId, TableVersion, UncertainReason,
 };
 use serde::{Deserialize, Serialize};
 
@@ -64,6 +64,8 @@
     pub report: MemberReport,
     /// What the member already knows.
     pub digest: TableDigest,
+    /// Requests that crashed targets.
+    pub crashes: CrashReport,
 }
 
 /// The coordinator's answer to a heartbeat.
@@ -73,6 +75,8 @@
     pub answer: RenewalAnswer,
     /// What the member lacks.
     pub update: TableUpdate,
+    /// Requests that crashed targets.
+    pub crashes: CrashReport,
 }
 
 /// Which versions a router has.
