--- /dev/null
+++ b/crates/anvilrack-harness/tests/requests_under_faults.rs
@@ -0,0 +1,52 @@
+//! A load of reads and claims while owners are drained, killed or cut answers short: nothing runs twice,
+//! nothing told as not run has run, and no answer goes to another request.
+
+use std::thread;
+use std::time::Duration;
+
+use anvilrack_fakes::TargetFaults;
+use anvilrack_harness::Deployment;
+use anvilrack_load::{LoadReport, run_load};
+
+/// When the fault comes, counted from the beginning of the load.
+const FAULT_AFTER: Duration = Duration::from_millis(800);
+
+macro_rules! fault_cases {
+    ($($name:ident: $fault:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let report = load_under($fault);
+                assert!(report.is_clean(), "{report}");
+                assert!(report.ran > 0, "{report}");
+            }
+        )*
+    };
+}
+
+fault_cases! {
+    a_router_is_drained: |deployment| deployment.routers[1].terminate();
+    a_router_is_killed: |deployment| deployment.routers[1].kill();
+    a_router_is_frozen_and_comes_back: |deployment| {
+        deployment.routers[1].freeze();
+        thread::sleep(Duration::from_millis(900));
+        deployment.routers[1].resume();
+    };
+    answers_are_cut_short: |deployment| {
+        let cut_short = TargetFaults { cut_short: true, ..TargetFaults::default() };
+        deployment.set_target_faults(1, &cut_short).unwrap();
+    };
+}
+
+fn load_under(fault: impl FnOnce(&mut Deployment)) -> LoadReport {
+    let mut deployment = Deployment::new("bookings", 3).unwrap();
+    deployment.await_ready().unwrap();
+    let options = deployment.load();
+    let history = thread::scope(|scope| {
+        let load = scope.spawn(|| run_load(&options));
+        thread::sleep(FAULT_AFTER);
+        fault(&mut deployment);
+        load.join().unwrap()
+    });
+    deployment.judge(&history).unwrap()
+}
--- a/crates/anvilrack-router/src/stages/forward.rs
+++ b/crates/anvilrack-router/src/stages/forward.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use anvilrack_core::{
-    BootTime, RefusalReason, RequestVerdict, ResendSafety, RetryStep, UncertainReason, retry_pause,
-    retry_step,
+    BootTime, RefusalReason, RequestVerdict, ResendSafety, RetryStep, UncertainReason, events,
+    retry_pause, retry_step,
 };
 use anvilrack_peer::{LinkClass, PeerError};
 use anvilrack_wire::{ForwardRequest, PeerReply, PeerRequest};
@@ -13,10 +13,10 @@
 
 use super::resolve::{self, NextHop};
 use super::{RETRY_SOON, accept::AcceptedRequest};
-use crate::boot_clock;
 use crate::guard_pool::GuardPool;
 use crate::retry_keeper::WaitPlace;
 use crate::router_context::RouterContext;
+use crate::{boot_clock, log_event};
 
 /// How long a request waits at its router for a shard that is between owners.
 const ROUTE_PATIENCE: Duration = Duration::from_millis(400);
@@ -221,6 +221,9 @@
             let answer = context
                 .links
                 .call(*address, LinkClass::Request, &call, left);
+            if let Err(error) = &answer {
+                log_event!(Info, events::PEER_LOST, "peer" = address, "error" = error);
+            }
             outcome_of(answer)
         }
     }
