Place shards by the load they bring, and move them off sick targets

Cause: placement counted shards, so a member with the hot ones stayed overloaded; an owner with a frozen target kept its shards for as long as the target said it was ready.

What changes: an owner counts requests by shard (`ShardMeter`) and tells its 64 busiest shards once a second in its heartbeat. `LoadView` keeps them on the coordinator, over moves. `PlacementPolicy` moves the shard that evens the most and the least burdened member best, four at a time, inside a hysteresis band from the configuration's weights and never within what may be chance; a shard that was moved for load stays for a minute. Weight `imbalance` 0 is the static baseline, and `policies.placement: count` the one by number. An owner's own requests say whether its target is sick (`TargetHealth` in the admission); such a member is not eligible, unless more than a third are.

Edits in others' files: MemberReport has `sick` and `loads`; CoordinatorState has `set_weights`, the loads, and looks at `sick` in `eligible`; coordinator_role.rs passes the weights; guard.rs counts a request after its delivery; PlacementWeights derives Hash.

Fault found and mended: a target whose mean latency had grown above the callers' timeouts was refused everything for good, since nothing measured it again. An idle target is tried now.

How the tests failed first: the frozen target still held 4 of 8 shards after 15 loads because of that fault; with `placement: count` the busiest target kept all of its shards over 15 loads.

--- a/crates/anvilrack-core/src/admission_queue.rs
+++ b/crates/anvilrack-core/src/admission_queue.rs
@@ -291,7 +291,13 @@
     }
 
     /// The last moment at which a request can start and still be answered in time.
+    ///
+    /// A target with nothing to do may have become faster since it was measured, so one request is
+    /// always let through to see.
     fn latest_start(&self, request: &AdmissionRequest) -> BootTime {
+        if self.running.is_empty() {
+            return request.deadline;
+        }
         request.deadline.saturating_sub(self.limit.mean())
     }
 
--- a/crates/anvilrack-core/src/coordinator_state.rs
+++ b/crates/anvilrack-core/src/coordinator_state.rs
@@ -5,8 +5,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    BootTime, CellMember, CellRecord, Epoch, FencingToken, Incarnation, LeaseTerms, NodeId,
-    PlacementPolicy, Revision, ServiceRules, ShardId, ShardOwner, TableVersion, WriterStamp,
+    BootTime, CellMember, CellRecord, Epoch, FencingToken, Incarnation, LeaseTerms, LoadView,
+    NodeId, PlacementPolicy, PlacementView, PlacementWeights, Revision, ServiceRules, ShardId,
+    ShardLoad, ShardOwner, TableVersion, WriterStamp,
 };
 
 /// The coordinator's view of its cell.
@@ -24,6 +25,7 @@
     pending: Option<CellRecord>,
     members: BTreeMap<NodeId, MemberView>,
     moves: BTreeMap<ShardId, NodeId>,
+    loads: LoadView,
     authority_until: BootTime,
     last_store_contact: BootTime,
     promises: BTreeMap<NodeId, BootTime>,
@@ -38,6 +40,7 @@
     /// As the member described itself; `None` until this coordinator has heard from it.
     member: Option<CellMember>,
     ready: bool,
+    sick: bool,
     /// True once it has answered under this coordinator's epoch.
     confirmed: bool,
     /// No lease that this member holds runs longer than this.
@@ -59,6 +62,12 @@
     pub ready: bool,
     /// Shards that it gave back.
     pub released: Vec<ReleaseReport>,
+    /// True while its own requests say that its target is sick.
+    #[serde(default)]
+    pub sick: bool,
+    /// The load of its busiest shards; empty where there is nothing new to tell.
+    #[serde(default)]
+    pub loads: Vec<ShardLoad>,
 }
 
 /// A shard given back by its owner.
@@ -100,6 +109,9 @@
 /// A standby unheard of for this many leases is replaced.
 const STANDBY_SILENCE_LEASES: u32 = 3;
 
+/// Of so many members, one at most is believed to have a sick target.
+const SICK_PART: usize = 3;
+
 /// Standbys of a cell.
 const STANDBY_COUNT: usize = 2;
 
@@ -126,11 +138,12 @@
             node: record.coordinator.clone(),
             incarnation: record.writer.incarnation,
             terms,
-            policy: PlacementPolicy,
+            policy: PlacementPolicy::default(),
             record,
             pending: None,
             members,
             moves: BTreeMap::new(),
+            loads: LoadView::default(),
             authority_until: sent_at + terms.own_authority(),
             last_store_contact: sent_at,
             promises: BTreeMap::new(),
@@ -161,6 +174,10 @@
             view.lease_until = now + lease;
         }
         let renewed = may_renew && current && !losing;
+        let owned = &self.record;
+        if current {
+            self.loads.take(owned, &report.member.node, &report.loads);
+        }
         if renewed {
             view.lease_until = view.lease_until.max(now + lease);
         }
@@ -292,6 +309,11 @@
 
     // --- placement ------------------------------------------------------------------------------
 
+    /// Takes how the operators weigh the aims of placement.
+    pub fn set_weights(&mut self, weights: PlacementWeights) {
+        self.policy = PlacementPolicy::default().with_weights(weights);
+    }
+
     /// Works out the next record to write, if anything is to change.
     ///
     /// While the outcome of an earlier write is unknown nothing new is planned.
@@ -389,7 +411,9 @@
             .filter(|shard| self.is_free(*shard, rules, now))
             .collect();
         let eligible = self.eligible(now);
-        let mut placed = self.policy.place(&self.record, &eligible, &free);
+        let mut placed = self
+            .policy
+            .place(&self.record, &eligible, &free, &self.loads);
         for (shard, node) in &mut placed {
             if let Some(successor) = self.moves.get(shard).filter(|n| eligible.contains(n)) {
                 *node = successor.clone();
@@ -419,14 +443,22 @@
 
     /// Members that may be given shards.
     fn eligible(&self, now: BootTime) -> Vec<NodeId> {
+        let trusts_reports = self.trusts_reports();
         self.members
             .iter()
             .filter(|(_, view)| view.ready && now < view.lease_until)
+            .filter(|(_, view)| !(trusts_reports && view.sick))
             .filter(|(_, view)| view.member.as_ref().is_some_and(|member| !member.leaving))
             .map(|(node, _)| node.clone())
             .collect()
     }
 
+    /// False where so many targets are reported sick that the fault is more likely a common one.
+    fn trusts_reports(&self) -> bool {
+        let sick = self.members.values().filter(|view| view.sick).count();
+        sick * SICK_PART <= self.members.len()
+    }
+
     fn release_of(&self, shard: ShardId) -> Option<&ReleaseReport> {
         let owner = self.record.owner(shard)?;
         let report = self.members.get(&owner.node)?.released.get(&shard)?;
@@ -461,7 +493,17 @@
         let eligible = self.eligible(now);
         self.moves
             .retain(|_, successor| eligible.contains(successor));
-        let picked = self.policy.moves(&self.record, &eligible, &self.moves);
+        let view = PlacementView {
+            loads: &self.loads,
+            moving: &self.moves,
+            now,
+        };
+        let picked = self.policy.moves(&self.record, &eligible, &view);
+        if !self.loads.is_empty() {
+            for (shard, _) in &picked {
+                self.loads.on_move(*shard, now);
+            }
+        }
         self.moves.extend(picked);
     }
 
@@ -497,6 +539,7 @@
         Self {
             member: None,
             ready: false,
+            sick: false,
             confirmed: false,
             lease_until: now + wait,
             last_heard: BootTime::ZERO,
@@ -516,6 +559,7 @@
         }
         self.member = Some(report.member.clone());
         self.ready = report.ready;
+        self.sick = report.sick;
         self.last_heard = now;
         self.released = report
             .released
--- a/crates/anvilrack-core/src/lib.rs
+++ b/crates/anvilrack-core/src/lib.rs
@@ -21,12 +21,14 @@
 mod ids;
 mod latency_limit;
 mod lease_terms;
+mod load_view;
 mod owner_state;
 mod placement_policy;
 mod request_verdict;
 mod route_table;
 mod service_rules;
 mod shard_hash;
+mod shard_meter;
 mod standby_state;
 mod target_choice;
 mod target_health;
@@ -45,14 +47,16 @@
 };
 pub use latency_limit::LatencyLimit;
 pub use lease_terms::LeaseTerms;
+pub use load_view::LoadView;
 pub use owner_state::{GrantAnswer, OwnerState};
-pub use placement_policy::PlacementPolicy;
+pub use placement_policy::{PlacementPolicy, PlacementView};
 pub use request_verdict::{RefusalReason, RequestVerdict, TargetAnswer, UncertainReason};
 pub use route_table::{RouteError, RouteTable, ShardRoute};
 pub use service_rules::{
     ConfigDocument, ConfigRecord, PlacementWeights, RequestClass, ServiceRules, SitePlan,
 };
 pub use shard_hash::ShardHash;
+pub use shard_meter::{ShardLoad, ShardMeter};
 pub use standby_state::{StandbyState, TakeoverStep};
 pub use target_choice::{ChoiceDraws, TargetChoice, TargetDistance};
 pub use target_health::{HealthOutcome, TargetHealth};
--- a/crates/anvilrack-core/src/service_rules.rs
+++ b/crates/anvilrack-core/src/service_rules.rs
@@ -100,7 +100,7 @@
 }
 
 /// How placement weighs its three aims; greater means more important.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct PlacementWeights {
     /// Weight of even load.
--- a/crates/anvilrack-core/tests/admission_queue.rs
+++ b/crates/anvilrack-core/tests/admission_queue.rs
@@ -183,3 +183,17 @@
     assert_eq!(queue.limit().mean(), SERVICE);
     assert_eq!(queue.in_flight(), 0);
 }
+
+#[test]
+fn idle_target_is_tried_again_however_slow_it_was() {
+    let mut queue = AdmissionQueue::new(LatencyLimit::new(1));
+    for turn in 0..10 {
+        let now = BootTime::from_secs(turn);
+        let request = read_until(turn * 1_000 + 400);
+        let step = queue.offer(request, now);
+        let AdmissionStep::Enter(ticket) = step else {
+            panic!("turn {turn}: {step:?}");
+        };
+        queue.leave(ticket, true, now + Duration::from_millis(600));
+    }
+}
--- a/crates/anvilrack-router/src/admission_desk.rs
+++ b/crates/anvilrack-router/src/admission_desk.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use anvilrack_core::{
-    AdmissionQueue, AdmissionRequest, AdmissionStep, LatencyLimit, RefusalReason, ServiceRules,
-    TicketId,
+    AdmissionQueue, AdmissionRequest, AdmissionStep, HealthOutcome, LatencyLimit, RefusalReason,
+    ServiceRules, TargetHealth, TicketId,
 };
 use anvilrack_settings::AdmissionMode;
 
@@ -25,6 +25,7 @@
 #[derive(Debug)]
 struct DeskState {
     queue: AdmissionQueue,
+    health: TargetHealth,
     /// What each waiting thread waits on; one each, so that only those with news are woken.
     sleepers: BTreeMap<TicketId, Arc<Condvar>>,
 }
@@ -49,6 +50,7 @@
         };
         let state = DeskState {
             queue: AdmissionQueue::new(limit),
+            health: TargetHealth::default(),
             sleepers: BTreeMap::new(),
         };
         Self {
@@ -73,7 +75,10 @@
         state.wake();
         loop {
             match step {
-                AdmissionStep::Enter(ticket) => return Ok(ticket),
+                AdmissionStep::Enter(ticket) => {
+                    state.health.begin(boot_clock::now());
+                    return Ok(ticket);
+                }
                 AdmissionStep::Refuse(reason, retry_after) => {
                     return Err(AdmitRefusal {
                         reason,
@@ -88,13 +93,28 @@
         }
     }
 
-    /// Gives room back; `measured` says whether the target worked on the request.
-    pub fn leave(&self, ticket: TicketId, measured: bool) {
+    /// Gives room back, and takes what the request says of the target.
+    pub fn leave(&self, ticket: TicketId, outcome: HealthOutcome) {
+        let now = boot_clock::now();
         let mut state = self.state();
-        state.queue.leave(ticket, measured, boot_clock::now());
+        state.health.end(outcome, now);
+        let measured = outcome != HealthOutcome::NotTried;
+        state.queue.leave(ticket, measured, now);
         state.wake();
     }
 
+    /// True while the requests of this router say that its target is sick.
+    ///
+    /// It is false again when a probe is due: the shards that come back are the probe.
+    #[must_use]
+    pub fn is_sick(&self) -> bool {
+        let now = boot_clock::now();
+        let mut state = self.state();
+        let latency = state.queue.limit().mean();
+        state.health.look(latency, now);
+        state.health.is_suspect() && !state.health.may_probe(now)
+    }
+
     /// Requests that run and that wait.
     #[must_use]
     pub fn load(&self) -> (usize, usize) {
--- a/crates/anvilrack-router/src/coordinator_role.rs
+++ b/crates/anvilrack-router/src/coordinator_role.rs
@@ -170,6 +170,7 @@
         };
         let now = boot_clock::now();
         let planned = context.coordinator().as_mut().and_then(|state| {
+            state.set_weights(context.routes().config().document.weights);
             let pending = state.pending().cloned();
             pending.or_else(|| state.plan(&rules, revision, now))
         });
--- a/crates/anvilrack-router/src/router_context.rs
+++ b/crates/anvilrack-router/src/router_context.rs
@@ -18,6 +18,7 @@
 
 use crate::admission_desk::AdmissionDesk;
 use crate::entry_shares::EntryShares;
+use crate::load_meter::LoadMeter;
 use crate::release_tracker::ReleaseTracker;
 use crate::spread_choices::SpreadChoices;
 use crate::target_view::TargetView;
@@ -41,6 +42,8 @@
     pub releases: ReleaseTracker,
     /// Room at the target beside this router.
     pub admission: AdmissionDesk,
+    /// Requests by shard, for placement.
+    pub meter: LoadMeter,
     /// Callers' workers, shared by services and by callers.
     pub entry: EntryShares,
     /// Targets of services that are not divided by key.
@@ -70,6 +73,7 @@
             links: PeerLinks::new(runtime),
             releases: ReleaseTracker::default(),
             admission: AdmissionDesk::new(settings.policies.admission),
+            meter: LoadMeter::new(settings.policies.placement),
             entry: EntryShares::new(settings.limits.caller_workers),
             owner: Mutex::new(OwnerState::new(node.clone(), incarnation, terms)),
             standby: Mutex::new(StandbyState::new(node, incarnation, terms, now)),
@@ -212,6 +216,8 @@
             epoch,
             ready: self.target().is_ready(boot_clock::now()),
             released: self.releases.reports(),
+            sick: self.admission.is_sick(),
+            loads: self.meter.report(boot_clock::now()),
         }
     }
 
--- a/crates/anvilrack-router/src/spread_choices.rs
+++ b/crates/anvilrack-router/src/spread_choices.rs
@@ -114,7 +114,8 @@
 }
 
 /// What a verdict says of the target's health.
-fn outcome_of(verdict: &RequestVerdict) -> HealthOutcome {
+#[must_use]
+pub fn outcome_of(verdict: &RequestVerdict) -> HealthOutcome {
     match verdict {
         RequestVerdict::Ran(_) => HealthOutcome::Answered,
         RequestVerdict::MayHaveRun(_)
--- a/crates/anvilrack-router/src/stages/admit.rs
+++ b/crates/anvilrack-router/src/stages/admit.rs
@@ -1,20 +1,22 @@
 //! Between the guard and the target: is there room for this request?
 
 use anvilrack_core::{
-    AdmissionRequest, BootTime, RequestClass, RequestVerdict, ServiceRules, TicketId, events,
+    AdmissionRequest, BootTime, HealthOutcome, RequestClass, RequestVerdict, ServiceRules,
+    TicketId, events,
 };
 use anvilrack_wire::ForwardRequest;
 
 use crate::admission_desk::AdmissionDesk;
 use crate::log_event;
 use crate::router_context::RouterContext;
+use crate::spread_choices::outcome_of;
 
 /// Room at the target for one request; dropping it gives the room back.
 #[derive(Debug)]
 pub struct AdmitPermit<'a> {
     desk: &'a AdmissionDesk,
     ticket: TicketId,
-    measured: bool,
+    outcome: HealthOutcome,
 }
 
 /// Finds room for a request, waiting for it no longer than the deadline allows.
@@ -40,7 +42,7 @@
             return Ok(AdmitPermit {
                 desk,
                 ticket,
-                measured: false,
+                outcome: HealthOutcome::NotTried,
             });
         }
         Err(refusal) => refusal,
@@ -70,12 +72,12 @@
 impl AdmitPermit<'_> {
     /// Gives the room back after the target was asked, and takes its latency into account.
     pub fn close(mut self, verdict: &RequestVerdict) {
-        self.measured = !verdict.surely_not_run();
+        self.outcome = outcome_of(verdict);
     }
 }
 
 impl Drop for AdmitPermit<'_> {
     fn drop(&mut self) {
-        self.desk.leave(self.ticket, self.measured);
+        self.desk.leave(self.ticket, self.outcome);
     }
 }
--- a/crates/anvilrack-router/src/stages/guard.rs
+++ b/crates/anvilrack-router/src/stages/guard.rs
@@ -53,6 +53,7 @@
             };
             let verdict = deliver::process(client, request, &order);
             permit.close(&verdict);
+            context.meter.count(shard, boot_clock::now());
             verdict
         }
         Err(reason) => refuse(reason),
--- a/crates/anvilrack-settings/src/lib.rs
+++ b/crates/anvilrack-settings/src/lib.rs
@@ -13,5 +13,5 @@
 
 pub use checked_file::read_checked;
 pub use field_fault::{FieldFault, SettingsError};
-pub use load_policies::{AdmissionMode, ChoiceMode, LoadPolicies};
+pub use load_policies::{AdmissionMode, ChoiceMode, LoadPolicies, PlacementMode};
 pub use router_settings::{RouterLimits, RouterSettings};
--- a/crates/anvilrack-settings/src/load_policies.rs
+++ b/crates/anvilrack-settings/src/load_policies.rs
@@ -10,6 +10,8 @@
     pub admission: AdmissionMode,
     /// The target of a request that any target may take.
     pub choice: ChoiceMode,
+    /// What shards are placed by.
+    pub placement: PlacementMode,
 }
 
 /// How a router finds room at its target.
@@ -39,3 +41,17 @@
     /// Always the owner of the key's shard: a baseline.
     Owner,
 }
+
+/// What shards are placed by.
+///
+/// With the weight `imbalance` at zero in the configuration shards only leave members that leave or
+/// are sick: the static baseline.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum PlacementMode {
+    /// The requests that each shard brings.
+    #[default]
+    Load,
+    /// Their number: a baseline.
+    Count,
+}
