Find hot keys, hear the target's hints, and give the queue more places

What changes: `KeySketch` (space-saving, 256 keys, halved each minute) counts keys at the owner; the ten hottest stand in `/_status`. `/_health` of the target is asked once a second, and what it says only halves the evidence that a suspicion needs. Four places for each slot; the limit goes down after three slow windows in a row.

Edits in others' files: guard.rs passes the key to the meter, router_process.rs starts the hints, control_port.rs tells `hottest_keys` and `target_sick`.

--- a/crates/anvilrack-core/src/admission_queue.rs
+++ b/crates/anvilrack-core/src/admission_queue.rs
@@ -7,7 +7,7 @@
 use crate::{BootTime, LatencyLimit, RefusalReason, RequestClass};
 
 /// Requests that may wait for each slot.
-const WAITING_PER_SLOT: usize = 2;
+const WAITING_PER_SLOT: usize = 4;
 
 /// A waiting read goes first once this many others were started before it.
 const READ_FLOOR: u32 = 4;
--- a/crates/anvilrack-core/src/latency_limit.rs
+++ b/crates/anvilrack-core/src/latency_limit.rs
@@ -16,6 +16,9 @@
 /// The limit goes down where the latency is more than this many times its base.
 const TOLERANCE: u32 = 2;
 
+/// Slow windows one after another before the limit goes down; one alone may be chance.
+const SLOW_WINDOWS: u32 = 3;
+
 /// Latency that is never held against a target.
 const SLACK: Duration = Duration::from_millis(1);
 
@@ -36,6 +39,7 @@
     adaptive: bool,
     mean: Duration,
     window: LatencyWindow,
+    slow_windows: u32,
     base: Option<Duration>,
     next_base: Option<Duration>,
     base_since: BootTime,
@@ -61,6 +65,7 @@
             adaptive: true,
             mean: Duration::ZERO,
             window: LatencyWindow::default(),
+            slow_windows: 0,
             base: None,
             next_base: None,
             base_since: BootTime::ZERO,
@@ -122,7 +127,12 @@
         if !self.adaptive {
             return;
         }
-        if average > base * TOLERANCE + SLACK {
+        let slow = average > base * TOLERANCE + SLACK;
+        self.slow_windows = if slow { self.slow_windows + 1 } else { 0 };
+        if slow && self.slow_windows < SLOW_WINDOWS {
+            return;
+        }
+        if slow {
             let least = self.slots.div_ceil(LEAST_PART);
             self.limit = (self.limit * 4 / 5).max(least);
         } else if full {
--- a/crates/anvilrack-core/src/lib.rs
+++ b/crates/anvilrack-core/src/lib.rs
@@ -19,6 +19,7 @@
 mod event_catalogue;
 mod fair_share;
 mod ids;
+mod key_sketch;
 mod latency_limit;
 mod lease_terms;
 mod load_view;
@@ -45,6 +46,7 @@
     DomainName, Epoch, FencingToken, Incarnation, NodeId, RegionName, Revision, ServiceName,
     ShardId, TableVersion,
 };
+pub use key_sketch::{KeyCount, KeySketch};
 pub use latency_limit::LatencyLimit;
 pub use lease_terms::LeaseTerms;
 pub use load_view::LoadView;
--- a/crates/anvilrack-router/src/admission_desk.rs
+++ b/crates/anvilrack-router/src/admission_desk.rs
@@ -115,6 +115,11 @@
         state.health.is_suspect() && !state.health.may_probe(now)
     }
 
+    /// What the target's own endpoint says of its health; `true` where it says that it is sick.
+    pub fn hint(&self, sick: bool) {
+        self.state().health.hint(sick);
+    }
+
     /// Requests that run and that wait.
     #[must_use]
     pub fn load(&self) -> (usize, usize) {
--- a/crates/anvilrack-router/src/control_port.rs
+++ b/crates/anvilrack-router/src/control_port.rs
@@ -75,6 +75,13 @@
     (200, "ok".to_owned())
 }
 
+/// Keys of this router's target that bring most requests, with how many.
+fn hottest_keys(context: &RouterContext) -> Vec<Value> {
+    let keys = context.meter.hottest_keys().into_iter();
+    keys.map(|(key, known)| json!({ "key": key, "requests": known.count - known.error }))
+        .collect()
+}
+
 /// What this router knows, for people and for scripts.
 fn status(context: &RouterContext) -> Value {
     let now = boot_clock::now();
@@ -104,6 +111,8 @@
         "region": context.settings.region,
         "failure_domain": context.settings.failure_domain,
         "service": context.service(),
+        "target_sick": context.admission.is_sick(),
+        "hottest_keys": hottest_keys(context),
         "target_ready": context.target().is_ready(now),
         "leaving": context.is_leaving(),
         "lease_left_ms": u64::try_from(lease_left.as_millis()).unwrap_or(u64::MAX),
--- a/crates/anvilrack-router/src/lib.rs
+++ b/crates/anvilrack-router/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod entry_shares;
 pub mod event_log;
 pub mod guard_pool;
+pub mod health_hints;
 pub mod load_meter;
 pub mod membership;
 pub mod peer_handler;
--- a/crates/anvilrack-router/src/router_process.rs
+++ b/crates/anvilrack-router/src/router_process.rs
@@ -16,7 +16,7 @@
 use crate::peer_handler::{PeerHandler, overloaded};
 use crate::router_context::RouterContext;
 use crate::stages::{accept, forward, reply};
-use crate::{boot_clock, control_port, log_event, membership, table_sync};
+use crate::{boot_clock, control_port, health_hints, log_event, membership, table_sync};
 
 /// Threads that run the links to other routers.
 const LINK_THREADS: usize = 2;
@@ -55,7 +55,7 @@
             .wrap_err_with(|| format!("cannot listen on {address}"))?;
         control_port::start(&context)?;
         let callers = start_callers(&context, &guard)?;
-        for thread in [membership::run, table_sync::run] {
+        for thread in [membership::run, table_sync::run, health_hints::run] {
             let context = context.clone();
             thread::spawn(move || thread(&context));
         }
--- a/crates/anvilrack-router/src/stages/guard.rs
+++ b/crates/anvilrack-router/src/stages/guard.rs
@@ -53,7 +53,7 @@
             };
             let verdict = deliver::process(client, request, &order);
             permit.close(&verdict);
-            context.meter.count(shard, boot_clock::now());
+            context.meter.count(shard, &request.key, boot_clock::now());
             verdict
         }
         Err(reason) => refuse(reason),
