--- a/crates/anvilrack-core/src/lib.rs
+++ b/crates/anvilrack-core/src/lib.rs
@@ -21,8 +21,10 @@
 mod event_catalogue;
 mod fair_share;
 mod ids;
+mod key_sketch;
 mod latency_limit;
 mod lease_terms;
+mod load_view;
 mod metric_catalogue;
 mod owner_state;
 mod placement_note;
@@ -35,6 +37,7 @@
 mod run_record;
 mod service_rules;
 mod shard_hash;
+mod shard_meter;
 mod standby_state;
 mod target_choice;
 mod target_health;
@@ -52,12 +55,14 @@
     DomainName, Epoch, FencingToken, Incarnation, NodeId, RegionName, Revision, ServiceName,
     ShardId, TableVersion,
 };
+pub use key_sketch::{KeyCount, KeySketch};
 pub use latency_limit::LatencyLimit;
 pub use lease_terms::LeaseTerms;
+pub use load_view::LoadView;
 pub use metric_catalogue::{METRIC_CATALOGUE, MetricInfo, metrics};
 pub use owner_state::{GrantAnswer, OwnerState};
 pub use placement_note::{PlacementJournal, PlacementNote, PlacementReason, placement_notes};
-pub use placement_policy::PlacementPolicy;
+pub use placement_policy::{PlacementPolicy, PlacementView};
 pub use record_delta::{RecordDelta, RecordStamp};
 pub use request_identity::{fingerprint_of, first_sent_at};
 pub use request_verdict::{RefusalReason, RequestVerdict, TargetAnswer, UncertainReason};
@@ -71,6 +76,7 @@
     ConfigDocument, ConfigRecord, PlacementWeights, RequestClass, ServiceRules, SitePlan,
 };
 pub use shard_hash::ShardHash;
+pub use shard_meter::{ShardLoad, ShardMeter};
 pub use standby_state::{StandbyState, TakeoverStep};
 pub use target_choice::{ChoiceDraws, TargetChoice, TargetDistance};
 pub use target_health::{HealthOutcome, TargetHealth};
--- a/crates/anvilrack-model/src/router_model.rs
+++ b/crates/anvilrack-model/src/router_model.rs
@@ -97,6 +97,8 @@
             member: self.member(),
             epoch: self.owner.epoch(),
             ready: self.rank != 0,
+            sick: false,
+            loads: Vec::new(),
             released: self.released.clone(),
         }
     }
--- a/crates/anvilrack-router/src/lib.rs
+++ b/crates/anvilrack-router/src/lib.rs
@@ -17,6 +17,8 @@
 pub mod event_log;
 pub mod explanation;
 pub mod guard_pool;
+pub mod health_hints;
+pub mod load_meter;
 pub mod log_writer;
 pub mod membership;
 pub mod peer_handler;
--- a/crates/anvilrack-router/src/router_context.rs
+++ b/crates/anvilrack-router/src/router_context.rs
@@ -20,6 +20,7 @@
 use crate::admission_desk::AdmissionDesk;
 use crate::crash_keeper::CrashKeeper;
 use crate::entry_shares::EntryShares;
+use crate::load_meter::LoadMeter;
 use crate::release_tracker::ReleaseTracker;
 use crate::retry_keeper::RetryKeeper;
 use crate::router_metrics::RouterMetrics;
@@ -50,6 +51,8 @@
     pub runs: RunKeeper,
     /// Room at the target beside this router.
     pub admission: AdmissionDesk,
+    /// Requests by shard, for placement.
+    pub meter: LoadMeter,
     /// Callers' workers, shared by services and by callers.
     pub entry: EntryShares,
     /// Targets of services that are not divided by key.
@@ -85,6 +88,7 @@
             releases: ReleaseTracker::default(),
             runs: RunKeeper::new(&settings.limits),
             admission: AdmissionDesk::new(settings.policies.admission),
+            meter: LoadMeter::new(settings.policies.placement),
             entry: EntryShares::new(settings.limits.caller_workers),
             retries: RetryKeeper::new(&settings.limits),
             crashes: CrashKeeper::new(&format!("{node}/{incarnation}")),
@@ -253,6 +257,8 @@
             epoch,
             ready: self.target().is_ready(boot_clock::now()),
             released: self.releases.reports(),
+            sick: self.admission.is_sick(),
+            loads: self.meter.report(boot_clock::now()),
         }
     }
 
--- a/crates/anvilrack-router/src/stages/guard.rs
+++ b/crates/anvilrack-router/src/stages/guard.rs
@@ -117,6 +117,7 @@
             let verdict = deliver::process(client, request, &order);
             permit.close(&verdict);
             watch_crash(context, request, &order, &verdict, began);
+            context.meter.count(shard, &request.key, boot_clock::now());
             verdict
         }
         Err(reason) => refuse(reason),
--- a/crates/anvilrack-router/src/status_report.rs
+++ b/crates/anvilrack-router/src/status_report.rs
@@ -33,6 +33,8 @@
         "region": context.settings.region,
         "failure_domain": context.settings.failure_domain,
         "service": context.service(),
+        "target_sick": context.admission.is_sick(),
+        "hottest_keys": hottest_keys(context),
         "target_ready": context.target().is_ready(now),
         "leaving": context.is_leaving(),
         "lease_left_ms": u64::try_from(lease_left.as_millis()).unwrap_or(u64::MAX),
@@ -45,6 +47,13 @@
     })
 }
 
+/// Keys of this router's target that bring most requests, with how many.
+fn hottest_keys(context: &RouterContext) -> Vec<Value> {
+    let keys = context.meter.hottest_keys().into_iter();
+    keys.map(|(key, known)| json!({ "key": key, "requests": known.count - known.error }))
+        .collect()
+}
+
 fn cell_report(cell: &CellRecord) -> Value {
     json!({
         "service": cell.service,
