Keep a cell going through losses, cuts and restores

Cause: failure tests with real processes against the code as it was. Before (3 at a time, shared machine, debug build): - a coordinator that can call but not be called: 29 keys unserved after 40 s. Its standbys went on promising while their own heartbeats stayed unanswered. Now a standby promises only while it is answered, and promises are asked for only while the store is silent. - a coordinator lost in an outage: unserved after 40 s. A router that is no standby won the race when the store came back, and then waited out the outage limit of 24 h. It now asks the named routers for a sign of life first. - a graceful stop: lease lapsed on all five others when the coordinator stopped. The coordinator now hands its office over (Resign), and the stop waits for callers' own requests and for answers on their way.

Core states: StandbyState gains a silence check on promises and resignations, CoordinatorState a reader; LeaseTerms are shorter (lease 900 ms, authority 800 ms, takeover after 600 ms), so that coordinator and owner lost together come back within 3 s.

--- a/crates/anvilrack-core/src/coordinator_state.rs
+++ b/crates/anvilrack-core/src/coordinator_state.rs
@@ -479,6 +479,12 @@
         self.pending.as_ref()
     }
 
+    /// When the last call that the store answered was sent.
+    #[must_use]
+    pub fn last_store_contact(&self) -> BootTime {
+        self.last_store_contact
+    }
+
     /// True where another router has taken office.
     #[must_use]
     pub fn is_superseded(&self) -> bool {
--- a/crates/anvilrack-core/src/event_catalogue.rs
+++ b/crates/anvilrack-core/src/event_catalogue.rs
@@ -40,6 +40,7 @@
     GRANT_ENDED = 1202, "grant.ended", "This router's grants ended; says why.";
     LEASE_LAPSED = 1203, "lease.lapsed", "The lease ran out before it was renewed.";
     SHARD_RELEASED = 1204, "shard.released", "A shard was given back for a planned move.";
+    TARGET_TOLD = 1205, "target.told", "The target was told of grants and releases; says how many.";
     CELL_CREATED = 1301, "cell.created", "This router created its cell and coordinates it.";
     CELL_TAKEN_OVER = 1302, "cell.taken-over", "This router took its cell over.";
     CELL_SUPERSEDED = 1303, "cell.superseded", "Another router took the cell over; this one stands down.";
@@ -47,6 +48,7 @@
     CELL_WRITE_UNKNOWN = 1305, "cell.write-unknown", "The reply to a write was lost; it is being read back.";
     OUTAGE_BEGAN = 1306, "store.outage-began", "The store does not answer; the cell goes on under promises.";
     OUTAGE_ENDED = 1307, "store.outage-ended", "The store answers again.";
+    CELL_RESIGNED = 1308, "cell.resigned", "A coordinator that stops handed its office to a standby.";
     PLACEMENT_DECIDED = 1401, "placement.decided", "A shard was given to an owner; says which and why.";
     MOVE_PLANNED = 1402, "placement.move-planned", "A shard is to move; says from where, to where and why.";
     CONFIG_TAKEN = 1501, "config.taken", "A newer configuration is in force on this router.";
--- a/crates/anvilrack-core/src/lease_terms.rs
+++ b/crates/anvilrack-core/src/lease_terms.rs
@@ -26,12 +26,12 @@
 impl Default for LeaseTerms {
     fn default() -> Self {
         Self {
-            lease: Duration::from_secs(1),
+            lease: Duration::from_millis(900),
             drift_margin: Duration::from_millis(50),
             heartbeat: Duration::from_millis(200),
-            authority: Duration::from_millis(1_200),
+            authority: Duration::from_millis(800),
             promise: Duration::from_millis(1_200),
-            takeover_after: Duration::from_millis(700),
+            takeover_after: Duration::from_millis(600),
             outage_limit: Duration::from_hours(24),
         }
     }
--- a/crates/anvilrack-core/src/standby_state.rs
+++ b/crates/anvilrack-core/src/standby_state.rs
@@ -14,6 +14,8 @@
     last_answer: BootTime,
     promised_until: BootTime,
     takeover_open: bool,
+    /// The epoch whose coordinator has stopped renewing and asked to be replaced.
+    resigned: Option<Epoch>,
 }
 
 /// What a router should do about its coordinator.
@@ -41,6 +43,7 @@
             last_answer: now,
             promised_until: BootTime::ZERO,
             takeover_open: false,
+            resigned: None,
         }
     }
 
@@ -51,21 +54,44 @@
 
     /// The coordinator asks for a promise; returns whether it is given, from this instant on.
     ///
-    /// Only the router that the record names, in the run that it names, can promise.
+    /// Only the router that the record names, in the run that it names, can promise. One whose own
+    /// heartbeats stay unanswered does not: a coordinator that can call but cannot be reached must
+    /// not hold its office that way.
     pub fn promise(&mut self, record: &CellRecord, epoch: Epoch, now: BootTime) -> bool {
         if self.takeover_open || epoch != record.epoch || !self.is_named(record) {
             return false;
         }
+        if now.saturating_sub(self.last_answer) >= self.terms.takeover_after {
+            return false;
+        }
         self.promised_until = self.promised_until.max(now + self.terms.promise);
         true
     }
 
+    /// The coordinator of that epoch renews no more and asks to be replaced; says whether this
+    /// router will try.
+    ///
+    /// A promise was made to that coordinator, so its resignation ends the promise.
+    pub fn on_resignation(&mut self, record: &CellRecord, epoch: Epoch) -> bool {
+        if epoch != record.epoch || !self.is_named(record) {
+            return false;
+        }
+        self.resigned = Some(epoch);
+        true
+    }
+
     /// What to do about a coordinator at the time `now`.
     ///
     /// The second standby waits twice as long as the first, so that they seldom race.
     #[must_use]
     pub fn step(&self, record: &CellRecord, now: BootTime) -> TakeoverStep {
-        if record.coordinator == self.node || self.takeover_open || now < self.promised_until {
+        if record.coordinator == self.node || self.takeover_open {
+            return TakeoverStep::Wait;
+        }
+        if self.resigned == Some(record.epoch) && self.is_named(record) {
+            return TakeoverStep::AsStandby;
+        }
+        if now < self.promised_until {
             return TakeoverStep::Wait;
         }
         let silence = now.saturating_sub(self.last_answer);
@@ -88,6 +114,7 @@
     /// It is known whether the takeover write took effect.
     pub fn settle_takeover(&mut self, now: BootTime) {
         self.takeover_open = false;
+        self.resigned = None;
         self.last_answer = now;
     }
 
--- a/crates/anvilrack-fakes/src/fake_target.rs
+++ b/crates/anvilrack-fakes/src/fake_target.rs
@@ -42,7 +42,8 @@
 
 /// A server that keeps state by key, with slots, fences, deadlines and faults.
 ///
-/// `GET /_control/runs` tells what it has run; `POST /_control/faults` switches faults on.
+/// `GET /_control/runs` tells what it has run, `GET /_control/grants` what it was told of its grants;
+/// `POST /_control/faults` switches faults on.
 pub struct FakeTarget {
     options: TargetOptions,
     started: Instant,
@@ -54,6 +55,7 @@
     fences: Mutex<BTreeMap<u32, u64>>,
     cancelled: Mutex<BTreeSet<String>>,
     load_samples: Mutex<Vec<(Instant, u32)>>,
+    notices: Mutex<Vec<String>>,
 }
 
 impl FakeTarget {
@@ -71,6 +73,7 @@
             fences: Mutex::default(),
             cancelled: Mutex::default(),
             load_samples: Mutex::default(),
+            notices: Mutex::default(),
         }
     }
 
@@ -116,7 +119,9 @@
         match url.strip_prefix("/_control/") {
             Some("runs") => respond(request, 200, self.history.json_lines()),
             Some("faults") => self.set_faults(request),
+            Some("grants") => respond(request, 200, lock(&self.notices).join("\n")),
             Some(_) => respond(request, 404, "no such control call"),
+            None if url == "/_grants" => self.take_notice(request),
             None if url == "/_health" => self.tell_health(request),
             None if url == "/_load" => self.tell_load(request),
             None if url.starts_with("/_cancel/") => {
@@ -138,6 +143,13 @@
         }
     }
 
+    /// Keeps what the router beside it says of grants and releases.
+    fn take_notice(&self, mut request: Request) {
+        let body = read_body(&mut request).unwrap_or_default();
+        lock(&self.notices).push(String::from_utf8_lossy(&body).into_owned());
+        respond(request, 200, "ok");
+    }
+
     fn tell_health(&self, request: Request) {
         let faults = lock(&self.faults).clone();
         let sick = faults.frozen || faults.draining || faults.slow_ms > 0;
--- a/crates/anvilrack-harness/src/deployment.rs
+++ b/crates/anvilrack-harness/src/deployment.rs
@@ -11,7 +11,7 @@
 use eyre::{WrapErr, bail, eyre};
 use serde_json::{Value, json};
 
-use crate::{ChildProcess, free_port};
+use crate::{ChildProcess, TcpRelay, free_port};
 
 /// Longest time that a deployment may take to become ready.
 const READY_LIMIT: Duration = Duration::from_secs(30);
@@ -34,6 +34,8 @@
     pub config: Value,
     /// Fields put into each router's settings besides its places and ports.
     pub settings: Value,
+    /// Whether other routers reach each router through a relay.
+    pub relays: bool,
 }
 
 impl DeploymentPlan {
@@ -54,8 +56,16 @@
             checks_fence: true,
             config: json!({ "site": site(), "services": { service: rules } }),
             settings: json!({}),
+            relays: false,
         }
     }
+
+    /// Puts a relay in front of each router's port for peers.
+    #[must_use]
+    pub fn with_relays(mut self) -> Self {
+        self.relays = true;
+        self
+    }
 }
 
 fn site() -> Value {
@@ -92,8 +102,11 @@
     pub target_addresses: Vec<SocketAddr>,
     /// Where the store listens.
     pub store_address: SocketAddr,
+    /// The relay in front of each router's port for peers, where the plan asks for them.
+    pub relays: Vec<TcpRelay>,
     plan: DeploymentPlan,
     peers: Vec<SocketAddr>,
+    announced_peers: Vec<SocketAddr>,
     dir: PathBuf,
 }
 
@@ -129,12 +142,15 @@
             callers: plan.services.iter().map(|_| address()).collect(),
             controls: plan.services.iter().map(|_| address()).collect(),
             peers: plan.services.iter().map(|_| address()).collect(),
+            announced_peers: plan.services.iter().map(|_| address()).collect(),
+            relays: Vec::new(),
             target_addresses: plan.services.iter().map(|_| address()).collect(),
             store_address,
             plan,
             dir,
         };
         deployment.apply()?;
+        deployment.start_relays()?;
         for index in 0..deployment.plan.services.len() {
             let router = deployment.start_router(index)?;
             let target = deployment.start_target(index)?;
@@ -179,6 +195,16 @@
         Ok(())
     }
 
+    fn start_relays(&mut self) -> eyre::Result<()> {
+        if !self.plan.relays {
+            return Ok(());
+        }
+        for (announced, peer) in self.announced_peers.iter().zip(&self.peers) {
+            self.relays.push(TcpRelay::start(*announced, *peer)?);
+        }
+        Ok(())
+    }
+
     fn start_router(&self, index: usize) -> eyre::Result<ChildProcess> {
         let name = format!("router-{}", index + 1);
         let (region, domain) = DOMAINS[index % DOMAINS.len()];
@@ -192,6 +218,9 @@
             "failure_domain": domain,
             "store": self.store_address,
         });
+        if self.plan.relays {
+            settings["announced_peer_port"] = json!(self.announced_peers[index].port());
+        }
         if let (Some(settings), Some(more)) =
             (settings.as_object_mut(), self.plan.settings.as_object())
         {
@@ -302,6 +331,37 @@
         Ok(number - 1)
     }
 
+    /// The service of the first router's target.
+    #[must_use]
+    pub fn service(&self) -> &str {
+        &self.plan.services[0]
+    }
+
+    /// Where callers reach the routers that run.
+    pub fn running_callers(&mut self) -> Vec<SocketAddr> {
+        let routers = self.routers.iter_mut().zip(&self.callers);
+        routers
+            .filter_map(|(router, caller)| router.is_running().then_some(*caller))
+            .collect()
+    }
+
+    /// The index of a router that neither coordinates the cell nor is a standby.
+    ///
+    /// # Errors
+    ///
+    /// Where router zero does not know the cell.
+    pub fn plain_owner(&self) -> eyre::Result<usize> {
+        let status = self.status(0)?;
+        let cell = &status["cells"][0];
+        let named = |index: usize| {
+            let name = json!(format!("router-{}", index + 1));
+            let standbys = cell["standbys"].as_array();
+            cell["coordinator"] == name || standbys.is_some_and(|nodes| nodes.contains(&name))
+        };
+        let found = (0..self.routers.len()).rev().find(|index| !named(*index));
+        found.ok_or_else(|| eyre!("every router has an office"))
+    }
+
     // --- faults ---------------------------------------------------------------------------------
 
     /// Switches faults of the store on or off.
@@ -330,6 +390,35 @@
         )
     }
 
+    /// Keeps a copy of what the store holds.
+    ///
+    /// # Errors
+    ///
+    /// Where the store's process does not answer.
+    pub fn save_store(&self) -> eyre::Result<()> {
+        post(self.store_address, "save", "")
+    }
+
+    /// Puts the store back to the copy that was kept.
+    ///
+    /// # Errors
+    ///
+    /// Where the store's process does not answer.
+    pub fn restore_store(&self) -> eyre::Result<()> {
+        post(self.store_address, "restore", "")
+    }
+
+    /// Asks a router to drain.
+    ///
+    /// # Errors
+    ///
+    /// Where it does not answer.
+    pub fn drain(&self, index: usize) -> eyre::Result<()> {
+        let url = format!("http://{}/_drain", self.controls[index]);
+        attohttpc::post(url).send()?.error_for_status()?;
+        Ok(())
+    }
+
     /// Calls to the store so far.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/anvilrack-harness/src/gap_probe.rs
@@ -0,0 +1,134 @@
+//! For how long was each key unavailable?
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+use ureq::Agent;
+
+/// Callers that read side by side.
+const READERS: usize = 8;
+
+/// Time between two reads of one reader.
+const READ_EVERY: Duration = Duration::from_millis(3);
+
+/// Time that a read allows.
+const READ_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Reads keys all the time and keeps the longest time without a good answer for each.
+#[derive(Debug)]
+pub struct GapProbe {
+    shared: Arc<ProbeState>,
+    readers: Vec<JoinHandle<()>>,
+}
+
+#[derive(Debug)]
+struct ProbeState {
+    service: String,
+    callers: Vec<SocketAddr>,
+    keys: Mutex<Vec<KeyGap>>,
+    ended: AtomicBool,
+}
+
+/// One key and how it fared.
+#[derive(Clone, Copy, Debug)]
+struct KeyGap {
+    last_served: Instant,
+    longest: Duration,
+}
+
+impl GapProbe {
+    /// Starts to read that many keys through those routers.
+    #[must_use]
+    pub fn start(service: &str, keys: usize, callers: Vec<SocketAddr>) -> Self {
+        let gap = KeyGap {
+            last_served: Instant::now(),
+            longest: Duration::ZERO,
+        };
+        let shared = Arc::new(ProbeState {
+            service: service.to_owned(),
+            callers,
+            keys: Mutex::new(vec![gap; keys]),
+            ended: AtomicBool::new(false),
+        });
+        let readers = (0..READERS)
+            .map(|reader| {
+                let state = shared.clone();
+                thread::spawn(move || state.read_forever(reader))
+            })
+            .collect();
+        Self { shared, readers }
+    }
+
+    /// Forgets the gaps so far.
+    pub fn reset(&self) {
+        for key in self.shared.keys().iter_mut() {
+            key.longest = Duration::ZERO;
+        }
+    }
+
+    /// True where every key was served after `since`.
+    #[must_use]
+    pub fn all_served_after(&self, since: Instant) -> bool {
+        self.shared.keys().iter().all(|key| key.last_served > since)
+    }
+
+    /// Ends the reads; returns the longest gap of each key.
+    #[must_use]
+    pub fn close(self) -> Vec<Duration> {
+        self.shared.ended.store(true, Ordering::SeqCst);
+        for reader in self.readers {
+            let _ = reader.join();
+        }
+        self.shared.keys().iter().map(|key| key.longest).collect()
+    }
+}
+
+impl ProbeState {
+    fn read_forever(&self, reader: usize) {
+        let agent = Agent::config_builder()
+            .http_status_as_error(false)
+            .timeout_global(Some(READ_TIMEOUT * 2))
+            .build()
+            .new_agent();
+        let count = self.keys().len();
+        for (turn, key) in (reader..count).step_by(READERS).cycle().enumerate() {
+            if self.ended.load(Ordering::SeqCst) {
+                return;
+            }
+            let caller = self.callers[(turn + reader) % self.callers.len()];
+            if self.is_served(&agent, caller, key) {
+                self.keys()[key].on_served();
+            }
+            thread::sleep(READ_EVERY);
+        }
+    }
+
+    fn is_served(&self, agent: &Agent, caller: SocketAddr, key: usize) -> bool {
+        let url = format!("http://{caller}/{}/key-{key}", self.service);
+        let answer = agent
+            .get(url)
+            .header("Anvilrack-Timeout-Ms", READ_TIMEOUT.as_millis().to_string())
+            .call();
+        let Ok(mut answer) = answer else {
+            return false;
+        };
+        let verdict = answer.headers().get("Anvilrack-Verdict").cloned();
+        let whole = answer.body_mut().read_to_string().is_ok();
+        whole && verdict.is_some_and(|verdict| verdict == "ran")
+    }
+
+    fn keys(&self) -> MutexGuard<'_, Vec<KeyGap>> {
+        self.keys.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl KeyGap {
+    fn on_served(&mut self) {
+        let now = Instant::now();
+        self.longest = self.longest.max(now - self.last_served);
+        self.last_served = now;
+    }
+}
--- a/crates/anvilrack-harness/src/lib.rs
+++ b/crates/anvilrack-harness/src/lib.rs
@@ -12,8 +12,18 @@
 
 mod child_process;
 mod deployment;
+mod failure_trial;
 mod free_ports;
+mod gap_probe;
+mod key_probe;
+mod loss_trial;
+mod tcp_relay;
 
 pub use child_process::ChildProcess;
 pub use deployment::{Deployment, DeploymentPlan};
+pub use failure_trial::FailureTrial;
 pub use free_ports::free_port;
+pub use gap_probe::GapProbe;
+pub use key_probe::KeyProbe;
+pub use loss_trial::{LossKind, LossOutcome, lose};
+pub use tcp_relay::TcpRelay;
--- a/crates/anvilrack-router/src/coordinator_role.rs
+++ b/crates/anvilrack-router/src/coordinator_role.rs
@@ -1,78 +1,79 @@
 //! This router as the coordinator of its cell.
 
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
-use anvilrack_core::{BootTime, CellRecord, Revision, ServiceRules, events};
+use anvilrack_core::{CellRecord, Epoch, NodeId, events};
 use anvilrack_peer::LinkClass;
-use anvilrack_store::{KeyStore, StoreIndex, WriteOutcome};
+use anvilrack_store::KeyStore;
 use anvilrack_wire::{PeerReply, PeerRequest, TakeoverCall};
+use rand::Rng;
 
+use crate::office_term::OfficeTerm;
+use crate::record_writer::RecordWriter;
 use crate::router_context::RouterContext;
-use crate::store_records::{CONFIG_KEY, parse_json, read_cell, write_cell};
+use crate::store_records::{CONFIG_KEY, parse_json, read_cell};
 use crate::{boot_clock, log_event};
 
 /// Time between two looks at what is to be done.
 const STEP: Duration = Duration::from_millis(50);
 
-/// Time between two reads of the cell's record, which prove that the office still stands.
-const TOUCH_EVERY: Duration = Duration::from_millis(300);
-
 /// Time between two rounds of promises.
-const PROMISE_EVERY: Duration = Duration::from_millis(300);
+const PROMISE_EVERY: Duration = Duration::from_millis(150);
+
+/// The store is silent for this long before promises are asked for.
+///
+/// In ordinary times there are none, since a standby that promised takes over later.
+const PROMISE_AFTER: Duration = Duration::from_millis(350);
 
 /// Time for one call to a router of the cell.
 const CALL_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Time for a nudge; it is only a hint, so the write loop does not wait long for it.
-const NUDGE_TIMEOUT: Duration = Duration::from_millis(50);
+/// Time for a standby to take the office that it was offered.
+const RESIGN_LIMIT: Duration = Duration::from_secs(1);
 
 /// How long a watch on the configuration waits in one call.
 const CONFIG_WAIT: Duration = Duration::from_secs(10);
 
-/// Time before a failed call to the store is tried again.
+/// Time before a failed call to the store is tried again, on average.
 const STORE_RETRY: Duration = Duration::from_millis(250);
 
-/// Runs the cell until another router takes it over or the process ends.
-pub fn run(context: &Arc<RouterContext>) {
-    call_members(context);
-    let keeper = context.clone();
-    thread::spawn(move || keep_promises(&keeper));
-    let watcher = context.clone();
-    thread::spawn(move || watch_config(&watcher));
-    let mut store_side = StoreSide::default();
+/// Runs the cell under that epoch until another router takes it over or the process ends.
+pub fn run(context: &Arc<RouterContext>, epoch: Epoch) {
+    let term = OfficeTerm::new(context.clone(), epoch);
+    for thread in [call_members, keep_promises, watch_config] {
+        let term = term.clone();
+        thread::spawn(move || thread(&term));
+    }
+    let mut writer = RecordWriter::default();
     while context.pause(STEP) {
-        if !store_side.step(context) {
-            stand_down(context);
+        if !writer.step(&term) {
+            stand_down(context, term);
             return;
         }
     }
 }
 
 /// Tells every router of the cell about the new epoch; those that answer are not in doubt.
-fn call_members(context: &RouterContext) {
-    let Some(record) = in_office(context) else {
+fn call_members(term: &OfficeTerm) {
+    let Some(record) = term.record() else {
         return;
     };
     let record = Arc::new(record);
     let request = PeerRequest::Takeover(TakeoverCall {
         record: record.clone(),
     });
+    let context = &term.context;
     let addresses = peers_of(context, &record);
     let answers = context
         .links
         .call_all(&addresses, LinkClass::Control, &request, CALL_TIMEOUT);
     let now = boot_clock::now();
-    let mut coordinator = context.coordinator();
-    let Some(state) = coordinator.as_mut() else {
-        return;
-    };
     for answer in answers.into_iter().flatten() {
         if let PeerReply::TakeoverSeen(Some(report)) = answer {
-            state.on_heartbeat(&report, now);
+            term.with_state(|state| state.on_heartbeat(&report, now));
         }
     }
 }
@@ -85,240 +86,87 @@
     others.map(|member| member.peer_address).collect()
 }
 
-fn in_office(context: &RouterContext) -> Option<CellRecord> {
-    let coordinator = context.coordinator();
-    let state = coordinator
-        .as_ref()
-        .filter(|state| !state.is_superseded())?;
-    Some(state.record().clone())
-}
-
-fn stand_down(context: &RouterContext) {
-    let old = context.coordinator().take();
-    let Some(state) = old else {
+fn stand_down(context: &RouterContext, term: OfficeTerm) {
+    let Some(record) = term.close() else {
         return;
     };
-    let service = &state.record().service;
+    let service = &record.service;
     log_event!(Warn, events::CELL_SUPERSEDED, "service" = service);
     if let Ok((Some(record), _)) = read_cell(&context.store, service) {
         context.accept_cell(Arc::new(record));
     }
 }
 
-// --- the record ---------------------------------------------------------------------------------
-
-/// The coordinator's dealings with the store.
-#[derive(Debug, Default)]
-struct StoreSide {
-    index: Option<StoreIndex>,
-    last_touch: BootTime,
-    /// The index that a write of unknown outcome was made on.
-    unresolved: Option<StoreIndex>,
-    outage: bool,
+/// Hands the office to a standby before this process stops; says whether one has taken it.
+///
+/// The members change over within a few milliseconds, so no lease lapses and no silence is waited
+/// for. Where no standby answers, the cell goes the way it goes when a coordinator is lost.
+pub fn resign(context: &RouterContext) -> bool {
+    let Some(state) = context.coordinator().take() else {
+        return false;
+    };
+    let record = state.record();
+    let request = PeerRequest::Resign(record.service.clone(), record.epoch);
+    let standbys = record.standbys.iter();
+    let addresses = standbys.filter_map(|node| Some(record.member(node)?.peer_address));
+    for address in addresses {
+        let answer = context
+            .links
+            .call(address, LinkClass::Control, &request, CALL_TIMEOUT);
+        if matches!(answer, Ok(PeerReply::Resigned(true))) && await_successor(context, record) {
+            log_event!(Info, events::CELL_RESIGNED, "service" = record.service);
+            return true;
+        }
+    }
+    false
 }
 
-impl StoreSide {
-    /// Does what is due; false once the office is lost.
-    fn step(&mut self, context: &RouterContext) -> bool {
-        let touch_due = boot_clock::now() >= self.last_touch + TOUCH_EVERY;
-        if (self.index.is_none() || touch_due) && !self.touch(context) {
-            return false;
+fn await_successor(context: &RouterContext, record: &CellRecord) -> bool {
+    let until = boot_clock::now() + RESIGN_LIMIT;
+    while boot_clock::now() < until {
+        let successor = context.routes().cell(&record.service).cloned();
+        if successor.is_some_and(|cell| cell.epoch > record.epoch) {
+            return true;
         }
-        if let Some(index) = self.index {
-            self.write_plan(context, index);
+        if !context.pause(STEP) {
+            break;
         }
-        in_office(context).is_some()
     }
+    false
+}
 
-    /// Reads the record: proof of office, and the answer to a write whose reply was lost.
-    fn touch(&mut self, context: &RouterContext) -> bool {
-        let Some(record) = in_office(context) else {
-            return false;
-        };
-        let sent_at = boot_clock::now();
-        self.last_touch = sent_at;
-        let read = read_cell(&context.store, &record.service);
-        self.tell_outage(context, read.is_err());
-        let Ok((stored, index)) = read else {
-            return true;
-        };
-        // A store that lost the record altogether is like one put back to its very beginning.
-        let stored = stored.unwrap_or_default();
-        let standing = match context.coordinator().as_mut() {
-            Some(state) => {
-                let standing = state.on_store_seen(&stored, sent_at);
-                if self
-                    .unresolved
-                    .take_if(|based_on| *based_on != index)
-                    .is_some()
-                {
-                    state.on_refused();
-                }
-                standing
-            }
-            None => false,
-        };
-        self.index = Some(index);
-        publish(context);
-        standing
-    }
+// --- promises -----------------------------------------------------------------------------------
 
-    /// Writes what is planned; a write of unknown outcome is sent again as it was.
-    fn write_plan(&mut self, context: &RouterContext, index: StoreIndex) {
-        let Some((rules, revision)) = rules_in_force(context) else {
+/// Asks the standbys not to take over while the store is silent, again and again, so that the
+/// promises are in place before the authority from the store ends.
+fn keep_promises(term: &OfficeTerm) {
+    while term.context.pause(PROMISE_EVERY) {
+        let Some(record) = term.record() else {
             return;
         };
-        let now = boot_clock::now();
-        let planned = context.coordinator().as_mut().and_then(|state| {
-            let pending = state.pending().cloned();
-            pending.or_else(|| state.plan(&rules, revision, now))
-        });
-        let Some(next) = planned else {
+        let asked = term.with_state(|state| (state.successors(), state.last_store_contact()));
+        let Some((successors, contact)) = asked else {
             return;
         };
-        let sent_at = boot_clock::now();
-        let outcome = write_cell(&context.store, &next, index);
-        self.index = None;
-        match outcome {
-            WriteOutcome::Written => {
-                self.unresolved = None;
-                commit(context, &next, sent_at);
-            }
-            WriteOutcome::Conflict => self.unresolved = Some(index),
-            WriteOutcome::Unknown => {
-                self.unresolved = Some(index);
-                log_event!(Warn, events::CELL_WRITE_UNKNOWN, "version" = next.version);
-            }
-        }
-    }
-
-    fn tell_outage(&mut self, context: &RouterContext, outage: bool) {
-        if outage && !self.outage {
-            log_event!(Warn, events::OUTAGE_BEGAN, "node" = context.node());
+        if boot_clock::now() >= contact + PROMISE_AFTER {
+            ask_promises(term, &record, successors);
         }
-        if !outage && self.outage {
-            log_event!(Info, events::OUTAGE_ENDED, "node" = context.node());
-        }
-        self.outage = outage;
     }
 }
 
-fn commit(context: &RouterContext, next: &CellRecord, sent_at: BootTime) {
-    let mut coordinator = context.coordinator();
-    let Some(state) = coordinator.as_mut() else {
-        return;
-    };
-    let old = state.record().clone();
-    state.on_committed(sent_at);
-    drop(coordinator);
-    tell_placements(&old, next);
-    publish(context);
-    nudge_changed(context, &old, next);
-}
-
-/// Tells the members that gained or lost shards to ask for the new record now.
-///
-/// All others get it with their next heartbeat; a record in full for everybody would cost too much.
-fn nudge_changed(context: &RouterContext, old: &CellRecord, new: &CellRecord) {
-    let shards = old
-        .shards
-        .iter()
-        .chain(std::iter::repeat(&None))
-        .zip(&new.shards);
-    let changed: BTreeSet<_> = shards
-        .filter(|(before, after)| before != after)
-        .flat_map(|(before, after)| [before, after])
-        .flatten()
-        .filter_map(|owner| new.member(&owner.node))
-        .map(|member| member.peer_address)
-        .collect();
-    context.nudge();
-    let others: Vec<_> = changed
+fn ask_promises(term: &OfficeTerm, record: &CellRecord, successors: Vec<NodeId>) {
+    let request = PeerRequest::Promise(record.service.clone(), record.epoch);
+    let known: Vec<_> = successors
         .into_iter()
-        .filter(|peer| *peer != context.settings.peer_address())
+        .filter_map(|node| Some((record.member(&node)?.peer_address, node)))
         .collect();
-    let _ = context.links.call_all(
-        &others,
-        LinkClass::Control,
-        &PeerRequest::Nudge,
-        NUDGE_TIMEOUT,
-    );
-}
-
-fn rules_in_force(context: &RouterContext) -> Option<(ServiceRules, Revision)> {
-    let record = in_office(context)?;
-    let routes = context.routes();
-    let rules = routes.rules(&record.service)?.clone();
-    Some((rules, routes.config().revision))
-}
-
-/// Makes the committed record known to this router; members get it with their next heartbeat.
-fn publish(context: &RouterContext) {
-    if let Some(record) = in_office(context) {
-        context.accept_cell(Arc::new(record));
-    }
-}
-
-fn tell_placements(old: &CellRecord, new: &CellRecord) {
-    let changed = old
-        .shards
-        .iter()
-        .chain(std::iter::repeat(&None))
-        .zip(&new.shards)
-        .zip(0_u32..);
-    for ((before, after), shard) in changed.filter(|((before, after), _)| before != after) {
-        let Some(owner) = after else { continue };
-        let from = before.as_ref().map_or("-", |owner| &*owner.node);
-        log_event!(
-            Info,
-            events::PLACEMENT_DECIDED,
-            "service" = new.service,
-            "shard" = shard,
-            "from" = from,
-            "to" = owner.node,
-            "token" = owner.token
-        );
-    }
-    log_event!(
-        Info,
-        events::CELL_WRITTEN,
-        "service" = new.service,
-        "version" = new.version,
-        "members" = new.members.len(),
-        "unowned" = new.unowned()
-    );
-}
-
-// --- promises -----------------------------------------------------------------------------------
-
-/// Asks the standbys not to take over, again and again, so that an outage of the store finds the
-/// promises in place.
-fn keep_promises(context: &RouterContext) {
-    while context.pause(PROMISE_EVERY) {
-        let Some(record) = in_office(context) else {
-            return;
-        };
-        let successors = match context.coordinator().as_ref() {
-            Some(state) => state.successors(),
-            None => return,
-        };
-        let request = PeerRequest::Promise(record.service.clone(), record.epoch);
-        let known: Vec<_> = successors
-            .into_iter()
-            .filter_map(|node| Some((record.member(&node)?.peer_address, node)))
-            .collect();
-        let addresses: Vec<_> = known.iter().map(|(address, _)| *address).collect();
-        let sent_at = boot_clock::now();
-        let answers =
-            context
-                .links
-                .call_all(&addresses, LinkClass::Control, &request, CALL_TIMEOUT);
-        if let Some(state) = context.coordinator().as_mut() {
-            for (answer, (_, node)) in answers.into_iter().zip(known) {
-                if matches!(answer, Ok(PeerReply::Promised(true))) {
-                    state.on_promise(&node, sent_at);
-                }
-            }
+    let addresses: Vec<_> = known.iter().map(|(address, _)| *address).collect();
+    let sent_at = boot_clock::now();
+    let links = &term.context.links;
+    let answers = links.call_all(&addresses, LinkClass::Control, &request, CALL_TIMEOUT);
+    for (answer, (_, node)) in answers.into_iter().zip(known) {
+        if matches!(answer, Ok(PeerReply::Promised(true))) {
+            term.with_state(|state| state.on_promise(&node, sent_at));
         }
     }
 }
@@ -326,22 +174,22 @@
 // --- configuration ------------------------------------------------------------------------------
 
 /// Waits for newer configurations while this router is in office.
-fn watch_config(context: &RouterContext) {
+fn watch_config(term: &OfficeTerm) {
+    let context = &term.context;
     let mut index = 0;
-    while in_office(context).is_some() {
-        match context.store.wait(CONFIG_KEY, index, CONFIG_WAIT) {
-            Ok(Some(stored)) => {
-                index = stored.index;
-                match parse_json(&stored.value) {
-                    Ok(config) => context.accept_config(Arc::new(config)),
-                    Err(error) => log::error!("configuration in the store: {error}"),
-                }
-            }
-            Ok(None) | Err(_) => {
-                if !context.pause(STORE_RETRY) {
-                    return;
-                }
+    while term.record().is_some() {
+        let found = context.store.wait(CONFIG_KEY, index, CONFIG_WAIT);
+        let Ok(Some(stored)) = found else {
+            let retry = STORE_RETRY.mul_f64(rand::rng().random_range(0.5..1.5));
+            if !context.pause(retry) {
+                return;
             }
+            continue;
+        };
+        index = stored.index;
+        match parse_json(&stored.value) {
+            Ok(config) => context.accept_config(Arc::new(config)),
+            Err(error) => log::error!("configuration in the store: {error}"),
         }
     }
 }
--- a/crates/anvilrack-router/src/lib.rs
+++ b/crates/anvilrack-router/src/lib.rs
@@ -8,12 +8,15 @@
 //! the cell where this router holds that office, [`table_sync`] fetches other cells' tables.
 
 pub mod boot_clock;
+pub mod cell_reader;
 pub mod control_port;
 pub mod coordinator_role;
 pub mod event_log;
 pub mod guard_pool;
 pub mod membership;
+pub mod office_term;
 pub mod peer_handler;
+pub mod record_writer;
 pub mod release_tracker;
 pub mod router_context;
 pub mod router_process;
@@ -21,4 +24,5 @@
 pub mod store_records;
 pub mod table_sync;
 pub mod takeover;
+pub mod target_notice;
 pub mod target_view;
--- a/crates/anvilrack-router/src/membership.rs
+++ b/crates/anvilrack-router/src/membership.rs
@@ -5,32 +5,24 @@
 use std::time::Duration;
 
 use anvilrack_core::{
-    BootTime, CellRecord, ReleaseOrder, ReleaseReport, RenewalAnswer, ServiceName, TakeoverStep,
-    events,
+    CellRecord, ReleaseOrder, ReleaseReport, RenewalAnswer, ServiceName, TakeoverStep, events,
 };
 use anvilrack_peer::LinkClass;
 use anvilrack_wire::{HeartbeatReply, HeartbeatRequest, PeerReply, PeerRequest};
-use rand::Rng;
 
+use crate::cell_reader::CellReader;
 use crate::router_context::RouterContext;
-use crate::store_records::read_cell;
 use crate::{boot_clock, log_event, takeover};
 
 /// Time for one heartbeat.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Time between two reads of the store by a member that has no coordinator.
-const STORE_READ_EVERY: Duration = Duration::from_secs(1);
-
-/// Longest time a release waits for requests in flight.
-const RELEASE_LIMIT: Duration = Duration::from_secs(10);
-
 /// How often a release looks whether the last request has ended.
 const RELEASE_STEP: Duration = Duration::from_millis(2);
 
 /// Keeps this router a member of its cell until the process ends.
 pub fn run(context: &Arc<RouterContext>) {
-    let mut last_read = BootTime::ZERO;
+    let mut reader = CellReader::default();
     let mut had_lease = false;
     while context.pause_or_nudge(context.terms.heartbeat) {
         let Some(service) = context.service() else {
@@ -40,12 +32,7 @@
             Some(cell) => beat(context, &service, &cell),
             None => false,
         };
-        let now = boot_clock::now();
-        if !beaten && now > last_read + STORE_READ_EVERY {
-            let jitter = rand::rng().random_range(0.0..0.5);
-            last_read = now + STORE_READ_EVERY.mul_f64(jitter);
-            learn_cell(context, &service);
-        }
+        reader.step(context, &service, beaten);
         consider_takeover(context, &service);
         had_lease = tell_lease(context, had_lease);
     }
@@ -121,15 +108,6 @@
     })
 }
 
-/// Finds the cell in the store, or creates it.
-fn learn_cell(context: &Arc<RouterContext>, service: &ServiceName) {
-    match read_cell(&context.store, service) {
-        Ok((Some(record), _)) => context.accept_cell(Arc::new(record)),
-        Ok((None, index)) => takeover::create_cell(context, service, index),
-        Err(error) => log::debug!("cannot read the cell: {error}"),
-    }
-}
-
 fn consider_takeover(context: &Arc<RouterContext>, service: &ServiceName) {
     let Some(cell) = context.own_cell() else {
         return;
@@ -163,13 +141,16 @@
 }
 
 /// Stops serving a shard, waits for its last request, and remembers it as given back.
+///
+/// Each request has a deadline, so the wait ends; a shard with work on it is never given back.
 fn release_shard(context: &RouterContext, order: &ReleaseOrder) {
     let Some(token) = context.owner().release(order.shard) else {
         return;
     };
-    let until = boot_clock::now() + RELEASE_LIMIT;
-    while context.releases.is_busy(order.shard) && boot_clock::now() < until {
-        thread::sleep(RELEASE_STEP);
+    while context.releases.is_busy(order.shard) {
+        if !context.pause(RELEASE_STEP) {
+            return;
+        }
     }
     let successor = &order.successor.node;
     log_event!(
--- a/crates/anvilrack-router/src/peer_handler.rs
+++ b/crates/anvilrack-router/src/peer_handler.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use anvilrack_core::{CellRecord, RefusalReason, RequestVerdict, ServiceName};
+use anvilrack_core::{CellRecord, Epoch, RefusalReason, RequestVerdict, ServiceName};
 use anvilrack_peer::{PeerService, ReplySender};
 use anvilrack_wire::{HeartbeatRequest, PeerReply, PeerRequest, TakeoverCall};
 
@@ -43,7 +43,14 @@
         PeerReply::TakeoverSeen(follows.then(|| context.report()))
     }
 
-    fn promise(&self, service: &ServiceName, epoch: anvilrack_core::Epoch) -> PeerReply {
+    fn resignation(&self, service: &ServiceName, epoch: Epoch) -> PeerReply {
+        let cell: Option<Arc<CellRecord>> = self.context.routes().cell(service).cloned();
+        let follows = cell.is_some_and(|cell| self.context.standby().on_resignation(&cell, epoch));
+        self.context.nudge();
+        PeerReply::Resigned(follows)
+    }
+
+    fn promise(&self, service: &ServiceName, epoch: Epoch) -> PeerReply {
         let cell: Option<Arc<CellRecord>> = self.context.routes().cell(service).cloned();
         let promised = cell.is_some_and(|cell| {
             self.context
@@ -65,6 +72,7 @@
             PeerRequest::Heartbeat(request) => self.heartbeat(&request),
             PeerRequest::Takeover(call) => self.takeover(call),
             PeerRequest::Promise(service, epoch) => self.promise(&service, epoch),
+            PeerRequest::Resign(service, epoch) => self.resignation(&service, epoch),
             PeerRequest::Pull(digest) => PeerReply::Update(self.context.update_for(&digest)),
             PeerRequest::Nudge => {
                 self.context.nudge();
--- a/crates/anvilrack-router/src/router_context.rs
+++ b/crates/anvilrack-router/src/router_context.rs
@@ -43,6 +43,7 @@
     routes: ShardedLock<Arc<RouteTable>>,
     nudges: (Sender<()>, Receiver<()>),
     leaving: AtomicBool,
+    stopping: AtomicBool,
     ended: AtomicBool,
 }
 
@@ -65,6 +66,7 @@
             routes: ShardedLock::new(Arc::default()),
             nudges: bounded(1),
             leaving: AtomicBool::new(false),
+            stopping: AtomicBool::new(false),
             ended: AtomicBool::new(false),
             settings,
             incarnation,
@@ -191,7 +193,7 @@
         CellMember {
             node: self.node().clone(),
             incarnation: self.incarnation,
-            peer_address: self.settings.peer_address(),
+            peer_address: self.settings.announced_address(),
             failure_domain: self.settings.failure_domain.clone(),
             region: self.settings.region.clone(),
             leaving: self.is_leaving(),
@@ -216,6 +218,17 @@
         self.leaving.store(true, Ordering::SeqCst);
     }
 
+    /// Begins a graceful stop.
+    pub fn stop(&self) {
+        self.leave();
+        self.stopping.store(true, Ordering::SeqCst);
+    }
+
+    /// True once a graceful stop has begun.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::SeqCst)
+    }
+
     /// True once a graceful stop or a drain has begun.
     pub fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::SeqCst)
--- a/crates/anvilrack-router/src/router_process.rs
+++ b/crates/anvilrack-router/src/router_process.rs
@@ -16,7 +16,9 @@
 use crate::peer_handler::{PeerHandler, overloaded};
 use crate::router_context::RouterContext;
 use crate::stages::{accept, forward, reply};
-use crate::{boot_clock, control_port, log_event, membership, table_sync};
+use crate::{
+    boot_clock, control_port, coordinator_role, log_event, membership, table_sync, target_notice,
+};
 
 /// Threads that run the links to other routers.
 const LINK_THREADS: usize = 2;
@@ -24,6 +26,9 @@
 /// Threads that are there to refuse what is above the bound.
 const REFUSERS: usize = 4;
 
+/// How long a router that owns nothing more goes on answering, until others have the new table.
+const STOP_LINGER: Duration = Duration::from_millis(600);
+
 /// How often a stop looks whether it is done.
 const STOP_STEP: Duration = Duration::from_millis(20);
 
@@ -31,6 +36,7 @@
 pub struct RouterProcess {
     context: Arc<RouterContext>,
     callers: Arc<Server>,
+    busy: Arc<AtomicUsize>,
     peers: PeerServer,
     runtime: Runtime,
 }
@@ -54,8 +60,9 @@
         let peers = PeerServer::start(runtime.handle(), address, handler)
             .wrap_err_with(|| format!("cannot listen on {address}"))?;
         control_port::start(&context)?;
-        let callers = start_callers(&context, &guard)?;
-        for thread in [membership::run, table_sync::run] {
+        let busy = Arc::new(AtomicUsize::new(0));
+        let callers = start_callers(&context, &guard, &busy)?;
+        for thread in [membership::run, table_sync::run, target_notice::run] {
             let context = context.clone();
             thread::spawn(move || thread(&context));
         }
@@ -71,6 +78,7 @@
         Ok(Self {
             context,
             callers,
+            busy,
             peers,
             runtime,
         })
@@ -80,9 +88,14 @@
     pub fn close(self) {
         let context = &self.context;
         log_event!(Info, events::ROUTER_STOPPING, "node" = context.node());
-        context.leave();
+        context.stop();
         let until = boot_clock::now() + Duration::from_millis(context.settings.limits.stop_ms);
         while boot_clock::now() < until && !is_idle(context) && context.pause(STOP_STEP) {}
+        coordinator_role::resign(context);
+        // Others may still send here by an older table, and answers are still on their way out.
+        context.pause(STOP_LINGER);
+        let is_busy = || is_at_work(context) || self.busy.load(Ordering::Relaxed) > 0;
+        while boot_clock::now() < until && is_busy() && context.pause(STOP_STEP) {}
         self.callers.unblock();
         self.peers.close();
         context.end();
@@ -104,18 +117,25 @@
         let mut owned = cell.owned_by(context.node(), context.incarnation);
         owned.next().is_some()
     });
-    !named && context.releases.in_flight() == 0
+    !named && !is_at_work(context)
+}
+
+fn is_at_work(context: &RouterContext) -> bool {
+    context.releases.in_flight() > 0
 }
 
 // --- the callers' side --------------------------------------------------------------------------
 
-fn start_callers(context: &Arc<RouterContext>, guard: &GuardPool) -> eyre::Result<Arc<Server>> {
+fn start_callers(
+    context: &Arc<RouterContext>,
+    guard: &GuardPool,
+    busy: &Arc<AtomicUsize>,
+) -> eyre::Result<Arc<Server>> {
     let address = context.settings.caller_address();
     let server =
         Server::http(address).map_err(|error| eyre!("cannot listen on {address}: {error}"))?;
     let server = Arc::new(server);
     let limits = context.settings.limits;
-    let busy = Arc::new(AtomicUsize::new(0));
     for _ in 0..limits.caller_workers + REFUSERS {
         let (context, guard) = (context.clone(), guard.clone());
         let (server, busy) = (server.clone(), busy.clone());
@@ -137,7 +157,11 @@
         } else {
             overloaded()
         };
-        reply::process(request, verdict);
+        if context.is_stopping() {
+            reply::process_last(request, verdict);
+        } else {
+            reply::process(request, verdict);
+        }
         busy.fetch_sub(1, Ordering::Relaxed);
     }
 }
--- a/crates/anvilrack-router/src/stages/guard.rs
+++ b/crates/anvilrack-router/src/stages/guard.rs
@@ -26,7 +26,7 @@
     let Some(rules) = context.routes().rules(&request.service).cloned() else {
         return refuse(RefusalReason::UnknownService);
     };
-    let Some(address) = context.target().address() else {
+    let Some(address) = context.target().ready_address(boot_clock::now()) else {
         return refuse(RefusalReason::NoOwner);
     };
     let shard = ShardHash::new(rules.shards).shard_of(&request.key);
--- a/crates/anvilrack-router/src/stages/reply.rs
+++ b/crates/anvilrack-router/src/stages/reply.rs
@@ -1,15 +1,40 @@
 //! Last stage: the verdict as an HTTP answer.
 
+use std::io::{self, Write};
 use std::time::Duration;
 
 use anvilrack_core::RequestVerdict;
-use tiny_http::{Header, Request, Response, StatusCode};
+use tiny_http::{Header, Method, Request, Response, StatusCode};
 
 /// Status of an answer that nobody can vouch for.
 const MAY_HAVE_RUN_STATUS: u16 = 504;
 
 /// Answers the caller; a caller that is gone is not an error.
 pub fn process(http: Request, verdict: RequestVerdict) {
+    let _ = http.respond(build_response(verdict));
+}
+
+/// Answers the caller and asks it to close the connection, since this router is about to stop.
+///
+/// A connection that stays open until the process ends may carry one request too many. The HTTP
+/// server takes no `Connection` header from its users, so the answer is put together here.
+pub fn process_last(http: Request, verdict: RequestVerdict) {
+    let _ = write_last(http, verdict);
+}
+
+fn write_last(http: Request, verdict: RequestVerdict) -> io::Result<()> {
+    let mut message = Vec::new();
+    let is_head = *http.method() == Method::Head;
+    let version = http.http_version().clone();
+    build_response(verdict).raw_print(&mut message, version, &[], is_head, None)?;
+    let line_end = message.iter().position(|byte| *byte == b'\n');
+    let (status_line, rest) = message.split_at(line_end.map_or(0, |end| end + 1));
+    let mut writer = http.into_writer();
+    writer.write_all(&[status_line, b"Connection: close\r\n", rest].concat())?;
+    writer.flush()
+}
+
+fn build_response(verdict: RequestVerdict) -> DataResponse {
     let word = verdict.word();
     let response = match verdict {
         RequestVerdict::Ran(answer) => {
@@ -29,7 +54,7 @@
             with_header(response, "Anvilrack-Reason", Some(reason.word()))
         }
     };
-    let _ = http.respond(with_header(response, "Anvilrack-Verdict", Some(word)));
+    with_header(response, "Anvilrack-Verdict", Some(word))
 }
 
 type DataResponse = Response<std::io::Cursor<Vec<u8>>>;
--- a/crates/anvilrack-router/src/takeover.rs
+++ b/crates/anvilrack-router/src/takeover.rs
@@ -7,7 +7,9 @@
 use anvilrack_core::{
     BootTime, CellRecord, CoordinatorState, ServiceName, TakeoverStep, WriterStamp, events,
 };
+use anvilrack_peer::LinkClass;
 use anvilrack_store::{StoreIndex, WriteOutcome};
+use anvilrack_wire::PeerRequest;
 
 use crate::router_context::RouterContext;
 use crate::store_records::{read_cell, write_cell};
@@ -16,6 +18,9 @@
 /// Time between two tries to read back a write whose reply was lost.
 const READ_BACK_EVERY: Duration = Duration::from_millis(100);
 
+/// Time for a sign of life.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Writes the first record of a cell, with this router as its coordinator.
 pub fn create_cell(context: &Arc<RouterContext>, service: &ServiceName, index: StoreIndex) {
     let Some(rules) = context.routes().rules(service).cloned() else {
@@ -44,20 +49,23 @@
     known: &CellRecord,
     step: TakeoverStep,
 ) {
-    let Ok((Some(stored), index)) = read_cell(&context.store, service) else {
+    let Ok((stored, index)) = read_cell(&context.store, service) else {
         return;
     };
-    if stored.epoch > known.epoch || !may_take(context, &stored, step) {
-        context.accept_cell(Arc::new(stored));
+    // A store that lost the record altogether is like one put back to its very beginning, and that
+    // must not bring back an earlier assignment.
+    let base = match &stored {
+        Some(stored) if stored.version >= known.version => stored,
+        _ => known,
+    };
+    if base.epoch > known.epoch || !may_take(context, base, step) {
+        context.accept_cell(Arc::new(base.clone()));
         context.standby().on_answer(boot_clock::now());
         return;
     }
-    // A store put back to an earlier copy must not bring back an earlier assignment.
-    let base = if stored.version < known.version {
-        known
-    } else {
-        &stored
-    };
+    if step == TakeoverStep::AsOutsider && !named_are_silent(context, base) {
+        return;
+    }
     let silent_wait = match step {
         TakeoverStep::AsOutsider => context.terms.outage_limit + context.terms.silent_wait(),
         _ => context.terms.silent_wait(),
@@ -88,6 +96,22 @@
     }
 }
 
+/// Asks the coordinator and the standbys for a sign of life.
+///
+/// An outsider must wait long for silent owners, since it knows of no promise that a standby made;
+/// so a standby that lives has to take the cell over instead.
+fn named_are_silent(context: &RouterContext, record: &CellRecord) -> bool {
+    let named = record.standbys.iter().chain([&record.coordinator]);
+    let addresses: Vec<_> = named
+        .filter_map(|node| Some(record.member(node)?.peer_address))
+        .collect();
+    let request = PeerRequest::Pull(context.digest());
+    let answers = context
+        .links
+        .call_all(&addresses, LinkClass::Control, &request, PROBE_TIMEOUT);
+    answers.iter().all(Result::is_err)
+}
+
 fn next_epoch(context: &RouterContext, base: &CellRecord) -> CellRecord {
     let mut record = base.clone();
     record.epoch += 1;
@@ -109,11 +133,12 @@
     silent_wait: BootTime,
 ) {
     let now = boot_clock::now();
+    let epoch = record.epoch;
     let state = CoordinatorState::new(record.clone(), context.terms, sent_at, now, silent_wait);
     *context.coordinator() = Some(state);
     context.accept_cell(Arc::new(record));
     let context = context.clone();
-    thread::spawn(move || coordinator_role::run(&context));
+    thread::spawn(move || coordinator_role::run(&context, epoch));
 }
 
 /// Writes a record and finds out whether it took effect; if so, returns when the call went out
--- a/crates/anvilrack-router/src/target_view.rs
+++ b/crates/anvilrack-router/src/target_view.rs
@@ -7,7 +7,7 @@
 use serde::Deserialize;
 
 /// A target that has not announced itself for this long takes no new work.
-const ANNOUNCE_LIMIT: Duration = Duration::from_secs(2);
+const ANNOUNCE_LIMIT: Duration = Duration::from_millis(1_200);
 
 /// What a target says of itself, again and again.
 #[derive(Clone, Debug, Deserialize, PartialEq, Eq)]
@@ -43,10 +43,11 @@
         self.latest.as_ref().map(|(known, _)| known.service.clone())
     }
 
-    /// Where the target takes requests.
+    /// Where the target takes requests, while it says that it is ready.
     #[must_use]
-    pub fn address(&self) -> Option<SocketAddr> {
-        self.latest.as_ref().map(|(known, _)| known.address)
+    pub fn ready_address(&self, now: BootTime) -> Option<SocketAddr> {
+        let latest = self.latest.as_ref().filter(|_| self.is_ready(now));
+        latest.map(|(known, _)| known.address)
     }
 
     /// True where the target said lately that it takes work.
--- a/crates/anvilrack-settings/src/router_settings.rs
+++ b/crates/anvilrack-settings/src/router_settings.rs
@@ -21,6 +21,9 @@
     pub caller_port: u16,
     /// Port for other routers.
     pub peer_port: u16,
+    /// Port under which other routers reach it, where something stands in between.
+    #[serde(default)]
+    pub announced_peer_port: Option<u16>,
     /// Port for operators and for the target beside it.
     pub control_port: u16,
     /// Region of this machine.
@@ -80,6 +83,13 @@
 
     /// Where other routers reach this router.
     #[must_use]
+    pub fn announced_address(&self) -> SocketAddr {
+        let port = self.announced_peer_port.unwrap_or(self.peer_port);
+        SocketAddr::new(self.address, port)
+    }
+
+    /// Where this router listens for other routers.
+    #[must_use]
     pub fn peer_address(&self) -> SocketAddr {
         SocketAddr::new(self.address, self.peer_port)
     }
@@ -100,6 +110,12 @@
                 "must be the machine's own IP address",
             ));
         }
+        if self.announced_peer_port == Some(0) {
+            return Err(FieldFault::new(
+                "announced_peer_port",
+                "must be from 1 to 65535",
+            ));
+        }
         let ports = [
             ("caller_port", self.caller_port),
             ("peer_port", self.peer_port),
--- a/crates/anvilrack-wire/src/peer_message.rs
+++ b/crates/anvilrack-wire/src/peer_message.rs
@@ -22,6 +22,8 @@
     Takeover(TakeoverCall),
     /// A coordinator asks a standby not to take over.
     Promise(ServiceName, Epoch),
+    /// A coordinator that is about to stop asks a standby to take the cell over now.
+    Resign(ServiceName, Epoch),
     /// Give me what is newer than this.
     Pull(TableDigest),
     /// Something changed for you: send your next heartbeat now.
@@ -43,6 +45,8 @@
     TakeoverSeen(Option<MemberReport>),
     /// To `Promise`: whether it is given.
     Promised(bool),
+    /// To `Resign`: whether the standby will try.
+    Resigned(bool),
     /// To `Pull`.
     Update(TableUpdate),
     /// To `Nudge`.
