Serve unreachable owners' keys elsewhere and let stops cut off nothing

- An owner that sends heartbeats but cannot be called kept its shards for good (ownership_links, a_coordinator_that_stays_cut_off_is_replaced: unserved after 40 s with the new coordinator in office).
The coordinator now calls its members; one that fails twice in a row gets no shards and those that it has move away by planned moves.
Where most fail it doubts itself.
- Lease 800 ms and authority 700 ms; a standby whose coordinator is silent looks every 40 ms.

--- a/crates/anvilrack-core/src/coordinator_state.rs
+++ b/crates/anvilrack-core/src/coordinator_state.rs
@@ -1,6 +1,6 @@
 //! Who should own what, and who may go on serving.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
@@ -38,6 +38,8 @@
     /// As the member described itself; `None` until this coordinator has heard from it.
     member: Option<CellMember>,
     ready: bool,
+    /// True where this coordinator could not call it, several times in a row.
+    unreachable: bool,
     /// True once it has answered under this coordinator's epoch.
     confirmed: bool,
     /// No lease that this member holds runs longer than this.
@@ -240,6 +242,17 @@
             .collect()
     }
 
+    /// Says which members could not be called lately, though their heartbeats may still arrive.
+    ///
+    /// Such a member gets no shards, and those that it has move away. Where most members seem to be
+    /// unreachable this coordinator doubts itself and says so of none.
+    pub fn on_reach(&mut self, unreachable: &BTreeSet<NodeId>) {
+        let doubtful = unreachable.len() * 2 > self.members.len();
+        for (node, view) in &mut self.members {
+            view.unreachable = !doubtful && unreachable.contains(node);
+        }
+    }
+
     // --- the store ------------------------------------------------------------------------------
 
     /// The store was read by a call sent at `sent_at`, and held `stored`.
@@ -421,7 +434,7 @@
     fn eligible(&self, now: BootTime) -> Vec<NodeId> {
         self.members
             .iter()
-            .filter(|(_, view)| view.ready && now < view.lease_until)
+            .filter(|(_, view)| view.ready && !view.unreachable && now < view.lease_until)
             .filter(|(_, view)| view.member.as_ref().is_some_and(|member| !member.leaving))
             .map(|(node, _)| node.clone())
             .collect()
@@ -503,6 +516,7 @@
         Self {
             member: None,
             ready: false,
+            unreachable: false,
             confirmed: false,
             lease_until: now + wait,
             last_heard: BootTime::ZERO,
--- a/crates/anvilrack-core/src/event_catalogue.rs
+++ b/crates/anvilrack-core/src/event_catalogue.rs
@@ -49,6 +49,7 @@
     OUTAGE_BEGAN = 1306, "store.outage-began", "The store does not answer; the cell goes on under promises.";
     OUTAGE_ENDED = 1307, "store.outage-ended", "The store answers again.";
     CELL_RESIGNED = 1308, "cell.resigned", "A coordinator that stops handed its office to a standby.";
+    MEMBER_UNREACHABLE = 1309, "member.unreachable", "A member sends heartbeats but cannot be called; its shards move away.";
     PLACEMENT_DECIDED = 1401, "placement.decided", "A shard was given to an owner; says which and why.";
     MOVE_PLANNED = 1402, "placement.move-planned", "A shard is to move; says from where, to where and why.";
     CONFIG_TAKEN = 1501, "config.taken", "A newer configuration is in force on this router.";
--- a/crates/anvilrack-core/src/lease_terms.rs
+++ b/crates/anvilrack-core/src/lease_terms.rs
@@ -26,10 +26,10 @@
 impl Default for LeaseTerms {
     fn default() -> Self {
         Self {
-            lease: Duration::from_millis(900),
+            lease: Duration::from_millis(800),
             drift_margin: Duration::from_millis(50),
             heartbeat: Duration::from_millis(200),
-            authority: Duration::from_millis(800),
+            authority: Duration::from_millis(700),
             promise: Duration::from_millis(1_200),
             takeover_after: Duration::from_millis(600),
             outage_limit: Duration::from_hours(24),
--- a/crates/anvilrack-fakes/src/http_worker.rs
+++ b/crates/anvilrack-fakes/src/http_worker.rs
@@ -1,13 +1,17 @@
 //! What both stand-ins need of an HTTP server.
 
 use std::io;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::thread;
+use std::time::Duration;
 
 use eyre::eyre;
 use tiny_http::{Request, Response, Server};
 
+/// Time between two connections that make the server look at its queue.
+const KICK_EVERY: Duration = Duration::from_millis(20);
+
 /// Starts a server whose requests are served by `workers` threads; never returns.
 pub(crate) fn serve_forever<F>(address: SocketAddr, workers: usize, serve: F) -> eyre::Result<()>
 where
@@ -28,6 +32,7 @@
             })
         })
         .collect();
+    thread::spawn(move || kick_forever(address));
     for thread in threads {
         thread
             .join()
@@ -36,6 +41,15 @@
     Ok(())
 }
 
+/// Opens and closes connections, since `tiny_http` may leave one of two that arrive together unread
+/// until another connection ends.
+fn kick_forever(address: SocketAddr) {
+    loop {
+        drop(TcpStream::connect(address));
+        thread::sleep(KICK_EVERY);
+    }
+}
+
 /// Answers with text; a caller that is gone is not an error.
 pub(crate) fn respond(request: Request, status: u16, body: impl Into<Vec<u8>>) {
     let response = Response::from_data(body.into()).with_status_code(status);
--- a/crates/anvilrack-router/src/coordinator_role.rs
+++ b/crates/anvilrack-router/src/coordinator_role.rs
@@ -15,7 +15,7 @@
 use crate::record_writer::RecordWriter;
 use crate::router_context::RouterContext;
 use crate::store_records::{CONFIG_KEY, parse_json, read_cell};
-use crate::{boot_clock, log_event};
+use crate::{boot_clock, log_event, reach_check};
 
 /// Time between two looks at what is to be done.
 const STEP: Duration = Duration::from_millis(50);
@@ -43,7 +43,7 @@
 /// Runs the cell under that epoch until another router takes it over or the process ends.
 pub fn run(context: &Arc<RouterContext>, epoch: Epoch) {
     let term = OfficeTerm::new(context.clone(), epoch);
-    for thread in [call_members, keep_promises, watch_config] {
+    for thread in [call_members, keep_promises, watch_config, reach_check::run] {
         let term = term.clone();
         thread::spawn(move || thread(&term));
     }
--- a/crates/anvilrack-router/src/lib.rs
+++ b/crates/anvilrack-router/src/lib.rs
@@ -7,6 +7,7 @@
 //! Beside the stages run a few threads: [`membership`] keeps the lease, [`coordinator_role`] runs
 //! the cell where this router holds that office, [`table_sync`] fetches other cells' tables.
 
+pub mod accept_kick;
 pub mod boot_clock;
 pub mod cell_reader;
 pub mod control_port;
@@ -16,6 +17,7 @@
 pub mod membership;
 pub mod office_term;
 pub mod peer_handler;
+pub mod reach_check;
 pub mod record_writer;
 pub mod release_tracker;
 pub mod router_context;
--- a/crates/anvilrack-router/src/membership.rs
+++ b/crates/anvilrack-router/src/membership.rs
@@ -14,6 +14,9 @@
 use crate::router_context::RouterContext;
 use crate::{boot_clock, log_event, takeover};
 
+/// Time between two heartbeats of a standby whose coordinator does not answer.
+const STANDBY_STEP: Duration = Duration::from_millis(40);
+
 /// Time for one heartbeat.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -24,7 +27,8 @@
 pub fn run(context: &Arc<RouterContext>) {
     let mut reader = CellReader::default();
     let mut had_lease = false;
-    while context.pause_or_nudge(context.terms.heartbeat) {
+    let mut pause = context.terms.heartbeat;
+    while context.pause_or_nudge(pause) {
         let Some(service) = context.service() else {
             continue;
         };
@@ -32,12 +36,24 @@
             Some(cell) => beat(context, &service, &cell),
             None => false,
         };
+        pause = pause_after(context, beaten);
         reader.step(context, &service, beaten);
         consider_takeover(context, &service);
         had_lease = tell_lease(context, had_lease);
     }
 }
 
+/// Time until the next heartbeat: a standby whose coordinator is silent looks more often.
+fn pause_after(context: &RouterContext, beaten: bool) -> Duration {
+    let cell = context.own_cell();
+    let is_standby = cell.is_some_and(|cell| context.standby().is_named(&cell));
+    if is_standby && !beaten {
+        STANDBY_STEP
+    } else {
+        context.terms.heartbeat
+    }
+}
+
 /// Sends one heartbeat and takes its answer; says whether the coordinator answered.
 fn beat(context: &Arc<RouterContext>, service: &ServiceName, cell: &CellRecord) -> bool {
     let request = HeartbeatRequest {
--- a/crates/anvilrack-router/src/router_process.rs
+++ b/crates/anvilrack-router/src/router_process.rs
@@ -1,5 +1,6 @@
 //! Starting and stopping a router.
 
+use std::net::TcpListener;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
@@ -9,6 +10,7 @@
 use anvilrack_peer::PeerServer;
 use anvilrack_settings::RouterSettings;
 use eyre::{WrapErr, eyre};
+use rustix::net::{Shutdown, shutdown};
 use tiny_http::{Request, Server};
 use tokio::runtime::{Builder, Runtime};
 
@@ -17,7 +19,8 @@
 use crate::router_context::RouterContext;
 use crate::stages::{accept, forward, reply};
 use crate::{
-    boot_clock, control_port, coordinator_role, log_event, membership, table_sync, target_notice,
+    accept_kick, boot_clock, control_port, coordinator_role, log_event, membership, table_sync,
+    target_notice,
 };
 
 /// Threads that run the links to other routers.
@@ -29,13 +32,16 @@
 /// How long a router that owns nothing more goes on answering, until others have the new table.
 const STOP_LINGER: Duration = Duration::from_millis(600);
 
+/// Time for what has been accepted to be read and answered, once nothing new is accepted.
+const LAST_ANSWERS: Duration = Duration::from_millis(150);
+
 /// How often a stop looks whether it is done.
 const STOP_STEP: Duration = Duration::from_millis(20);
 
 /// A running router.
 pub struct RouterProcess {
     context: Arc<RouterContext>,
-    callers: Arc<Server>,
+    callers: TcpListener,
     busy: Arc<AtomicUsize>,
     peers: PeerServer,
     runtime: Runtime,
@@ -60,13 +66,16 @@
         let peers = PeerServer::start(runtime.handle(), address, handler)
             .wrap_err_with(|| format!("cannot listen on {address}"))?;
         control_port::start(&context)?;
+        let settings = &context.settings;
         let busy = Arc::new(AtomicUsize::new(0));
         let callers = start_callers(&context, &guard, &busy)?;
+        for address in [settings.caller_address(), settings.control_address()] {
+            accept_kick::start(&context, address);
+        }
         for thread in [membership::run, table_sync::run, target_notice::run] {
             let context = context.clone();
             thread::spawn(move || thread(&context));
         }
-        let settings = &context.settings;
         log_event!(
             Info,
             events::ROUTER_STARTED,
@@ -94,10 +103,12 @@
         coordinator_role::resign(context);
         // Others may still send here by an older table, and answers are still on their way out.
         context.pause(STOP_LINGER);
+        // From here on a caller is refused by the system, which tells it that nothing has run.
+        let _ = shutdown(&self.callers, Shutdown::Both);
+        self.peers.close();
+        context.pause(LAST_ANSWERS);
         let is_busy = || is_at_work(context) || self.busy.load(Ordering::Relaxed) > 0;
         while boot_clock::now() < until && is_busy() && context.pause(STOP_STEP) {}
-        self.callers.unblock();
-        self.peers.close();
         context.end();
         context.owner().end_lease();
         let left = context.releases.in_flight();
@@ -130,10 +141,12 @@
     context: &Arc<RouterContext>,
     guard: &GuardPool,
     busy: &Arc<AtomicUsize>,
-) -> eyre::Result<Arc<Server>> {
+) -> eyre::Result<TcpListener> {
     let address = context.settings.caller_address();
-    let server =
-        Server::http(address).map_err(|error| eyre!("cannot listen on {address}: {error}"))?;
+    let listener =
+        TcpListener::bind(address).wrap_err_with(|| format!("cannot listen on {address}"))?;
+    let server = Server::from_listener(listener.try_clone()?, None);
+    let server = server.map_err(|error| eyre!("cannot serve {address}: {error}"))?;
     let server = Arc::new(server);
     let limits = context.settings.limits;
     for _ in 0..limits.caller_workers + REFUSERS {
@@ -141,7 +154,7 @@
         let (server, busy) = (server.clone(), busy.clone());
         thread::spawn(move || work(&context, &guard, &server, &busy));
     }
-    Ok(server)
+    Ok(listener)
 }
 
 /// Takes requests straight from the HTTP server.
