--- a/crates/anvilrack-core/src/coordinator_state.rs
+++ b/crates/anvilrack-core/src/coordinator_state.rs
@@ -1,6 +1,6 @@
 //! Who should own what, and who may go on serving.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
@@ -36,11 +36,14 @@
 
 /// What the coordinator knows of one member.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[expect(clippy::struct_excessive_bools, reason = "each is a fact of its own")]
 struct MemberView {
     /// As the member described itself; `None` until this coordinator has heard from it.
     member: Option<CellMember>,
     ready: bool,
     sick: bool,
+    /// True where this coordinator could not call it, several times in a row.
+    unreachable: bool,
     /// True once it has answered under this coordinator's epoch.
     confirmed: bool,
     /// No lease that this member holds runs longer than this.
@@ -257,6 +260,17 @@
             .collect()
     }
 
+    /// Says which members could not be called lately, though their heartbeats may still arrive.
+    ///
+    /// Such a member gets no shards, and those that it has move away. Where most members seem to be
+    /// unreachable this coordinator doubts itself and says so of none.
+    pub fn on_reach(&mut self, unreachable: &BTreeSet<NodeId>) {
+        let doubtful = unreachable.len() * 2 > self.members.len();
+        for (node, view) in &mut self.members {
+            view.unreachable = !doubtful && unreachable.contains(node);
+        }
+    }
+
     // --- the store ------------------------------------------------------------------------------
 
     /// The store was read by a call sent at `sent_at`, and held `stored`.
@@ -446,7 +460,7 @@
         let trusts_reports = self.trusts_reports();
         self.members
             .iter()
-            .filter(|(_, view)| view.ready && now < view.lease_until)
+            .filter(|(_, view)| view.ready && !view.unreachable && now < view.lease_until)
             .filter(|(_, view)| !(trusts_reports && view.sick))
             .filter(|(_, view)| {
                 let member = view.member.as_ref();
@@ -524,6 +538,12 @@
         self.pending.as_ref()
     }
 
+    /// When the last call that the store answered was sent.
+    #[must_use]
+    pub fn last_store_contact(&self) -> BootTime {
+        self.last_store_contact
+    }
+
     /// True where another router has taken office.
     #[must_use]
     pub fn is_superseded(&self) -> bool {
@@ -543,6 +563,7 @@
             member: None,
             ready: false,
             sick: false,
+            unreachable: false,
             confirmed: false,
             lease_until: now + wait,
             last_heard: BootTime::ZERO,
--- a/crates/anvilrack-router/src/config_watch.rs
+++ b/crates/anvilrack-router/src/config_watch.rs
@@ -5,24 +5,26 @@
 
 use anvilrack_core::{ConfigRecord, events};
 use anvilrack_store::{KeyStore, StoreIndex, StoredValue};
+use rand::Rng;
 
-use crate::coordinator_role::in_office;
 use crate::log_event;
+use crate::office_term::OfficeTerm;
 use crate::router_context::RouterContext;
 use crate::store_records::{CONFIG_KEY, parse_json};
 
 /// How long a watch waits in one call.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
 
-/// Time before a failed call to the store is tried again.
+/// Time before a failed call to the store is tried again, on average.
 const STORE_RETRY: Duration = Duration::from_millis(250);
 
 /// Waits for newer configurations while this router is in office.
 ///
 /// One watch a cell: members get the configuration with their heartbeats.
-pub fn run(context: &RouterContext) {
+pub fn run(term: &OfficeTerm) {
+    let context = &term.context;
     let mut index = 0;
-    while in_office(context).is_some() {
+    while term.record().is_some() {
         match context.store.wait(CONFIG_KEY, index, WATCH_WAIT) {
             Ok(Some(stored)) => {
                 index = stored.index;
@@ -31,15 +33,19 @@
             Ok(None) => {
                 index = 0;
                 put_back(context, 0);
-                context.pause(STORE_RETRY);
+                context.pause(retry_pause());
             }
             Err(_) => {
-                context.pause(STORE_RETRY);
+                context.pause(retry_pause());
             }
         }
     }
 }
 
+fn retry_pause() -> Duration {
+    STORE_RETRY.mul_f64(rand::rng().random_range(0.5..1.5))
+}
+
 fn take(context: &RouterContext, stored: &StoredValue) {
     let config: ConfigRecord = match parse_json(&stored.value) {
         Ok(config) => config,
--- a/crates/anvilrack-router/src/health_hints.rs
+++ b/crates/anvilrack-router/src/health_hints.rs
@@ -5,6 +5,7 @@
 
 use ureq::Agent;
 
+use crate::boot_clock;
 use crate::router_context::RouterContext;
 
 /// Time between two looks at the endpoint.
@@ -29,7 +30,7 @@
         .build();
     let agent = config.new_agent();
     while context.pause(LOOK_EVERY) {
-        let Some(address) = context.target().address() else {
+        let Some(address) = context.target().ready_address(boot_clock::now()) else {
             continue;
         };
         let url = format!("http://{address}{HEALTH_PATH}");
--- a/crates/anvilrack-router/src/lib.rs
+++ b/crates/anvilrack-router/src/lib.rs
@@ -7,8 +7,10 @@
 //! Beside the stages run a few threads: [`membership`] keeps the lease, [`coordinator_role`] runs
 //! the cell where this router holds that office, [`table_sync`] fetches other cells' tables.
 
+pub mod accept_kick;
 pub mod admission_desk;
 pub mod boot_clock;
+pub mod cell_reader;
 pub mod config_watch;
 pub mod control_port;
 pub mod coordinator_role;
@@ -21,8 +23,11 @@
 pub mod load_meter;
 pub mod log_writer;
 pub mod membership;
+pub mod office_term;
 pub mod peer_handler;
+pub mod reach_check;
 pub mod record_handover;
+pub mod record_writer;
 pub mod release_tracker;
 pub mod retry_keeper;
 pub mod router_context;
@@ -35,4 +40,5 @@
 pub mod store_records;
 pub mod table_sync;
 pub mod takeover;
+pub mod target_notice;
 pub mod target_view;
--- a/crates/anvilrack-router/src/router_context.rs
+++ b/crates/anvilrack-router/src/router_context.rs
@@ -69,6 +69,7 @@
     routes: ShardedLock<Arc<RouteTable>>,
     nudges: (Sender<()>, Receiver<()>),
     leaving: AtomicBool,
+    stopping: AtomicBool,
     ended: AtomicBool,
 }
 
@@ -101,6 +102,7 @@
             routes: ShardedLock::new(Arc::default()),
             nudges: bounded(1),
             leaving: AtomicBool::new(false),
+            stopping: AtomicBool::new(false),
             ended: AtomicBool::new(false),
             settings,
             incarnation,
@@ -269,6 +271,17 @@
         self.leaving.store(true, Ordering::SeqCst);
     }
 
+    /// Begins a graceful stop.
+    pub fn stop(&self) {
+        self.leave();
+        self.stopping.store(true, Ordering::SeqCst);
+    }
+
+    /// True once a graceful stop has begun.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::SeqCst)
+    }
+
     /// True once a graceful stop or a drain has begun.
     pub fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::SeqCst)
@@ -302,7 +315,7 @@
     CellMember {
         node: settings.node.clone(),
         incarnation,
-        peer_address: settings.peer_address(),
+        peer_address: settings.announced_address(),
         failure_domain: settings.failure_domain.clone(),
         region: settings.region.clone(),
         leaving,
--- a/crates/anvilrack-router/src/router_process.rs
+++ b/crates/anvilrack-router/src/router_process.rs
@@ -1,5 +1,6 @@
 //! Starting and stopping a router.
 
+use std::net::TcpListener;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
@@ -9,6 +10,7 @@
 use anvilrack_peer::PeerServer;
 use anvilrack_settings::RouterSettings;
 use eyre::{WrapErr, eyre};
+use rustix::net::{Shutdown, shutdown};
 use tiny_http::{Request, Server};
 use tokio::runtime::{Builder, Runtime};
 
@@ -16,7 +18,10 @@
 use crate::peer_handler::{PeerHandler, overloaded};
 use crate::router_context::RouterContext;
 use crate::stages::{accept, forward, reply};
-use crate::{boot_clock, control_port, health_hints, log_event, membership, table_sync};
+use crate::{
+    accept_kick, boot_clock, control_port, coordinator_role, health_hints, log_event, membership,
+    table_sync, target_notice,
+};
 
 /// Threads that run the links to other routers.
 const LINK_THREADS: usize = 2;
@@ -24,13 +29,20 @@
 /// Threads that are there to refuse what is above the bound.
 const REFUSERS: usize = 4;
 
+/// How long a router that owns nothing more goes on answering, until others have the new table.
+const STOP_LINGER: Duration = Duration::from_millis(600);
+
+/// Time for what has been accepted to be read and answered, once nothing new is accepted.
+const LAST_ANSWERS: Duration = Duration::from_millis(150);
+
 /// How often a stop looks whether it is done.
 const STOP_STEP: Duration = Duration::from_millis(20);
 
 /// A running router.
 pub struct RouterProcess {
     context: Arc<RouterContext>,
-    callers: Arc<Server>,
+    callers: TcpListener,
+    busy: Arc<AtomicUsize>,
     peers: PeerServer,
     runtime: Runtime,
 }
@@ -54,12 +66,22 @@
         let peers = PeerServer::start(runtime.handle(), address, handler)
             .wrap_err_with(|| format!("cannot listen on {address}"))?;
         control_port::start(&context)?;
-        let callers = start_callers(&context, &guard)?;
-        for thread in [membership::run, table_sync::run, health_hints::run] {
+        let settings = &context.settings;
+        let busy = Arc::new(AtomicUsize::new(0));
+        let callers = start_callers(&context, &guard, &busy)?;
+        for address in [settings.caller_address(), settings.control_address()] {
+            accept_kick::start(&context, address);
+        }
+        let threads = [
+            membership::run,
+            table_sync::run,
+            target_notice::run,
+            health_hints::run,
+        ];
+        for thread in threads {
             let context = context.clone();
             thread::spawn(move || thread(&context));
         }
-        let settings = &context.settings;
         log_event!(
             Info,
             events::ROUTER_STARTED,
@@ -71,6 +93,7 @@
         Ok(Self {
             context,
             callers,
+            busy,
             peers,
             runtime,
         })
@@ -80,11 +103,18 @@
     pub fn close(self) {
         let context = &self.context;
         log_event!(Info, events::ROUTER_STOPPING, "node" = context.node());
-        context.leave();
+        context.stop();
         let until = boot_clock::now() + Duration::from_millis(context.settings.limits.stop_ms);
         while boot_clock::now() < until && !is_idle(context) && context.pause(STOP_STEP) {}
-        self.callers.unblock();
+        coordinator_role::resign(context);
+        // Others may still send here by an older table, and answers are still on their way out.
+        context.pause(STOP_LINGER);
+        // From here on a caller is refused by the system, which tells it that nothing has run.
+        let _ = shutdown(&self.callers, Shutdown::Both);
         self.peers.close();
+        context.pause(LAST_ANSWERS);
+        let is_busy = || is_at_work(context) || self.busy.load(Ordering::Relaxed) > 0;
+        while boot_clock::now() < until && is_busy() && context.pause(STOP_STEP) {}
         context.end();
         context.owner().end_lease();
         let left = context.releases.in_flight();
@@ -104,24 +134,33 @@
         let mut owned = cell.owned_by(context.node(), context.incarnation);
         owned.next().is_some()
     });
-    !named && context.releases.in_flight() == 0
+    !named && !is_at_work(context)
+}
+
+fn is_at_work(context: &RouterContext) -> bool {
+    context.releases.in_flight() > 0
 }
 
 // --- the callers' side --------------------------------------------------------------------------
 
-fn start_callers(context: &Arc<RouterContext>, guard: &GuardPool) -> eyre::Result<Arc<Server>> {
+fn start_callers(
+    context: &Arc<RouterContext>,
+    guard: &GuardPool,
+    busy: &Arc<AtomicUsize>,
+) -> eyre::Result<TcpListener> {
     let address = context.settings.caller_address();
-    let server =
-        Server::http(address).map_err(|error| eyre!("cannot listen on {address}: {error}"))?;
+    let listener =
+        TcpListener::bind(address).wrap_err_with(|| format!("cannot listen on {address}"))?;
+    let server = Server::from_listener(listener.try_clone()?, None);
+    let server = server.map_err(|error| eyre!("cannot serve {address}: {error}"))?;
     let server = Arc::new(server);
     let limits = context.settings.limits;
-    let busy = Arc::new(AtomicUsize::new(0));
     for _ in 0..limits.caller_workers + REFUSERS {
         let (context, guard) = (context.clone(), guard.clone());
         let (server, busy) = (server.clone(), busy.clone());
         thread::spawn(move || work(&context, &guard, &server, &busy));
     }
-    Ok(server)
+    Ok(listener)
 }
 
 /// Takes requests straight from the HTTP server.
@@ -137,7 +176,11 @@
         } else {
             overloaded()
         };
-        reply::process(request, verdict);
+        if context.is_stopping() {
+            reply::process_last(request, verdict);
+        } else {
+            reply::process(request, verdict);
+        }
         busy.fetch_sub(1, Ordering::Relaxed);
     }
 }
--- a/crates/anvilrack-router/src/stages/guard.rs
+++ b/crates/anvilrack-router/src/stages/guard.rs
@@ -96,7 +96,7 @@
     if let Err(verdict) = context.crashes.check(request) {
         return verdict;
     }
-    let Some(address) = context.target().address() else {
+    let Some(address) = context.target().ready_address(boot_clock::now()) else {
         return refuse(RefusalReason::NoOwner);
     };
     let permit = match admit::process(context, request, rules, deadline) {
