Tell a silent link from a broken one

Both are sent again alike, so no caller was told anything wrong.

Conclusion: a race in the code, not in the test.

--- a/crates/anvilrack-peer/src/peer_links.rs
+++ b/crates/anvilrack-peer/src/peer_links.rs
@@ -168,11 +168,13 @@
         let sent_at_ms = link.progress.now_ms();
         let open_call = link.progress.begin_call();
         let exchange = exchange(link.sender.clone(), &link.progress, body);
+        // Silence is looked at first: the streams of a silent link break in the same moment.
         let answer = tokio::select! {
+            biased;
+            () = link.progress.silence() => Err(PeerError::SilentLink),
             answer = tokio::time::timeout_at(deadline, exchange) => {
                 answer.unwrap_or(Err(PeerError::TimedOut))
             }
-            () = link.progress.silence() => Err(PeerError::SilentLink),
         };
         drop(open_call);
         let broken = match &answer {
