Serve callers with hyper: no caller can stop a router any more

A head that announces 900 TB aborted the process; 400 half-sent bodies or chunks held all workers for ever; a chunked body cut short was run as a whole one.

Ruled out: a socket timeout (the library gives no hold on the socket, and one inherited from the listener ends its accept loop); refusing chunked bodies (does not help against the other three).

Only a request that was read whole takes a worker now. A graceful stop also waits for requests that callers have open here, and asks callers to use another connection. An idempotency key that is no text is refused; it would have run unrecorded.

The cost of one more wake-up for each request was not measured at this commit.

--- /dev/null
+++ b/crates/anvilrack-router/src/callers_port.rs
@@ -0,0 +1,250 @@
+//! The callers' side: HTTP in, verdicts out.
+//!
+//! Connections, heads and bodies are read without a thread for each, with a bound and a time limit on
+//! everything a caller may leave half done. Only a request that was read whole takes a worker.
+//!
+//! The house's `tiny_http` reads bodies on the worker's thread without a time limit, sets aside as
+//! much memory as a head announces, and takes a chunked body that was cut short for a whole one; so
+//! its nearest kin that does none of that is used here.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use anvilrack_core::{BootTime, RequestVerdict, UncertainReason, events};
+use crossbeam::channel::{Receiver, Sender, bounded};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::runtime::Handle;
+use tokio::sync::{Semaphore, oneshot};
+use tokio::task::JoinHandle;
+
+use crate::caller_body::{self, BODY_ROOM};
+use crate::guard_pool::GuardPool;
+use crate::peer_handler::overloaded;
+use crate::router_context::RouterContext;
+use crate::stages::accept::AcceptedRequest;
+use crate::stages::reply::ReplyBody;
+use crate::stages::resolve::NextHop;
+use crate::stages::{accept, forward, reply};
+use crate::{boot_clock, log_event};
+
+/// Connections of callers open at once; more wait to be accepted.
+const CONNECTION_LIMIT: usize = 8_192;
+
+/// Time for a head, counted also while a connection is idle.
+const HEAD_TIMEOUT: Duration = Duration::from_mins(1);
+
+/// Longest head, in bytes.
+const HEAD_LIMIT: usize = 64 * 1024;
+
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// One place in the queue for so many workers.
+const QUEUE_SHARE: usize = 4;
+
+/// Listens for callers.
+pub struct CallersPort {
+    listener: JoinHandle<()>,
+    shared: Arc<CallersShared>,
+}
+
+/// What all connections share.
+struct CallersShared {
+    context: Arc<RouterContext>,
+    jobs: Sender<CallerJob>,
+    in_flight: AtomicUsize,
+    body_room: Semaphore,
+}
+
+/// A request that was read whole.
+struct CallerJob {
+    accepted: AcceptedRequest,
+    began: BootTime,
+    reply: oneshot::Sender<RequestVerdict>,
+}
+
+/// One request between its head and its answer; dropping it ends the count.
+struct OpenRequest<'a> {
+    in_flight: &'a AtomicUsize,
+}
+
+impl Drop for OpenRequest<'_> {
+    fn drop(&mut self) {
+        self.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl CallersPort {
+    /// Listens and starts the workers.
+    ///
+    /// # Errors
+    ///
+    /// Where the address cannot be bound.
+    pub fn start(
+        runtime: &Handle,
+        context: &Arc<RouterContext>,
+        guard: &GuardPool,
+    ) -> io::Result<Self> {
+        let address = context.settings.caller_address();
+        let listener = runtime.block_on(TcpListener::bind(address))?;
+        let workers = context.settings.limits.caller_workers;
+        let (sender, receiver) = bounded(workers.div_ceil(QUEUE_SHARE));
+        for _ in 0..workers {
+            let (context, guard, jobs) = (context.clone(), guard.clone(), receiver.clone());
+            thread::spawn(move || work(&context, &guard, &jobs));
+        }
+        let shared = Arc::new(CallersShared {
+            context: context.clone(),
+            jobs: sender,
+            in_flight: AtomicUsize::new(0),
+            body_room: Semaphore::new(BODY_ROOM),
+        });
+        let listener = runtime.spawn(accept_callers(listener, shared.clone()));
+        Ok(Self { listener, shared })
+    }
+
+    /// Requests that are being read, worked on or answered.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        self.shared.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Stops taking new connections. Those that are open end with the process.
+    pub fn close(self) {
+        self.listener.abort();
+    }
+}
+
+async fn accept_callers(listener: TcpListener, shared: Arc<CallersShared>) {
+    let places = Arc::new(Semaphore::new(CONNECTION_LIMIT));
+    loop {
+        let Ok(place) = places.clone().acquire_owned().await else {
+            return;
+        };
+        match listener.accept().await {
+            Ok((stream, caller)) => {
+                let shared = shared.clone();
+                tokio::spawn(async move {
+                    serve_caller(stream, caller, shared).await;
+                    drop(place);
+                });
+            }
+            Err(error) => {
+                log::warn!("cannot accept a caller: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_caller(stream: TcpStream, caller: SocketAddr, shared: Arc<CallersShared>) {
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let service = service_fn(move |request| answer(shared.clone(), caller.ip(), request));
+    let served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .max_buf_size(HEAD_LIMIT)
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+    if let Err(error) = served {
+        log::debug!("connection of {caller} ended: {error}");
+    }
+}
+
+async fn answer(
+    shared: Arc<CallersShared>,
+    caller: IpAddr,
+    request: Request<Incoming>,
+) -> Result<Response<ReplyBody>, Infallible> {
+    shared.in_flight.fetch_add(1, Ordering::Relaxed);
+    let _open = OpenRequest {
+        in_flight: &shared.in_flight,
+    };
+    let began = boot_clock::now();
+    let verdict = match read_request(&shared, caller, request, began).await {
+        Ok(accepted) => shared.run(accepted, began).await,
+        Err(verdict) => {
+            log_event!(Info, events::REQUEST_REFUSED, "verdict" = verdict.word());
+            verdict
+        }
+    };
+    Ok(reply::process(verdict, shared.context.is_leaving()))
+}
+
+async fn read_request(
+    shared: &CallersShared,
+    caller: IpAddr,
+    request: Request<Incoming>,
+    began: BootTime,
+) -> Result<AcceptedRequest, RequestVerdict> {
+    let limits = &shared.context.settings.limits;
+    let (head, body) = request.into_parts();
+    let accepted = accept::process(&head, caller, limits, began);
+    let body = caller_body::read(body, limits.body_bytes, &shared.body_room).await;
+    Ok(accepted?.with_body(body?))
+}
+
+impl CallersShared {
+    /// Hands a request to a worker, or refuses it at once.
+    async fn run(&self, accepted: AcceptedRequest, began: BootTime) -> RequestVerdict {
+        let (reply, verdict) = oneshot::channel();
+        let job = CallerJob {
+            accepted,
+            began,
+            reply,
+        };
+        if self.jobs.try_send(job).is_err() {
+            return overloaded();
+        }
+        let lost = RequestVerdict::MayHaveRun(UncertainReason::ConnectionLost);
+        verdict.await.unwrap_or(lost)
+    }
+}
+
+fn work(context: &RouterContext, guard: &GuardPool, jobs: &Receiver<CallerJob>) {
+    for job in jobs {
+        if job.reply.is_closed() {
+            continue;
+        }
+        let verdict = route(context, guard, &job.accepted, job.began);
+        // A caller that is gone is not an error.
+        let _ = job.reply.send(verdict);
+    }
+}
+
+fn route(
+    context: &RouterContext,
+    guard: &GuardPool,
+    accepted: &AcceptedRequest,
+    began: BootTime,
+) -> RequestVerdict {
+    let outcome = forward::process(context, guard, accepted);
+    let took = boot_clock::now().saturating_sub(began);
+    let hop = outcome.hop.as_ref().map_or("-", |hop| match hop {
+        NextHop::Here => "here",
+        NextHop::Peer(node, _) => node,
+    });
+    log_event!(
+        Info,
+        events::REQUEST_ROUTED,
+        "service" = accepted.request.service,
+        "key" = accepted.request.key,
+        "hop" = hop,
+        "tries" = outcome.tries,
+        "verdict" = outcome.verdict.word(),
+        "us" = took.as_micros()
+    );
+    outcome.verdict
+}
--- a/crates/anvilrack-router/src/lib.rs
+++ b/crates/anvilrack-router/src/lib.rs
@@ -8,6 +8,8 @@
 //! the cell where this router holds that office, [`table_sync`] fetches other cells' tables.
 
 pub mod boot_clock;
+pub mod caller_body;
+pub mod callers_port;
 pub mod control_port;
 pub mod coordinator_role;
 pub mod crash_keeper;
--- a/crates/anvilrack-router/src/router_process.rs
+++ b/crates/anvilrack-router/src/router_process.rs
@@ -1,36 +1,31 @@
 //! Starting and stopping a router.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
 use std::time::Duration;
 
-use anvilrack_core::{RequestVerdict, events};
+use anvilrack_core::events;
 use anvilrack_peer::PeerServer;
 use anvilrack_settings::RouterSettings;
-use eyre::{WrapErr, eyre};
-use tiny_http::{Request, Server};
+use eyre::WrapErr;
 use tokio::runtime::{Builder, Runtime};
 
+use crate::callers_port::CallersPort;
 use crate::guard_pool::GuardPool;
-use crate::peer_handler::{PeerHandler, overloaded};
+use crate::peer_handler::PeerHandler;
 use crate::router_context::RouterContext;
-use crate::stages::{accept, forward, reply};
 use crate::{boot_clock, control_port, log_event, membership, table_sync};
 
 /// Threads that run the links to other routers.
 const LINK_THREADS: usize = 2;
 
-/// Threads that are there to refuse what is above the bound.
-const REFUSERS: usize = 4;
-
 /// How often a stop looks whether it is done.
 const STOP_STEP: Duration = Duration::from_millis(20);
 
 /// A running router.
 pub struct RouterProcess {
     context: Arc<RouterContext>,
-    callers: Arc<Server>,
+    callers: CallersPort,
     peers: PeerServer,
     runtime: Runtime,
 }
@@ -54,7 +49,9 @@
         let peers = PeerServer::start(runtime.handle(), address, handler)
             .wrap_err_with(|| format!("cannot listen on {address}"))?;
         control_port::start(&context)?;
-        let callers = start_callers(&context, &guard)?;
+        let address = context.settings.caller_address();
+        let callers = CallersPort::start(runtime.handle(), &context, &guard)
+            .wrap_err_with(|| format!("cannot listen on {address}"))?;
         for thread in [membership::run, table_sync::run] {
             let context = context.clone();
             thread::spawn(move || thread(&context));
@@ -82,8 +79,8 @@
         log_event!(Info, events::ROUTER_STOPPING, "node" = context.node());
         context.leave();
         let until = boot_clock::now() + Duration::from_millis(context.settings.limits.stop_ms);
-        while boot_clock::now() < until && !is_idle(context) && context.pause(STOP_STEP) {}
-        self.callers.unblock();
+        while boot_clock::now() < until && !self.is_idle() && context.pause(STOP_STEP) {}
+        self.callers.close();
         self.peers.close();
         context.end();
         context.owner().end_lease();
@@ -96,76 +93,14 @@
         );
         self.runtime.shutdown_background();
     }
-}
 
-/// True where this router owns nothing more and nothing is at work.
-fn is_idle(context: &RouterContext) -> bool {
-    let named = context.own_cell().is_some_and(|cell| {
-        let mut owned = cell.owned_by(context.node(), context.incarnation);
-        owned.next().is_some()
-    });
-    !named && context.releases.in_flight() == 0
-}
-
-// --- the callers' side --------------------------------------------------------------------------
-
-fn start_callers(context: &Arc<RouterContext>, guard: &GuardPool) -> eyre::Result<Arc<Server>> {
-    let address = context.settings.caller_address();
-    let server =
-        Server::http(address).map_err(|error| eyre!("cannot listen on {address}: {error}"))?;
-    let server = Arc::new(server);
-    let limits = context.settings.limits;
-    let busy = Arc::new(AtomicUsize::new(0));
-    for _ in 0..limits.caller_workers + REFUSERS {
-        let (context, guard) = (context.clone(), guard.clone());
-        let (server, busy) = (server.clone(), busy.clone());
-        thread::spawn(move || work(&context, &guard, &server, &busy));
-    }
-    Ok(server)
-}
-
-/// Takes requests straight from the HTTP server.
-///
-/// There are a few more threads than requests that may be worked on: what comes above the bound finds
-/// a thread that refuses it at once. A channel between a listener and the workers did the same, but
-/// cost a wake-up for each request.
-fn work(context: &RouterContext, guard: &GuardPool, server: &Server, busy: &AtomicUsize) {
-    while let Ok(mut request) = server.recv() {
-        let others = busy.fetch_add(1, Ordering::Relaxed);
-        let verdict = if others < context.settings.limits.caller_workers {
-            route(context, guard, &mut request)
-        } else {
-            overloaded()
-        };
-        reply::process(request, verdict);
-        busy.fetch_sub(1, Ordering::Relaxed);
+    /// True where this router owns nothing more and nothing is at work.
+    fn is_idle(&self) -> bool {
+        let context = &self.context;
+        let named = context.own_cell().is_some_and(|cell| {
+            let mut owned = cell.owned_by(context.node(), context.incarnation);
+            owned.next().is_some()
+        });
+        !named && context.releases.in_flight() == 0 && self.callers.in_flight() == 0
     }
 }
-
-fn route(context: &RouterContext, guard: &GuardPool, http: &mut Request) -> RequestVerdict {
-    let began = boot_clock::now();
-    let accepted = match accept::process(http, &context.settings.limits) {
-        Ok(accepted) => accepted,
-        Err(verdict) => {
-            log_event!(Info, events::REQUEST_REFUSED, "verdict" = verdict.word());
-            return verdict;
-        }
-    };
-    let outcome = forward::process(context, guard, &accepted);
-    let took = boot_clock::now().saturating_sub(began);
-    let hop = outcome.hop.as_ref().map_or("-", |hop| match hop {
-        crate::stages::resolve::NextHop::Here => "here",
-        crate::stages::resolve::NextHop::Peer(node, _) => node,
-    });
-    log_event!(
-        Info,
-        events::REQUEST_ROUTED,
-        "service" = accepted.request.service,
-        "key" = accepted.request.key,
-        "hop" = hop,
-        "tries" = outcome.tries,
-        "verdict" = outcome.verdict.word(),
-        "us" = took.as_micros()
-    );
-    outcome.verdict
-}
--- a/crates/anvilrack-router/src/stages/accept.rs
+++ b/crates/anvilrack-router/src/stages/accept.rs
@@ -1,17 +1,18 @@
 //! First stage: from HTTP to a typed request.
 
-use std::io::Read;
+use std::net::IpAddr;
+use std::str::Utf8Error;
 use std::sync::Arc;
 use std::time::Duration;
 
 use anvilrack_core::{BootTime, RefusalReason, RequestVerdict};
 use anvilrack_settings::RouterLimits;
 use anvilrack_wire::{BodyBytes, ForwardRequest};
+use hyper::header::HeaderValue;
+use hyper::http::request::Parts;
 use percent_encoding::percent_decode_str;
-use tiny_http::Request;
 
 use super::RETRY_SOON;
-use crate::boot_clock;
 
 /// Longest path, in bytes.
 const PATH_LIMIT: usize = 4_096;
@@ -22,7 +23,7 @@
 /// Longest time a caller may allow.
 const TIMEOUT_LIMIT: Duration = Duration::from_mins(10);
 
-/// A request that was read whole.
+/// A request on its way to its owner.
 #[derive(Clone, Debug)]
 pub struct AcceptedRequest {
     /// The request as it goes on.
@@ -31,42 +32,55 @@
     pub deadline: BootTime,
 }
 
-/// Reads a caller's request.
+impl AcceptedRequest {
+    /// The request with its body, which is read after the head.
+    #[must_use]
+    pub fn with_body(mut self, body: BodyBytes) -> Self {
+        self.request.body = body;
+        self
+    }
+}
+
+/// Reads the head of a caller's request that came in at `began`.
 ///
 /// # Errors
 ///
-/// The verdict for a request that cannot be understood or is too large.
+/// The verdict for a request that cannot be understood.
 pub fn process(
-    http: &mut Request,
+    head: &Parts,
+    caller: IpAddr,
     limits: &RouterLimits,
+    began: BootTime,
 ) -> Result<AcceptedRequest, RequestVerdict> {
     let bad_request = || RequestVerdict::NotRun(RefusalReason::BadRequest, RETRY_SOON);
-    let path: Arc<str> = http.url().into();
+    let path: Arc<str> = head
+        .uri
+        .path_and_query()
+        .ok_or_else(bad_request)?
+        .as_str()
+        .into();
     let (service, key) = split_path(&path).ok_or_else(bad_request)?;
-    let timeout = read_timeout(http, limits).ok_or_else(bad_request)?;
-    let idempotency_key = header(http, "Idempotency-Key");
+    let timeout = read_timeout(head, limits).ok_or_else(bad_request)?;
+    // A key that cannot be read must not be taken for none: the request would run unrecorded.
+    let idempotency_key = header(head, "Idempotency-Key").map_err(|_| bad_request())?;
     if idempotency_key
         .as_ref()
         .is_some_and(|key| key.len() > IDEMPOTENCY_KEY_LIMIT)
     {
         return Err(bad_request());
     }
-    let deadline = boot_clock::now() + timeout;
-    let body = read_body(http, limits.body_bytes)?;
-    let caller = http
-        .remote_addr()
-        .map_or_else(String::new, |address| address.ip().to_string());
     let request = ForwardRequest {
         service,
         key,
-        method: http.method().as_str().into(),
-        content_type: header(http, "Content-Type"),
+        method: head.method.as_str().into(),
+        content_type: header(head, "Content-Type").map_err(|_| bad_request())?,
         idempotency_key,
-        caller: caller.into(),
+        caller: caller.to_string().into(),
         timeout,
-        body,
+        body: BodyBytes(Vec::new().into()),
         path,
     };
+    let deadline = began + timeout;
     Ok(AcceptedRequest { request, deadline })
 }
 
@@ -94,38 +108,17 @@
     })
 }
 
-fn read_timeout(http: &Request, limits: &RouterLimits) -> Option<Duration> {
-    let Some(text) = header(http, "Anvilrack-Timeout-Ms") else {
+fn read_timeout(head: &Parts, limits: &RouterLimits) -> Option<Duration> {
+    let Some(text) = header(head, "Anvilrack-Timeout-Ms").ok()? else {
         return Some(Duration::from_millis(limits.default_timeout_ms));
     };
     let timeout = Duration::from_millis(text.parse().ok()?);
     (timeout <= TIMEOUT_LIMIT).then_some(timeout)
 }
 
-fn read_body(http: &mut Request, limit: usize) -> Result<BodyBytes, RequestVerdict> {
-    let too_large = || RequestVerdict::NotRun(RefusalReason::BodyTooLarge, RETRY_SOON);
-    let announced = http.body_length();
-    if announced.is_some_and(|length| length > limit) {
-        return Err(too_large());
-    }
-    let mut body = Vec::with_capacity(announced.unwrap_or(0));
-    let reader = http.as_reader().take(limit as u64 + 1);
-    let read = std::io::BufReader::new(reader).read_to_end(&mut body);
-    let cut_short = announced.is_some_and(|length| body.len() < length);
-    if read.is_err() || cut_short {
-        return Err(RequestVerdict::NotRun(
-            RefusalReason::BadRequest,
-            RETRY_SOON,
-        ));
-    }
-    if body.len() > limit {
-        return Err(too_large());
-    }
-    Ok(BodyBytes(body.into()))
-}
-
-fn header(http: &Request, name: &str) -> Option<Arc<str>> {
-    let mut headers = http.headers().iter();
-    let found = headers.find(|header| header.field.as_str().as_str().eq_ignore_ascii_case(name));
-    found.map(|header| header.value.as_str().into())
+/// The value of a header; an error where it is not text.
+fn header(head: &Parts, name: &str) -> Result<Option<Arc<str>>, Utf8Error> {
+    let value = head.headers.get(name).map(HeaderValue::as_bytes);
+    let text = value.map(std::str::from_utf8).transpose()?;
+    Ok(text.map(Into::into))
 }
--- a/crates/anvilrack-router/src/stages/reply.rs
+++ b/crates/anvilrack-router/src/stages/reply.rs
@@ -3,43 +3,67 @@
 use std::time::Duration;
 
 use anvilrack_core::RequestVerdict;
-use tiny_http::{Header, Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Bytes;
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+
+/// The body of an answer to a caller.
+pub type ReplyBody = Full<Bytes>;
 
 /// Status of an answer that nobody can vouch for.
 const MAY_HAVE_RUN_STATUS: u16 = 504;
 
-/// Answers the caller; a caller that is gone is not an error.
-pub fn process(http: Request, verdict: RequestVerdict) {
+/// Says whether the request ran.
+const VERDICT: HeaderName = HeaderName::from_static("anvilrack-verdict");
+
+/// Says why a request was refused, or why nobody can tell.
+const REASON: HeaderName = HeaderName::from_static("anvilrack-reason");
+
+/// Turns a verdict into an answer; `last` asks the caller to use another connection after it.
+#[must_use]
+pub fn process(verdict: RequestVerdict, last: bool) -> Response<ReplyBody> {
     let word = verdict.word();
-    let response = match verdict {
+    let mut response = match verdict {
         RequestVerdict::Ran(answer) => {
-            let response = Response::from_data(answer.body.to_vec())
-                .with_status_code(StatusCode(answer.status));
-            with_header(response, "Content-Type", answer.content_type.as_deref())
+            let body = Bytes::from_owner(answer.body);
+            let response = new_response(answer.status, body);
+            with_header(response, CONTENT_TYPE, answer.content_type.as_deref())
         }
         RequestVerdict::NotRun(reason, retry_after) => {
-            let response = Response::from_data(format!("not run: {}\n", reason.word()))
-                .with_status_code(StatusCode(reason.status()));
-            let response = with_header(response, "Anvilrack-Reason", Some(reason.word()));
-            with_header(response, "Retry-After", Some(&whole_seconds(retry_after)))
+            let text = format!("not run: {}\n", reason.word());
+            let response = new_response(reason.status(), text.into());
+            let response = with_header(response, REASON, Some(reason.word()));
+            with_header(response, RETRY_AFTER, Some(&whole_seconds(retry_after)))
         }
         RequestVerdict::MayHaveRun(reason) => {
-            let response = Response::from_data(format!("may have run: {}\n", reason.word()))
-                .with_status_code(StatusCode(MAY_HAVE_RUN_STATUS));
-            with_header(response, "Anvilrack-Reason", Some(reason.word()))
+            let text = format!("may have run: {}\n", reason.word());
+            let response = new_response(MAY_HAVE_RUN_STATUS, text.into());
+            with_header(response, REASON, Some(reason.word()))
         }
     };
-    let _ = http.respond(with_header(response, "Anvilrack-Verdict", Some(word)));
+    if last {
+        response = with_header(response, CONNECTION, Some("close"));
+    }
+    with_header(response, VERDICT, Some(word))
 }
 
-type DataResponse = Response<std::io::Cursor<Vec<u8>>>;
+fn new_response(status: u16, body: Bytes) -> Response<ReplyBody> {
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    response
+}
 
-fn with_header(response: DataResponse, name: &str, value: Option<&str>) -> DataResponse {
-    let header = value.and_then(|value| Header::from_bytes(name, value).ok());
-    match header {
-        Some(header) => response.with_header(header),
-        None => response,
+fn with_header(
+    mut response: Response<ReplyBody>,
+    name: HeaderName,
+    value: Option<&str>,
+) -> Response<ReplyBody> {
+    let value = value.and_then(|value| HeaderValue::from_str(value).ok());
+    if let Some(value) = value {
+        response.headers_mut().insert(name, value);
     }
+    response
 }
 
 /// `Retry-After` counts whole seconds; it is rounded up.
