Never tell a resend that it has not run while its claim is at work

Cause: an owner that was giving its shard away refused a resend as 'not-run: moving' although the first send was at work there and ran. Its caller would have claimed again under a new key.

The record is looked up before such a refusal. Ruled out: waiting longer for the move (the release waits for that very claim).

Conclusion: an owner's not-run holds for all sends it knows of.

--- a/crates/anvilrack-core/src/run_record.rs
+++ b/crates/anvilrack-core/src/run_record.rs
@@ -181,6 +181,15 @@
         RecordStep::Run
     }
 
+    /// What is known of a request that is not going to run here; `None` where nothing is.
+    ///
+    /// A router that may not serve the shard any more uses this, so that a resend is never told that it has
+    /// not run while the first one is at work or kept.
+    #[must_use]
+    pub fn look_up(&self, key: &RecordKey, fingerprint: u64) -> Option<RecordStep> {
+        self.runs.get(key).map(|run| known_step(run, fingerprint))
+    }
+
     /// Keeps what came of a request that [`RecordStep::Run`] let go; one that surely has not run is
     /// forgotten.
     pub fn settle(&mut self, key: &RecordKey, verdict: &RequestVerdict, now: BootTime) {
--- a/crates/anvilrack-core/tests/run_record.rs
+++ b/crates/anvilrack-core/tests/run_record.rs
@@ -149,6 +149,17 @@
         assert_eq!(next.begin(&old, at(114)), may_have_run(UncertainReason::RecordLost));
     }
 
+    looking_up_starts_nothing(record) {
+        let request = claim("a", Some(at(0)));
+        assert_eq!(record.look_up(&request.key, 11), None);
+        assert_eq!(record.entries(), 0);
+        record.begin(&request, at(0));
+        assert_eq!(record.look_up(&request.key, 11), Some(RecordStep::Join));
+        record.settle(&request.key, &answer(5), at(1));
+        let kept = RecordStep::Answer(answer(5));
+        assert_eq!(record.look_up(&request.key, 11), Some(kept));
+    }
+
     a_kept_answer_outlives_a_record_that_comes_back(record) {
         let request = claim("a", Some(at(0)));
         record.begin(&request, at(0));
--- a/crates/anvilrack-harness/tests/requests_once.rs
+++ b/crates/anvilrack-harness/tests/requests_once.rs
@@ -150,6 +150,33 @@
     assert_eq!(runs_of(&deployment, &id).len(), 1);
 }
 
+#[test]
+fn a_resend_during_a_drain_joins_the_claim_that_is_at_work() {
+    let mut plan = DeploymentPlan::new("bookings", 2);
+    plan.service_time = Duration::from_millis(2_500);
+    let deployment = with_plan(plan);
+    let probe = new_id();
+    assert_eq!(
+        post(deployment.callers[0], "seat", &probe, "probe").verdict,
+        "ran"
+    );
+    let owner = owner_of(&deployment, &probe);
+    let (owning, other) = (deployment.callers[owner], deployment.callers[1 - owner]);
+    let id = new_id();
+    let (first, again) = thread::scope(|scope| {
+        let first = scope.spawn(|| post(owning, "seat", &id, "claim"));
+        thread::sleep(Duration::from_millis(300));
+        deployment.routers[owner].terminate();
+        // Long enough that the owner has stopped to take new requests.
+        thread::sleep(Duration::from_millis(1_500));
+        let again = post(other, "seat", &id, "claim");
+        (first.join().unwrap(), again)
+    });
+    assert_eq!(first.verdict, "ran");
+    assert_eq!(again, first);
+    assert_eq!(runs_of(&deployment, &id).len(), 1);
+}
+
 #[test]
 fn a_resend_after_the_owner_was_killed_is_told_that_it_may_have_run() {
     let mut deployment = start(3);
--- a/crates/anvilrack-router/src/run_keeper.rs
+++ b/crates/anvilrack-router/src/run_keeper.rs
@@ -84,6 +84,27 @@
         }
     }
 
+    /// What to tell of a request that will not run here: the outcome of the same request where one is
+    /// known, waiting for one that is at work; `None` where nothing is known.
+    pub fn look_up(
+        &self,
+        key: &RecordKey,
+        fingerprint: u64,
+        deadline: BootTime,
+    ) -> Option<RequestVerdict> {
+        let mut record = self.record();
+        loop {
+            match record.look_up(key, fingerprint)? {
+                RecordStep::Run => return None,
+                RecordStep::Answer(verdict) => return Some(verdict),
+                RecordStep::Join => match self.join(record, deadline) {
+                    Ok(later) => record = later,
+                    Err(verdict) => return Some(verdict),
+                },
+            }
+        }
+    }
+
     /// The entries of a shard for its next owner.
     #[must_use]
     pub fn export(&self, shard: ShardId, record_lost_at: Option<BootTime>) -> ExportedShard {
--- a/crates/anvilrack-router/src/stages/guard.rs
+++ b/crates/anvilrack-router/src/stages/guard.rs
@@ -37,7 +37,10 @@
     let _in_use = context.releases.enter(shard);
     let grant = match context.owner().grant(shard, boot_clock::now()) {
         Ok(grant) => grant,
-        Err(reason) => return refuse(reason),
+        Err(reason) => {
+            let known = look_up(context, request, deadline);
+            return known.unwrap_or_else(|| refuse(reason));
+        }
     };
     let ticket = match begin_run(context, request, shard, grant, deadline) {
         Ok(ticket) => ticket,
@@ -50,6 +53,16 @@
     verdict
 }
 
+/// What the record of this router knows of a request that may not run here any more.
+fn look_up(
+    context: &RouterContext,
+    request: &ForwardRequest,
+    deadline: BootTime,
+) -> Option<RequestVerdict> {
+    let key = record_key(request)?;
+    context.runs.look_up(&key, record_print(request), deadline)
+}
+
 /// Enters a non-idempotent request into the record; one without an idempotency key has no entry.
 fn begin_run<'a>(
     context: &'a RouterContext,
@@ -58,29 +71,39 @@
     grant: GrantAnswer,
     deadline: BootTime,
 ) -> Result<Option<RunTicket<'a>>, RequestVerdict> {
-    let Some(idempotency_key) = request.recorded_key() else {
+    let Some(key) = record_key(request) else {
         return Ok(None);
     };
     let unix_now = Duration::from_millis(boot_clock::unix_ms());
     let margin = context.runs.clock_margin();
+    let first_sent = first_sent_at(&key.idempotency_key, unix_now, boot_clock::now(), margin);
     let entry = RecordRequest {
-        key: RecordKey {
-            service: request.service.clone(),
-            key: request.key.clone(),
-            idempotency_key: idempotency_key.clone(),
-        },
+        key,
         shard,
-        fingerprint: fingerprint_of(&[
-            request.method.as_bytes(),
-            request.path.as_bytes(),
-            &request.body.0,
-        ]),
-        first_sent: first_sent_at(idempotency_key, unix_now, boot_clock::now(), margin),
+        fingerprint: record_print(request),
+        first_sent,
         record_lost_at: grant.record_lost.then_some(grant.since),
     };
     context.runs.begin(&entry, deadline).map(Some)
 }
 
+fn record_key(request: &ForwardRequest) -> Option<RecordKey> {
+    request.recorded_key().map(|idempotency_key| RecordKey {
+        service: request.service.clone(),
+        key: request.key.clone(),
+        idempotency_key: idempotency_key.clone(),
+    })
+}
+
+/// Tells a resend from another request under the same idempotency key.
+fn record_print(request: &ForwardRequest) -> u64 {
+    fingerprint_of(&[
+        request.method.as_bytes(),
+        request.path.as_bytes(),
+        &request.body.0,
+    ])
+}
+
 /// Finds room and puts the request to the target; waiting may take time, so the grant is looked at
 /// after that.
 fn run(
