--- a/crates/anvilrack-router/src/lib.rs
+++ b/crates/anvilrack-router/src/lib.rs
@@ -10,6 +10,8 @@
 pub mod accept_kick;
 pub mod admission_desk;
 pub mod boot_clock;
+pub mod caller_body;
+pub mod callers_port;
 pub mod cell_reader;
 pub mod config_watch;
 pub mod control_port;
