Give each rule of ownership a mutant with a trace

Cause: a search that can't fail proves nothing. Each of 18 rules has a mutant; a fixed beginning keeps its search short, and the model with the rule in place is searched from the same beginning and has no trace. Ruled out: a mutant of the epoch check alone, since a lease counted from the sending has ended anyway; it is searched with that rule dropped too, and the control drops that rule alone.

--- a/crates/anvilrack-model/src/lib.rs
+++ b/crates/anvilrack-model/src/lib.rs
@@ -19,7 +19,10 @@
 
 pub use dropped_rule::DroppedRule;
 pub use fair_run::is_served_soon;
-pub use model_terms::{FaultKind, ModelOptions, NODE_COUNT, SearchBounds, model_terms};
+pub use model_terms::{
+    FaultKind, ModelOptions, NODE_COUNT, OpeningStep, SearchBounds, long_authority_terms,
+    long_promise_terms, model_terms,
+};
 pub use property_check::BrokenProperty;
 pub use router_model::RouterModel;
 pub use state_search::{FoundTrace, SearchReport, StateSearch};
--- a/crates/anvilrack-model/src/main.rs
+++ b/crates/anvilrack-model/src/main.rs
@@ -2,6 +2,7 @@
 
 use anvilrack_model::{
     DroppedRule, FaultKind, ModelOptions, SearchBounds, SearchReport, StateSearch,
+    long_promise_terms, model_terms,
 };
 
 mod model_flags;
@@ -29,11 +30,25 @@
         flags.kind.is_empty() || flags.kind.contains(&name)
     };
     let kinds: Vec<_> = FaultKind::ALL.into_iter().filter(named).collect();
+    let terms = if flags.long_promise {
+        long_promise_terms()
+    } else {
+        model_terms()
+    };
     let options = ModelOptions {
+        terms,
         dropped: None,
-        checks_fence: flags.checks_fence,
+        checks_fence: !flags.no_fence,
+    };
+    let bounds = SearchBounds {
+        horizon: flags.horizon.unwrap_or(18),
+        faults: flags.faults.unwrap_or(2),
+        kinds,
+        opening: Vec::new(),
+        max_states: flags.max_states.unwrap_or(1_000_000),
+        liveness: flags.liveness,
     };
-    let report = search(flags, options, kinds);
+    let report = StateSearch::new(options, bounds).run();
     print_report("sound", &report, true);
     report.trace.is_some()
 }
@@ -46,26 +61,25 @@
         if flags.mutant.as_ref().is_some_and(|wanted| *wanted != name) {
             continue;
         }
-        let options = ModelOptions {
-            dropped: Some(rule),
-            checks_fence: flags.checks_fence,
-        };
-        let report = search(flags, options, rule.faults().to_vec());
+        let report = StateSearch::new(rule.options(), rule.bounds()).run();
         print_report(&name, &report, flags.mutant.is_some());
         found &= report.trace.is_some();
+        if flags.kept {
+            found &= !breaks_when_kept(rule);
+        }
     }
     found
 }
 
-fn search(flags: &AnvilrackModel, options: ModelOptions, kinds: Vec<FaultKind>) -> SearchReport {
-    let bounds = SearchBounds {
-        horizon: flags.horizon.unwrap_or(16),
-        faults: flags.faults.unwrap_or(2),
-        kinds,
-        max_states: flags.max_states.unwrap_or(2_000_000),
-        liveness: flags.liveness,
+/// Searches the model with the rule in place within the same bounds; true where it found a trace.
+fn breaks_when_kept(rule: DroppedRule) -> bool {
+    let options = ModelOptions {
+        dropped: rule.backing(),
+        ..rule.options()
     };
-    StateSearch::new(options, bounds).run()
+    let report = StateSearch::new(options, rule.bounds()).run();
+    print_report("  rule kept", &report, true);
+    report.trace.is_some()
 }
 
 fn print_report(name: &str, report: &SearchReport, in_full: bool) {
--- a/crates/anvilrack-model/src/model_flags.rs
+++ b/crates/anvilrack-model/src/model_flags.rs
@@ -7,6 +7,8 @@
         optional --mutants
         /// Search this mutant and print its trace.
         optional --mutant mutant: String
+        /// Besides each mutant, search the model with its rule in place.
+        optional --kept
         /// Ticks after the start.
         optional --horizon horizon: u32
         /// Most faults in one run.
@@ -17,7 +19,9 @@
         optional --max-states max_states: usize
         /// Check that each state leads to a served shard.
         optional --liveness
-        /// Targets refuse older fencing tokens.
-        optional --checks-fence
+        /// Targets take any fencing token.
+        optional --no-fence
+        /// Times under which promises outlast all else.
+        optional --long-promise
     }
 }
--- a/crates/anvilrack-model/src/router_model.rs
+++ b/crates/anvilrack-model/src/router_model.rs
@@ -4,15 +4,15 @@
 
 use anvilrack_core::{
     BootTime, CellMember, CellRecord, CoordinatorState, Incarnation, LeaseTerms, MemberReport,
-    NodeId, OwnerState, ReleaseReport, RenewalAnswer, StandbyState,
+    NodeId, OwnerState, ReleaseReport, RenewalAnswer, ShardId, StandbyState,
 };
 
 /// One run of a router.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct RouterModel {
     pub(crate) node: NodeId,
-    pub(crate) rank: usize,
     pub(crate) incarnation: Incarnation,
+    pub(crate) ready: bool,
     pub(crate) leaving: bool,
     pub(crate) slipped: u32,
     pub(crate) owner: OwnerState,
@@ -28,6 +28,8 @@
     /// When the request at the target ends, and its shard.
     pub(crate) busy_until: Option<BootTime>,
     pub(crate) released: Vec<ReleaseReport>,
+    /// Shards to give back.
+    pub(crate) orders: Vec<ShardId>,
 }
 
 /// A takeover write of unknown outcome.
@@ -59,8 +61,8 @@
     pub fn new(rank: usize, incarnation: Incarnation, terms: LeaseTerms, now: BootTime) -> Self {
         let node: NodeId = format!("router-{rank}").into();
         Self {
-            rank,
             incarnation,
+            ready: rank != 0,
             leaving: false,
             slipped: 0,
             owner: OwnerState::new(node.clone(), incarnation, terms),
@@ -73,6 +75,7 @@
             late: None,
             busy_until: None,
             released: Vec::new(),
+            orders: Vec::new(),
             node,
         }
     }
@@ -96,7 +99,7 @@
         MemberReport {
             member: self.member(),
             epoch: self.owner.epoch(),
-            ready: self.rank != 0,
+            ready: self.ready,
             released: self.released.clone(),
         }
     }
--- a/crates/anvilrack-model/src/state_search.rs
+++ b/crates/anvilrack-model/src/state_search.rs
@@ -100,14 +100,15 @@
             self.successors(&setup, node)
         };
         let success = |node: &SearchNode| self.verdict(&setup, &node.state).is_some();
-        let start = SearchNode::new(SystemState::new(self.options), 0);
+        let (start, opening) = SystemState::new(self.options).open(&setup, &self.bounds.opening);
+        let start = SearchNode::new(start, 0);
         let path = bfs(&start, successors, success);
         SearchReport {
             states: states.get(),
             depth: depth.get(),
             time: started.elapsed(),
             cut_short: cut_short.get(),
-            trace: path.and_then(|path| self.trace_of(&setup, &path)),
+            trace: path.and_then(|path| self.trace_of(&setup, opening, &path)),
         }
     }
 
@@ -127,18 +128,21 @@
         state.broken().or_else(stuck)
     }
 
-    fn trace_of(&self, setup: &SystemSetup, path: &[SearchNode]) -> Option<FoundTrace> {
+    fn trace_of(
+        &self,
+        setup: &SystemSetup,
+        opening: Vec<(u32, SystemAction)>,
+        path: &[SearchNode],
+    ) -> Option<FoundTrace> {
         let broken = self.verdict(setup, &path.last()?.state)?;
-        let actions = path
-            .windows(2)
-            .filter_map(|pair| {
-                let (from, to) = (&pair[0].state, &pair[1].state);
-                let mut actions = from.actions(&self.bounds).into_iter();
-                let action =
-                    actions.find(|action| from.apply(setup, *action).as_ref() == Some(&**to))?;
-                Some((from.tick, action))
-            })
-            .collect();
+        let found = path.windows(2).filter_map(|pair| {
+            let (from, to) = (&pair[0].state, &pair[1].state);
+            let mut actions = from.actions(&self.bounds).into_iter();
+            let action =
+                actions.find(|action| from.apply(setup, *action).as_ref() == Some(&**to))?;
+            Some((from.tick, action))
+        });
+        let actions = opening.into_iter().chain(found).collect();
         Some(FoundTrace { broken, actions })
     }
 }
--- a/crates/anvilrack-model/src/system_action.rs
+++ b/crates/anvilrack-model/src/system_action.rs
@@ -9,24 +9,27 @@
 pub enum RouterStep {
     /// As coordinator: read the store, then write what is planned.
     Office,
-    /// Send a heartbeat and take its answer.
-    Beat,
     /// As coordinator: make the committed record known.
     Publish,
+    /// Send a heartbeat and take its answer.
+    Beat,
     /// As coordinator: ask the standbys for promises.
     Promise,
     /// Look after a coordinator that stays silent.
     Watch,
+    /// Stop serving the shards that are to be given back.
+    Release,
 }
 
 impl RouterStep {
     /// All steps of one tick.
-    pub const ALL: [Self; 5] = [
+    pub const ALL: [Self; 6] = [
         Self::Office,
-        Self::Beat,
         Self::Publish,
+        Self::Beat,
         Self::Promise,
         Self::Watch,
+        Self::Release,
     ];
 }
 
@@ -37,6 +40,8 @@
     Step(usize, RouterStep),
     /// The next step, where the reply to its write is lost.
     StepUnanswered(usize, RouterStep, WriteFate),
+    /// The next step would have made a record known, and is put off to the next tick.
+    SkipPublish(usize),
     /// The next step is a heartbeat that arrives late.
     RequestLate(usize),
     /// The next step is a heartbeat whose answer arrives late.
@@ -75,6 +80,7 @@
             Self::StepUnanswered(rank, step, fate) => {
                 write!(f, "router-{rank}: {step:?}, reply lost, write {fate:?}")
             }
+            Self::SkipPublish(rank) => write!(f, "router-{rank}: Publish put off"),
             Self::RequestLate(rank) => write!(f, "router-{rank}: heartbeat sent, under way"),
             Self::AnswerLate(rank) => write!(f, "router-{rank}: heartbeat answered, under way"),
             Self::Deliver(rank) => write!(f, "router-{rank}: late message arrives"),
--- a/crates/anvilrack-model/src/system_state.rs
+++ b/crates/anvilrack-model/src/system_state.rs
@@ -9,8 +9,8 @@
 use crate::router_model::RouterModel;
 use crate::system_steps::StepContext;
 use crate::{
-    DroppedRule, FaultKind, ModelOptions, NODE_COUNT, RouterStep, SearchBounds, StoreModel,
-    SystemAction, WriteFate, model_terms,
+    DroppedRule, FaultKind, ModelOptions, NODE_COUNT, OpeningStep, RouterStep, SearchBounds,
+    StoreModel, SystemAction, WriteFate,
 };
 
 /// The store's bit in a [`SystemAction::Partition`].
@@ -25,11 +25,14 @@
 /// Ticks of undisturbed work before the search begins.
 const WARM_UP_TICKS: u32 = 8;
 
+/// How long the first standby has no target in the warm-up, so that the other one is the owner.
+const UNREADY_TICKS: u32 = 4;
+
 /// When the clocks of the model begin.
 const FIRST_TICK: u32 = 10;
 
 /// Longest request, in milliseconds, which are the ticks of the model.
-const REQUEST_MS: u64 = 3;
+const REQUEST_MS: u64 = 5;
 
 /// What stays the same during a run.
 #[derive(Clone, Debug)]
@@ -57,7 +60,7 @@
 
 impl SystemSetup {
     pub(crate) fn new(options: ModelOptions) -> Self {
-        let mut terms = model_terms();
+        let mut terms = options.terms;
         if options.dropped == Some(DroppedRule::DriftMargin) {
             terms.drift_margin = BootTime::ZERO;
         }
@@ -80,7 +83,8 @@
     }
 
     pub(crate) fn drops(&self, rule: DroppedRule) -> bool {
-        self.options.dropped == Some(rule)
+        let dropped = self.options.dropped;
+        dropped == Some(rule) || dropped.and_then(DroppedRule::backing) == Some(rule)
     }
 }
 
@@ -91,10 +95,43 @@
         let setup = SystemSetup::new(options);
         let mut state = Self::empty(&setup);
         state.create_cell(&setup);
-        while state.tick < FIRST_TICK + WARM_UP_TICKS {
-            state = state.apply(&setup, state.next_scheduled()).unwrap_or(state);
+        Arc::make_mut(&mut state.routers[1]).ready = false;
+        state = state.run_ticks(&setup, UNREADY_TICKS);
+        Arc::make_mut(&mut state.routers[1]).ready = true;
+        state.run_ticks(&setup, WARM_UP_TICKS - UNREADY_TICKS)
+    }
+
+    /// Runs a fixed beginning; says what happened on the way.
+    pub(crate) fn open(
+        mut self,
+        setup: &SystemSetup,
+        opening: &[OpeningStep],
+    ) -> (Self, Vec<(u32, SystemAction)>) {
+        let mut actions = Vec::new();
+        for step in opening {
+            match step {
+                OpeningStep::Act(action) => {
+                    actions.push((self.tick, *action));
+                    self = self.apply(setup, *action).unwrap_or(self);
+                }
+                OpeningStep::Ticks(count) => self = self.run_ticks(setup, *count),
+                OpeningStep::Before(rank, step) => {
+                    let wanted = SystemAction::Step(*rank, *step);
+                    while self.next_scheduled() != wanted {
+                        self = self.apply(setup, self.next_scheduled()).unwrap_or(self);
+                    }
+                }
+            }
         }
-        state
+        (self, actions)
+    }
+
+    fn run_ticks(mut self, setup: &SystemSetup, count: u32) -> Self {
+        let until = self.tick + count;
+        while self.tick < until {
+            self = self.apply(setup, self.next_scheduled()).unwrap_or(self);
+        }
+        self
     }
 
     fn empty(setup: &SystemSetup) -> Self {
@@ -188,6 +225,7 @@
     fn add_faults(&self, kind: FaultKind, actions: &mut Vec<SystemAction>) {
         match kind {
             FaultKind::LateMessage => self.add_late(actions),
+            FaultKind::SlowPublish => self.add_slow_publish(actions),
             FaultKind::StoreReply => self.add_unanswered(actions),
             _ if self.is_between_rows() => self.add_outer_faults(kind, actions),
             _ => {}
@@ -212,7 +250,7 @@
                 actions.extend(ranks.map(SystemAction::ClockSlip));
             }
             FaultKind::Request => actions.extend(running.map(SystemAction::BeginRequest)),
-            FaultKind::Drain if !self.routers[1].leaving => actions.push(SystemAction::Drain(1)),
+            FaultKind::Drain if !self.routers[2].leaving => actions.push(SystemAction::Drain(2)),
             _ => {}
         }
     }
@@ -226,6 +264,12 @@
         }
     }
 
+    fn add_slow_publish(&self, actions: &mut Vec<SystemAction>) {
+        if let SystemAction::Step(rank, RouterStep::Publish) = self.next_scheduled() {
+            actions.push(SystemAction::SkipPublish(rank));
+        }
+    }
+
     fn add_unanswered(&self, actions: &mut Vec<SystemAction>) {
         if let SystemAction::Step(rank, step @ (RouterStep::Office | RouterStep::Watch)) =
             self.next_scheduled()
@@ -259,6 +303,9 @@
             SystemAction::Step(rank, step) | SystemAction::StepUnanswered(rank, step, _) => {
                 next.cursor = place_of(rank, step) + 1;
             }
+            SystemAction::SkipPublish(rank) => {
+                next.cursor = place_of(rank, RouterStep::Publish) + 1;
+            }
             SystemAction::RequestLate(rank) | SystemAction::AnswerLate(rank) => {
                 next.cursor = place_of(rank, RouterStep::Beat) + 1;
             }
--- a/crates/anvilrack-model/src/system_steps.rs
+++ b/crates/anvilrack-model/src/system_steps.rs
@@ -43,6 +43,7 @@
             RouterStep::Publish => self.publish(rank),
             RouterStep::Promise => self.ask_promises(rank),
             RouterStep::Watch => self.watch(rank),
+            RouterStep::Release => self.release(rank),
         }
     }
 
@@ -229,8 +230,15 @@
                 .owner
                 .on_renewal(from, answer.epoch.max(own_epoch), version);
         }
-        for order in answer.release {
-            router.owner.release(order.shard);
+        let orders = answer.release.into_iter();
+        router.orders = orders.map(|order| order.shard).collect();
+    }
+
+    /// Releases run beside the heartbeats.
+    fn release(&mut self, rank: usize) {
+        let router = self.router(rank);
+        for shard in std::mem::take(&mut router.orders) {
+            router.owner.release(shard);
         }
         self.end_releases(rank);
     }
@@ -447,6 +455,7 @@
         let mut router = RouterModel::new(rank, incarnation, self.setup.terms, now);
         router.slipped = old.slipped;
         router.leaving = old.leaving;
+        router.ready = old.ready;
         // The target goes on with what it runs.
         router.busy_until = old.busy_until;
         router.unbound = old.unbound.as_ref().map(|_| router.standby.clone());
@@ -510,6 +519,7 @@
             }
             // A takeover of unknown outcome keeps the heartbeats waiting.
             RouterStep::Beat => self.takeover.is_none(),
+            RouterStep::Release => !self.orders.is_empty(),
             RouterStep::Watch => {
                 self.takeover.is_some() || self.next_step(now) != TakeoverStep::Wait
             }
--- a/crates/anvilrack-model/tests/sound_model.rs
+++ b/crates/anvilrack-model/tests/sound_model.rs
@@ -12,6 +12,7 @@
                     horizon: $horizon,
                     faults: $faults,
                     kinds: vec![$(FaultKind::$kind),*],
+                    opening: Vec::new(),
                     max_states: 1_000_000,
                     liveness: $liveness,
                 };
