Count no promise that a standby's former run gave

Cause: a coordinator kept counting the promise of a standby that had restarted. The new run knows of no promise, is named again by the next record, and takes over. Trace (times with promise 14, authority 2, lease 4, margin 1; 48 steps, 0.4 s): tick 18 router-1 restarts; tick 20 it is named again, and a partition leaves router-0 with the owner, router-1 with the store; tick 22 router-1 takes over; until tick 29 router-0 renews on the old promise; tick 30 router-1 gives the shard away: TwoOwners. Before: trace; after: no trace in the same bounds (test promise_of_former_run, exhaustive). Ruled out: the times of today, where a promise is no longer than authority; there the wait for silent owners covers it. Mended: a new run heard of ends the promise, and an answer to a call sent no later than that is not counted. Four focused tests in anvilrack-core/tests/coordinator_state.rs.

--- a/crates/anvilrack-core/src/coordinator_state.rs
+++ b/crates/anvilrack-core/src/coordinator_state.rs
@@ -155,6 +155,10 @@
             .entry(report.member.node.clone())
             .or_insert_with(|| MemberView::silent(BootTime::ZERO, BootTime::ZERO));
         let current = view.take_report(report, now);
+        if view.replaced_at == now {
+            // What its former run promised binds no one any more.
+            self.promises.remove(&report.member.node);
+        }
         if current && !view.confirmed && report.epoch == self.record.epoch {
             // It takes no renewal from an older coordinator any more, so what it holds ends soon.
             view.confirmed = true;
@@ -224,7 +228,14 @@
     }
 
     /// A standby answered a request for a promise that was sent at `sent_at`.
+    ///
+    /// Where that was before its present run was heard of, its former run may have answered, and the
+    /// answer changes nothing.
     pub fn on_promise(&mut self, node: &NodeId, sent_at: BootTime) {
+        let former_run = |view: &MemberView| sent_at <= view.replaced_at;
+        if self.members.get(node).is_none_or(former_run) {
+            return;
+        }
         let until = sent_at + self.terms.own_promise();
         let entry = self.promises.entry(node.clone()).or_default();
         *entry = (*entry).max(until);
--- /dev/null
+++ b/crates/anvilrack-core/tests/coordinator_state.rs
@@ -0,0 +1,97 @@
+//! The coordinator's leases, promises and office.
+
+use std::time::Duration;
+
+use anvilrack_core::{
+    BootTime, CellMember, CellRecord, CoordinatorState, Incarnation, LeaseTerms, MemberReport,
+    WriterStamp,
+};
+
+/// Names one case each.
+macro_rules! coordinator_cases {
+    ($($name:ident => $body:block)*) => {
+        $(
+            #[test]
+            fn $name() $body
+        )*
+    };
+}
+
+const EPOCH: u64 = 3;
+
+fn ms(count: u64) -> BootTime {
+    Duration::from_millis(count)
+}
+
+fn member(node: &str, incarnation: Incarnation) -> CellMember {
+    CellMember {
+        node: node.into(),
+        incarnation,
+        peer_address: ([127, 0, 0, 1], 1).into(),
+        failure_domain: node.into(),
+        region: "centro".into(),
+        leaving: false,
+    }
+}
+
+fn report(node: &str, incarnation: Incarnation) -> MemberReport {
+    MemberReport {
+        member: member(node, incarnation),
+        epoch: EPOCH,
+        ready: true,
+        released: Vec::new(),
+    }
+}
+
+fn record(coordinator: &str) -> CellRecord {
+    CellRecord {
+        epoch: EPOCH,
+        version: 9,
+        coordinator: coordinator.into(),
+        writer: WriterStamp {
+            node: coordinator.into(),
+            incarnation: 1,
+            sequence: 0,
+        },
+        standbys: vec!["b".into()],
+        members: vec![member("a", 1), member("b", 1)],
+        shards: vec![None],
+        ..CellRecord::default()
+    }
+}
+
+/// In office since time zero; its authority alone ends before a promise given at 1.1 s does.
+fn office() -> CoordinatorState {
+    let mut office = CoordinatorState::new(record("a"), LeaseTerms::default(), ms(0), ms(0), ms(0));
+    office.on_heartbeat(&report("b", 1), ms(1_000));
+    office
+}
+
+coordinator_cases! {
+    promise_outlasts_authority => {
+        let mut office = office();
+        office.on_promise(&"b".into(), ms(1_100));
+        assert!(office.may_renew(ms(2_000)));
+    }
+
+    promise_of_former_run_counts_no_longer => {
+        let mut office = office();
+        office.on_promise(&"b".into(), ms(1_100));
+        office.on_heartbeat(&report("b", 2), ms(1_200));
+        assert!(!office.may_renew(ms(2_000)));
+    }
+
+    late_promise_of_former_run_is_not_counted => {
+        let mut office = office();
+        office.on_heartbeat(&report("b", 2), ms(1_200));
+        office.on_promise(&"b".into(), ms(1_100));
+        assert!(!office.may_renew(ms(2_000)));
+    }
+
+    promise_of_new_run_counts => {
+        let mut office = office();
+        office.on_heartbeat(&report("b", 2), ms(1_200));
+        office.on_promise(&"b".into(), ms(1_300));
+        assert!(office.may_renew(ms(2_000)));
+    }
+}
--- a/crates/anvilrack-model/src/model_terms.rs
+++ b/crates/anvilrack-model/src/model_terms.rs
@@ -36,7 +36,7 @@
 pub fn long_promise_terms() -> LeaseTerms {
     LeaseTerms {
         authority: ticks(2),
-        promise: ticks(12),
+        promise: ticks(14),
         outage_limit: ticks(30),
         ..model_terms()
     }
--- a/crates/anvilrack-model/tests/sound_model.rs
+++ b/crates/anvilrack-model/tests/sound_model.rs
@@ -1,6 +1,9 @@
 //! The protocol as it stands has no trace within these bounds.
 
-use anvilrack_model::{FaultKind, ModelOptions, SearchBounds, StateSearch};
+use anvilrack_model::{
+    FaultKind, ModelOptions, OpeningStep, RouterStep, SearchBounds, StateSearch, SystemAction,
+    long_promise_terms,
+};
 
 /// Names one search each: the kinds of fault, the horizon in ticks, the most faults, liveness.
 macro_rules! sound_searches {
@@ -31,3 +34,29 @@
     pause_and_lost_reply: [Pause, StoreReply], 12, 2, false;
     drain_and_restore: [Drain, Restore], 14, 2, false;
 }
+
+/// A standby that restarts is named again; the promise of its former run must count no longer.
+#[test]
+fn promise_of_former_run() {
+    let alone = SystemAction::Partition(0b0_0101);
+    let bounds = SearchBounds {
+        horizon: 24,
+        faults: 2,
+        kinds: Vec::new(),
+        opening: vec![
+            OpeningStep::Act(SystemAction::Restart(1)),
+            OpeningStep::Ticks(2),
+            OpeningStep::Before(0, RouterStep::Promise),
+            OpeningStep::Act(alone),
+        ],
+        max_states: 400_000,
+        liveness: false,
+    };
+    let options = ModelOptions {
+        terms: long_promise_terms(),
+        ..ModelOptions::default()
+    };
+    let report = StateSearch::new(options, bounds).run();
+    assert!(!report.cut_short, "{} states are not all", report.states);
+    assert!(report.trace.is_none(), "{}", report.trace.unwrap());
+}
