Yield to another coordinator of the same epoch

Cause: after the store is put back to an earlier copy, a router that never heard of the epoch in force can take over with the same number; the coordinator in office read its record, took it for an old copy and went on renewing beside it. Found by reasoning from the trace RecordsDiverge of a restore during a change of coordinator. Before: test other_coordinator_of_same_epoch_takes_over fails, 6 others pass; after: 7 pass. Ruled out: to let the newcomer yield; it has waited for silent owners and the other has not. Conclusion: one coordinator stands down.

--- a/crates/anvilrack-core/src/coordinator_state.rs
+++ b/crates/anvilrack-core/src/coordinator_state.rs
@@ -264,7 +264,7 @@
             .is_some_and(|record| record.is_same_write(stored))
         {
             self.on_committed(sent_at);
-        } else if stored.epoch > self.record.epoch {
+        } else if self.is_superseded_by(stored) {
             self.superseded = true;
         } else {
             // An older record means that the store was put back to an earlier copy.
@@ -274,6 +274,14 @@
         !self.superseded
     }
 
+    /// True where another router has taken office since.
+    ///
+    /// After the store was put back to an earlier copy, that may have been with the same epoch.
+    fn is_superseded_by(&self, stored: &CellRecord) -> bool {
+        let other = stored.coordinator != self.node;
+        stored.epoch > self.record.epoch || (stored.epoch == self.record.epoch && other)
+    }
+
     /// The planned record is known to be in the store; the call that showed it went out at
     /// `sent_at`.
     pub fn on_committed(&mut self, sent_at: BootTime) {
--- a/crates/anvilrack-core/tests/coordinator_state.rs
+++ b/crates/anvilrack-core/tests/coordinator_state.rs
@@ -94,4 +94,23 @@
         office.on_promise(&"b".into(), ms(1_300));
         assert!(office.may_renew(ms(2_000)));
     }
+
+    other_coordinator_of_same_epoch_takes_over => {
+        let mut office = office();
+        assert!(!office.on_store_seen(&record("b"), ms(1_100)));
+        assert!(!office.may_renew(ms(1_100)));
+    }
+
+    own_record_of_older_version_is_written_again => {
+        let mut office = office();
+        let older = CellRecord { version: 8, ..record("a") };
+        assert!(office.on_store_seen(&older, ms(1_100)));
+        assert!(office.may_renew(ms(1_200)));
+    }
+
+    older_epoch_of_other_coordinator_is_an_old_copy => {
+        let mut office = office();
+        let older = CellRecord { epoch: EPOCH - 1, version: 8, ..record("b") };
+        assert!(office.on_store_seen(&older, ms(1_100)));
+    }
 }
