Let the last router of a cell take office again after a restart

Cause: a standby waits for ever where the record names its own router as the coordinator, also when that was a former run of it; with nobody else left the cell has no coordinator for good. Trace: tick 18 router-0 is lost; tick 38 router-2 is lost (router-1 coordinates by then); tick 58 router-1 restarts: NeverServed. Ruled out: taking over as a standby; others may have done so, and the wait of an outsider is the safe one for owners that stay silent. Conclusion: only the run that the record names waits for itself.

--- a/crates/anvilrack-core/src/standby_state.rs
+++ b/crates/anvilrack-core/src/standby_state.rs
@@ -62,10 +62,11 @@
 
     /// What to do about a coordinator at the time `now`.
     ///
-    /// The second standby waits twice as long as the first, so that they seldom race.
+    /// The second standby waits twice as long as the first, so that they seldom race. A router whose
+    /// former run was the coordinator waits like one that was not named.
     #[must_use]
     pub fn step(&self, record: &CellRecord, now: BootTime) -> TakeoverStep {
-        if record.coordinator == self.node || self.takeover_open || now < self.promised_until {
+        if self.is_in_office(record) || self.takeover_open || now < self.promised_until {
             return TakeoverStep::Wait;
         }
         let silence = now.saturating_sub(self.last_answer);
@@ -94,10 +95,18 @@
     /// True where the record names this very run as a standby.
     #[must_use]
     pub fn is_named(&self, record: &CellRecord) -> bool {
-        record.standbys.contains(&self.node)
-            && record
-                .member(&self.node)
-                .is_some_and(|member| member.incarnation == self.incarnation)
+        record.standbys.contains(&self.node) && self.is_member(record)
+    }
+
+    /// True where the record names this very run as the coordinator.
+    fn is_in_office(&self, record: &CellRecord) -> bool {
+        record.coordinator == self.node && self.is_member(record)
+    }
+
+    fn is_member(&self, record: &CellRecord) -> bool {
+        record
+            .member(&self.node)
+            .is_some_and(|member| member.incarnation == self.incarnation)
     }
 
     /// Until when this router has promised not to take over.
--- a/crates/anvilrack-model/src/model_terms.rs
+++ b/crates/anvilrack-model/src/model_terms.rs
@@ -64,6 +64,8 @@
     LateMessage,
     /// The reply to a write is lost; the write took effect, did not, or does so later.
     StoreReply,
+    /// A router is lost and does not come back.
+    Loss,
     /// The store is put back to an earlier copy.
     Restore,
     /// A clock loses one tick against the others.
@@ -78,10 +80,11 @@
 
 impl FaultKind {
     /// All kinds.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 11] = [
         Self::Partition,
         Self::Pause,
         Self::Restart,
+        Self::Loss,
         Self::LateMessage,
         Self::StoreReply,
         Self::Restore,
--- a/crates/anvilrack-model/src/system_action.rs
+++ b/crates/anvilrack-model/src/system_action.rs
@@ -63,6 +63,8 @@
     Resume(usize),
     /// A router starts again as a new run.
     Restart(usize),
+    /// A router is lost for good.
+    Lose(usize),
     /// The store is put back to an earlier copy.
     Restore,
     /// A router's clock loses one tick.
@@ -94,6 +96,7 @@
             Self::Pause(rank) => write!(f, "router-{rank}: pauses"),
             Self::Resume(rank) => write!(f, "router-{rank}: resumes"),
             Self::Restart(rank) => write!(f, "router-{rank}: restarts"),
+            Self::Lose(rank) => write!(f, "router-{rank}: is lost"),
             Self::Restore => write!(f, "store: put back to the copy before"),
             Self::ClockSlip(rank) => write!(f, "router-{rank}: clock loses a tick"),
             Self::BeginRequest(rank) => write!(f, "router-{rank}: request begins"),
--- a/crates/anvilrack-model/src/system_state.rs
+++ b/crates/anvilrack-model/src/system_state.rs
@@ -51,6 +51,8 @@
     pub(crate) store: Arc<StoreModel>,
     pub(crate) partition: u8,
     pub(crate) paused: u8,
+    /// Those of the paused that do not come back.
+    pub(crate) lost: u8,
     pub(crate) faults: u8,
     pub(crate) restored: bool,
     /// The newest record that anyone was told.
@@ -150,6 +152,7 @@
             store: Arc::new(StoreModel::new(Arc::default())),
             partition: 0,
             paused: 0,
+            lost: 0,
             faults: 0,
             restored: false,
             told: Arc::default(),
@@ -203,6 +206,9 @@
             actions.push(SystemAction::LandDelayed);
         }
         for rank in 0..NODE_COUNT {
+            if self.lost >> rank & 1 == 1 {
+                continue;
+            }
             if self.is_paused(rank) {
                 actions.push(SystemAction::Resume(rank));
             } else if self.routers[rank].late.is_some() {
@@ -244,7 +250,11 @@
                 actions.extend(all.map(SystemAction::Partition));
             }
             FaultKind::Pause => actions.extend(running.map(SystemAction::Pause)),
-            FaultKind::Restart => actions.extend(ranks.map(SystemAction::Restart)),
+            FaultKind::Restart => {
+                let left = ranks.filter(|rank| self.lost >> rank & 1 == 0);
+                actions.extend(left.map(SystemAction::Restart));
+            }
+            FaultKind::Loss => actions.extend(running.map(SystemAction::Lose)),
             FaultKind::Restore => actions.push(SystemAction::Restore),
             FaultKind::ClockSlip if self.routers.iter().all(|router| router.slipped == 0) => {
                 actions.extend(ranks.map(SystemAction::ClockSlip));
@@ -327,6 +337,10 @@
             SystemAction::Heal => self.partition = 0,
             SystemAction::Pause(rank) => self.paused |= 1 << rank,
             SystemAction::Resume(rank) => self.paused &= !(1 << rank),
+            SystemAction::Lose(rank) => {
+                self.paused |= 1 << rank;
+                self.lost |= 1 << rank;
+            }
             SystemAction::LandDelayed => Arc::make_mut(&mut self.store).land_delayed(),
             SystemAction::Restore => {
                 Arc::make_mut(&mut self.store).restore();
--- a/crates/anvilrack-model/tests/sound_model.rs
+++ b/crates/anvilrack-model/tests/sound_model.rs
@@ -29,7 +29,7 @@
 
 sound_searches! {
     one_fault_of_any_kind_ends: [
-        Partition, Pause, Restart, LateMessage, StoreReply, Restore, ClockSlip, Request, Drain
+        Partition, Pause, Restart, Loss, LateMessage, StoreReply, Restore, ClockSlip, Request, Drain, SlowPublish
     ], 30, 1, true;
     pause_and_lost_reply: [Pause, StoreReply], 12, 2, false;
     drain_and_restore: [Drain, Restore], 14, 2, false;
@@ -60,3 +60,24 @@
     assert!(!report.cut_short, "{} states are not all", report.states);
     assert!(report.trace.is_none(), "{}", report.trace.unwrap());
 }
+
+/// The last router of a cell coordinates it, restarts, and must come into office again.
+#[test]
+fn last_router_restarts() {
+    let bounds = SearchBounds {
+        horizon: 50,
+        faults: 3,
+        kinds: vec![FaultKind::Restart],
+        opening: vec![
+            OpeningStep::Act(SystemAction::Lose(0)),
+            OpeningStep::Ticks(20),
+            OpeningStep::Act(SystemAction::Lose(2)),
+            OpeningStep::Ticks(20),
+        ],
+        max_states: 400_000,
+        liveness: true,
+    };
+    let report = StateSearch::new(ModelOptions::default(), bounds).run();
+    assert!(!report.cut_short, "{} states are not all", report.states);
+    assert!(report.trace.is_none(), "{}", report.trace.unwrap());
+}
