--- a/crates/anvilrack-core/src/coordinator_state.rs
+++ b/crates/anvilrack-core/src/coordinator_state.rs
@@ -171,6 +171,10 @@
             .entry(report.member.node.clone())
             .or_insert_with(|| MemberView::silent(BootTime::ZERO, BootTime::ZERO));
         let current = view.take_report(report, now);
+        if view.replaced_at == now {
+            // What its former run promised binds no one any more.
+            self.promises.remove(&report.member.node);
+        }
         if current && !view.confirmed && report.epoch == self.record.epoch {
             // It takes no renewal from an older coordinator any more, so what it holds ends soon.
             view.confirmed = true;
@@ -244,7 +248,14 @@
     }
 
     /// A standby answered a request for a promise that was sent at `sent_at`.
+    ///
+    /// Where that was before its present run was heard of, its former run may have answered, and the
+    /// answer changes nothing.
     pub fn on_promise(&mut self, node: &NodeId, sent_at: BootTime) {
+        let former_run = |view: &MemberView| sent_at <= view.replaced_at;
+        if self.members.get(node).is_none_or(former_run) {
+            return;
+        }
         let until = sent_at + self.terms.own_promise();
         let entry = self.promises.entry(node.clone()).or_default();
         *entry = (*entry).max(until);
@@ -284,7 +295,7 @@
             .is_some_and(|record| record.is_same_write(stored))
         {
             self.on_committed(sent_at);
-        } else if stored.epoch > self.record.epoch {
+        } else if self.is_superseded_by(stored) {
             self.superseded = true;
         } else {
             // An older record means that the store was put back to an earlier copy.
@@ -294,6 +305,14 @@
         !self.superseded
     }
 
+    /// True where another router has taken office since.
+    ///
+    /// After the store was put back to an earlier copy, that may have been with the same epoch.
+    fn is_superseded_by(&self, stored: &CellRecord) -> bool {
+        let other = stored.coordinator != self.node;
+        stored.epoch > self.record.epoch || (stored.epoch == self.record.epoch && other)
+    }
+
     /// The planned record is known to be in the store; the call that showed it went out at
     /// `sent_at`.
     pub fn on_committed(&mut self, sent_at: BootTime) {
--- a/crates/anvilrack-model/src/system_action.rs
+++ b/crates/anvilrack-model/src/system_action.rs
@@ -9,24 +9,27 @@
 pub enum RouterStep {
     /// As coordinator: read the store, then write what is planned.
     Office,
-    /// Send a heartbeat and take its answer.
-    Beat,
     /// As coordinator: make the committed record known.
     Publish,
+    /// Send a heartbeat and take its answer.
+    Beat,
     /// As coordinator: ask the standbys for promises.
     Promise,
     /// Look after a coordinator that stays silent.
     Watch,
+    /// Stop serving the shards that are to be given back.
+    Release,
 }
 
 impl RouterStep {
     /// All steps of one tick.
-    pub const ALL: [Self; 5] = [
+    pub const ALL: [Self; 6] = [
         Self::Office,
-        Self::Beat,
         Self::Publish,
+        Self::Beat,
         Self::Promise,
         Self::Watch,
+        Self::Release,
     ];
 }
 
@@ -37,6 +40,8 @@
     Step(usize, RouterStep),
     /// The next step, where the reply to its write is lost.
     StepUnanswered(usize, RouterStep, WriteFate),
+    /// The next step would have made a record known, and is put off to the next tick.
+    SkipPublish(usize),
     /// The next step is a heartbeat that arrives late.
     RequestLate(usize),
     /// The next step is a heartbeat whose answer arrives late.
@@ -58,6 +63,8 @@
     Resume(usize),
     /// A router starts again as a new run.
     Restart(usize),
+    /// A router is lost for good.
+    Lose(usize),
     /// The store is put back to an earlier copy.
     Restore,
     /// A router's clock loses one tick.
@@ -75,6 +82,7 @@
             Self::StepUnanswered(rank, step, fate) => {
                 write!(f, "router-{rank}: {step:?}, reply lost, write {fate:?}")
             }
+            Self::SkipPublish(rank) => write!(f, "router-{rank}: Publish put off"),
             Self::RequestLate(rank) => write!(f, "router-{rank}: heartbeat sent, under way"),
             Self::AnswerLate(rank) => write!(f, "router-{rank}: heartbeat answered, under way"),
             Self::Deliver(rank) => write!(f, "router-{rank}: late message arrives"),
@@ -88,6 +96,7 @@
             Self::Pause(rank) => write!(f, "router-{rank}: pauses"),
             Self::Resume(rank) => write!(f, "router-{rank}: resumes"),
             Self::Restart(rank) => write!(f, "router-{rank}: restarts"),
+            Self::Lose(rank) => write!(f, "router-{rank}: is lost"),
             Self::Restore => write!(f, "store: put back to the copy before"),
             Self::ClockSlip(rank) => write!(f, "router-{rank}: clock loses a tick"),
             Self::BeginRequest(rank) => write!(f, "router-{rank}: request begins"),
