--- a/crates/anvilrack-harness/tests/load_choice.rs
+++ b/crates/anvilrack-harness/tests/load_choice.rs
@@ -1,5 +1,7 @@
 //! A service that is not divided by key, in real processes: sick targets get little work.
 
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
 use std::time::Duration;
 
 use anvilrack_fakes::TargetFaults;
@@ -9,6 +11,9 @@
 
 const ROUTERS: usize = 6;
 
+/// Time after which a flapping target changes its state.
+const FLAP_EVERY: Duration = Duration::from_millis(700);
+
 fn start() -> Deployment {
     let mut plan = DeploymentPlan::new("documents", ROUTERS);
     plan.service_time = Duration::from_millis(5);
@@ -75,3 +80,30 @@
     assert!(report.ran > 0, "{report}");
     assert!(runs.iter().all(|count| *count > 0), "{runs:?}");
 }
+
+#[test]
+fn flapping_target_gets_little() {
+    let deployment = start();
+    let ended = AtomicBool::new(false);
+    let (report, runs) = thread::scope(|scope| {
+        scope.spawn(|| {
+            let mut frozen = false;
+            while !ended.load(Ordering::Relaxed) {
+                frozen = !frozen;
+                let faults = TargetFaults {
+                    frozen,
+                    ..TargetFaults::default()
+                };
+                deployment.set_target_faults(0, &faults).unwrap();
+                thread::sleep(FLAP_EVERY);
+            }
+        });
+        let outcome = run(&deployment, 0.0);
+        ended.store(true, Ordering::Relaxed);
+        outcome
+    });
+    assert_sound(&report);
+    let all: usize = runs.iter().sum();
+    assert!(runs[0] * 8 < all, "{runs:?} {report}");
+    assert!(report.ran * 10 > report.sent * 9, "{report}");
+}
--- a/crates/anvilrack-harness/tests/load_placement.rs
+++ b/crates/anvilrack-harness/tests/load_placement.rs
@@ -75,6 +75,30 @@
     panic!("the busiest target still holds {before} shards");
 }
 
+#[test]
+fn one_hot_key_is_found_by_its_owner() {
+    let deployment = start();
+    let load = LoadOptions {
+        keys: 500,
+        claim_share: 0.0,
+        ..deployment.load()
+    };
+    thread::scope(|scope| {
+        scope.spawn(|| run_load(&load));
+        // More than all other keys of its owner together.
+        for _ in 0..300 {
+            let url = format!("http://{}/viewer/hot-one", deployment.callers[0]);
+            attohttpc::get(url).send().unwrap();
+        }
+    });
+    let hottest = (0..ROUTERS).map(|index| {
+        let status = deployment.status(index).unwrap();
+        status["hottest_keys"][0]["key"].clone()
+    });
+    let found = hottest.filter(|key| key == "hot-one").count();
+    assert_eq!(found, 1);
+}
+
 /// Keys that the first target has run when each key was asked for once.
 fn own_keys(deployment: &Deployment) -> Vec<String> {
     for key in 0..60 {
