Give a target its slots back where fewer requests do not make it faster

Cause: in alternating trials with one target 100 ms slower, the adaptive limit ran 122 requests a second at the targets' capacity where no limit ran 185, on a busy machine (load 50 to 100 on 10 cores). The limit stood at its least for the slow target until the base was renewed, after 5 to 10 s, though its latency did not come from its load.

What changes: a window that is still slow at the least limit becomes the base.

--- a/crates/anvilrack-core/src/latency_limit.rs
+++ b/crates/anvilrack-core/src/latency_limit.rs
@@ -30,8 +30,9 @@
 
 /// A bound that starts at the slots of a target and goes down while latency grows.
 ///
-/// The base is the least window average of the last seconds. So a target that has become slower for
-/// good gets its slots back once the base is renewed: fewer requests would not make it faster.
+/// The base is the least window average of the last seconds. A target that stays slow at the least
+/// limit is slow for another reason than its load: that latency becomes the base, and the target gets
+/// its slots back.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LatencyLimit {
     slots: u32,
@@ -133,13 +134,23 @@
             return;
         }
         if slow {
-            let least = self.slots.div_ceil(LEAST_PART);
-            self.limit = (self.limit * 4 / 5).max(least);
+            self.lower(average);
         } else if full {
             self.limit = (self.limit + 1).min(self.slots);
         }
     }
 
+    /// Lowers the limit; where it is at its least already, fewer requests do not help.
+    fn lower(&mut self, average: Duration) {
+        let least = self.slots.div_ceil(LEAST_PART);
+        if self.limit > least {
+            self.limit = (self.limit * 4 / 5).max(least);
+        } else {
+            self.base = Some(average);
+            self.next_base = Some(average);
+        }
+    }
+
     fn renew_base(&mut self, average: Duration, now: BootTime) -> Duration {
         let least = |known: Option<Duration>| known.map_or(average, |known| known.min(average));
         if now >= self.base_since + BASE_AGE {
