Put a refused probe off, and test a target's health by itself

Cause, found on reading: a probe that was refused before it reached its target (no room, too short a deadline) left the suspicion due at once, so each next request would have been tried on the suspect in turn and refused.

A refused probe is put off by the same pause now.

The example measures targets with 12 slots, the size of today, in place of 2: with two, the limit can only be whole or half.

--- a/crates/anvilrack-core/src/target_health.rs
+++ b/crates/anvilrack-core/src/target_health.rs
@@ -75,7 +75,7 @@
         match outcome {
             HealthOutcome::Answered => self.on_answer(now),
             HealthOutcome::Failed => self.on_failure(now),
-            HealthOutcome::NotTried => self.stop_probe(),
+            HealthOutcome::NotTried => self.put_off_probe(now),
         }
         if self.in_flight == 0 {
             self.silent_since = None;
@@ -129,9 +129,12 @@
         }
     }
 
-    fn stop_probe(&mut self) {
-        if let Some(suspicion) = &mut self.suspicion {
+    /// A probe that did not reach the target is made again after the same pause, or each request
+    /// would be tried on the suspect in turn.
+    fn put_off_probe(&mut self, now: BootTime) {
+        if let Some(suspicion) = self.suspicion.as_mut().filter(|known| known.probing) {
             suspicion.probing = false;
+            suspicion.probe_at = now + self.last_pause;
         }
     }
 
--- a/crates/anvilrack-harness/examples/measure_load.rs
+++ b/crates/anvilrack-harness/examples/measure_load.rs
@@ -1,7 +1,7 @@
 //! Compares rules for load: alternating runs of the same load on six routers.
 //!
-//! `measure_load admission adaptive,slots,none`, `measure_load placement load,count` or
-//! `measure_load choice two-choices,random,round-robin,owner`. Prints one row for each run.
+//! `measure_load admission adaptive,slots,none 2`, `measure_load placement load,count 2` or
+//! `measure_load choice two-choices,random,round-robin,owner 2`. Prints one row for each run.
 
 use std::time::Duration;
 
@@ -11,28 +11,27 @@
 use serde_json::json;
 
 const ROUTERS: usize = 6;
-const SLOTS: u32 = 2;
-const SERVICE_TIME: Duration = Duration::from_millis(40);
+const SLOTS: u32 = 12;
+const SERVICE_TIME: Duration = Duration::from_millis(240);
 /// Requests a second that all targets can run.
 const CAPACITY: f64 = 300.0;
-const ROUNDS: usize = 2;
 const LOADS: [f64; 4] = [0.5, 1.0, 2.0, 4.0];
 /// Placement takes some time to follow the load, so the load stays as it is.
 const PLACEMENT_LOADS: [f64; 8] = [0.5; 8];
 /// Share of the load on ten hot keys where placement is compared.
 const HOT_SHARE: f64 = 0.5;
 /// What the one slow target needs more, in milliseconds.
-const SLOW_MS: u64 = 100;
+const SLOW_MS: u64 = 600;
 
 fn main() -> eyre::Result<()> {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
-    let [policy, modes] = arguments.as_slice() else {
-        eyre::bail!("usage: measure_load admission|choice|placement MODE,MODE...");
+    let [policy, modes, rounds] = arguments.as_slice() else {
+        eyre::bail!("usage: measure_load admission|choice|placement MODE,MODE... ROUNDS");
     };
     println!("slow mode round load offered goodput not_run unknown p50_ms p99_ms max/mean placed");
     let slow_too = policy != "placement";
     for slow in [false, true].into_iter().filter(|slow| !slow || slow_too) {
-        for round in 1..=ROUNDS {
+        for round in 1..=rounds.parse()? {
             for mode in modes.split(',') {
                 measure(policy, mode, round, slow)?;
             }
@@ -59,10 +58,10 @@
         let before = runs_by_target(&deployment)?;
         let options = LoadOptions {
             rate: Some(CAPACITY * load),
-            workers: 32,
+            workers: 96,
             hot_share: if placing { HOT_SHARE } else { 0.0 },
             claim_share: 0.1,
-            timeout: Duration::from_millis(400),
+            timeout: Duration::from_millis(1_500),
             ..deployment.load()
         };
         let report = deployment.judge(&run_load(&options))?;
