--- /dev/null
+++ b/crates/anvilrack-bench/src/lib.rs
@@ -0,0 +1,22 @@
+//! Measures what each part of anvilrack costs by size, and how its policies do under load.
+//!
+//! [`measure_slopes`] varies one size at a time, takes the median of several rounds and fits a
+//! straight line. [`capacity_page`] works out from those lines what each role costs at the size that
+//! the project is designed for.
+
+mod byte_relay;
+mod capacity_page;
+mod cpu_clock;
+mod sample_cell;
+mod shape_run;
+mod shape_table;
+mod slope_fit;
+mod slopes;
+mod svg_plot;
+
+pub use capacity_page::capacity_page;
+pub use shape_run::{ShapeFault, ShapePlan, ShapeRow, run_shape};
+pub use shape_table::{goodput_plot, shape_table};
+pub use slope_fit::{MeasuredSlope, SlopeFit, SlopePoint, median};
+pub use slopes::measure_slopes;
+pub use svg_plot::{PlotSeries, series_plot, short_number, slope_plot};
--- a/crates/anvilrack-harness/src/child_process.rs
+++ b/crates/anvilrack-harness/src/child_process.rs
@@ -34,6 +34,12 @@
         Ok(Self { child, log })
     }
 
+    /// The process id.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Ends the process at once, as a lost VM would.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
--- a/crates/anvilrack-harness/src/deployment.rs
+++ b/crates/anvilrack-harness/src/deployment.rs
@@ -239,6 +239,12 @@
         })
     }
 
+    /// Where other routers reach a router.
+    #[must_use]
+    pub fn peer_address(&self, index: usize) -> SocketAddr {
+        self.peers[index]
+    }
+
     // --- looking --------------------------------------------------------------------------------
 
     /// Waits until each router that runs knows an owner for each shard, and each router with a
