Send a hash of the versions in place of all of them with each heartbeat

Cause: a heartbeat named the version of every cell, 16 bytes each: 926 bytes both ways at 50 cells, 4.6 KB/s at five heartbeats a second before the headers of TCP and IP, of the 5 KB/s that control may use. Now it names its own cell and a hash of all. Where the hash differs, the answer brings the own cell's changes at once and asks for the whole digest in the next heartbeat, which goes out at once.

Ruled out: the coordinator remembering each member's digest, which would be state to lose.

--- a/crates/anvilrack-bench/src/slopes/fan_out.rs
+++ b/crates/anvilrack-bench/src/slopes/fan_out.rs
@@ -1,11 +1,12 @@
 //! Bytes that one change sends to each router.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use anvilrack_core::RecordDelta;
+use anvilrack_core::{ConfigDocument, ConfigRecord, RecordDelta};
 use anvilrack_wire::{PeerReply, TableUpdate, encode};
 
-use crate::sample_cell::{moved_record, sample_record};
+use crate::sample_cell::{moved_record, sample_member, sample_record, sample_rules};
 use crate::{MeasuredSlope, SlopePoint};
 
 /// Sizes of a cell.
@@ -14,6 +15,12 @@
 /// Shards that move at once.
 const MOVED: [u32; 5] = [1, 16, 48, 112, 288];
 
+/// Services of a configuration: one for each cell.
+const CONFIG_SERVICES: u32 = 50;
+
+/// Keys tied to one router by name.
+const PINS: [u32; 4] = [0, 100, 500, 1_100];
+
 /// A full record by members of the cell, and a delta by shards that moved.
 pub(super) fn measure() -> eyre::Result<Vec<MeasuredSlope>> {
     let mut full = Vec::new();
@@ -34,6 +41,14 @@
         };
         delta.push(point(moved, update)?);
     }
+    let mut pins = Vec::new();
+    for count in PINS {
+        let update = TableUpdate {
+            config: Some(Arc::new(pinned_config(count))),
+            ..TableUpdate::default()
+        };
+        pins.push(point(count, update)?);
+    }
     Ok(vec![
         MeasuredSlope::new(
             "fan-out.full",
@@ -41,6 +56,12 @@
             "bytes of a record",
             full,
         ),
+        MeasuredSlope::new(
+            "fan-out.config",
+            "pinned keys",
+            "bytes of a configuration",
+            pins,
+        ),
         MeasuredSlope::new(
             "fan-out.delta",
             "shards that moved",
@@ -50,6 +71,27 @@
     ])
 }
 
+/// A configuration of 50 services, of which one has pinned keys.
+fn pinned_config(pins: u32) -> ConfigRecord {
+    let names = (0..CONFIG_SERVICES).map(|number| format!("service-{number:02}").into());
+    let mut services: BTreeMap<_, _> = names.map(|name| (name, sample_rules(400))).collect();
+    if let Some(mut first) = services.first_entry() {
+        let pinned = (0..pins).map(|pin| {
+            let key = format!("trip-{:012}", u64::from(pin) * 7_919);
+            (key.into(), sample_member(pin).node)
+        });
+        first.get_mut().pinned_keys = pinned.collect();
+    }
+    ConfigRecord {
+        revision: 40_000,
+        apply_id: "0197a2f4-7c1b-7000-8000-000000000000".into(),
+        document: ConfigDocument {
+            services,
+            ..ConfigDocument::default()
+        },
+    }
+}
+
 fn point(size: u32, update: TableUpdate) -> eyre::Result<SlopePoint> {
     let bytes = encode(&PeerReply::Update(update))?.len();
     Ok(SlopePoint {
--- a/crates/anvilrack-core/src/route_table.rs
+++ b/crates/anvilrack-core/src/route_table.rs
@@ -84,12 +84,18 @@
         let mut changes = TableChanges::default();
         for (service, cell) in &self.cells {
             let version = known.get(service).copied().unwrap_or(0);
-            if version >= cell.record().version {
-                continue;
-            }
-            match cell.deltas_since(version) {
-                Some(deltas) => changes.deltas.extend(deltas),
-                None => changes.cells.push(cell.record().clone()),
+            changes.add_cell(cell, version);
+        }
+        changes
+    }
+
+    /// As [`Self::changes_since`], for those cells alone that the digest names.
+    #[must_use]
+    pub fn changes_among(&self, digest: &[(ServiceName, TableVersion)]) -> TableChanges {
+        let mut changes = TableChanges::default();
+        for (service, version) in digest {
+            if let Some(cell) = self.cells.get(service) {
+                changes.add_cell(cell, *version);
             }
         }
         changes
@@ -164,6 +170,18 @@
     pub deltas: Vec<Arc<RecordDelta>>,
 }
 
+impl TableChanges {
+    fn add_cell(&mut self, cell: &CellHistory, version: TableVersion) {
+        if version >= cell.record().version {
+            return;
+        }
+        match cell.deltas_since(version) {
+            Some(deltas) => self.deltas.extend(deltas),
+            None => self.cells.push(cell.record().clone()),
+        }
+    }
+}
+
 /// Where requests for a shard go.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ShardRoute {
--- a/crates/anvilrack-load/src/load_shape.rs
+++ b/crates/anvilrack-load/src/load_shape.rs
@@ -8,8 +8,8 @@
 /// Time that a caller allows each request.
 const CALLER_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Callers of each service.
-const CALLERS: usize = 48;
+/// Most callers of a service.
+const CALLER_LIMIT: f64 = 500.0;
 
 /// Keys of each service: few, so that each is asked often enough to see when it has no owner.
 const KEYS: u32 = 60;
@@ -101,7 +101,7 @@
             claim_share: service.claim_share,
             hot_share: service.hot_share,
             body_bytes: service.body_bytes,
-            workers: CALLERS,
+            workers: callers_for(rate),
             duration,
             rate: Some(rate),
             timeout: CALLER_TIMEOUT,
@@ -110,3 +110,14 @@
         loads.collect()
     }
 }
+
+/// Enough callers that one is free for each request when it is due, also where all time out.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "clamped to a small positive number"
+)]
+fn callers_for(rate: f64) -> usize {
+    let callers = (rate * CALLER_TIMEOUT.as_secs_f64()).ceil();
+    callers.clamp(1.0, CALLER_LIMIT) as usize
+}
--- a/crates/anvilrack-router/src/membership.rs
+++ b/crates/anvilrack-router/src/membership.rs
@@ -56,7 +56,7 @@
     let request = HeartbeatRequest {
         service: service.clone(),
         report: context.report(),
-        digest: context.digest(),
+        digest: context.beat_digest(service),
     };
     let sent_at = boot_clock::now();
     let Some(reply) = ask_coordinator(context, cell, request) else {
--- a/crates/anvilrack-router/src/router_context.rs
+++ b/crates/anvilrack-router/src/router_context.rs
@@ -42,6 +42,7 @@
     target: Mutex<TargetView>,
     routes: ShardedLock<Arc<RouteTable>>,
     nudges: (Sender<()>, Receiver<()>),
+    digest_wanted: AtomicBool,
     leaving: AtomicBool,
     ended: AtomicBool,
 }
@@ -64,6 +65,7 @@
             target: Mutex::default(),
             routes: ShardedLock::new(Arc::default()),
             nudges: bounded(1),
+            digest_wanted: AtomicBool::new(true),
             leaving: AtomicBool::new(false),
             ended: AtomicBool::new(false),
             settings,
@@ -124,17 +126,33 @@
         TableDigest {
             cells: routes.digest(),
             revision: routes.config().revision,
+            summary: None,
+        }
+    }
+
+    /// The digest for a heartbeat: short, unless the last answer asked for all of it.
+    pub fn beat_digest(&self, service: &str) -> TableDigest {
+        let digest = self.digest();
+        if self.digest_wanted.swap(false, Ordering::SeqCst) {
+            digest
+        } else {
+            digest.shortened(service)
         }
     }
 
     /// What a peer with that digest lacks.
     pub fn update_for(&self, digest: &TableDigest) -> TableUpdate {
         let routes = self.routes();
-        let changes = routes.changes_since(&digest.cells);
+        let changes = match digest.summary {
+            None => routes.changes_since(&digest.cells),
+            Some(hash) if hash == self.digest().hash() => return TableUpdate::default(),
+            Some(_) => routes.changes_among(&digest.cells),
+        };
         TableUpdate {
             cells: changes.cells,
             deltas: changes.deltas,
             config: routes.config_newer_than(digest.revision),
+            wants_digest: digest.summary.is_some(),
         }
     }
 
@@ -146,6 +164,10 @@
         if !update.deltas.is_empty() {
             self.accept_deltas(&update.deltas);
         }
+        if update.wants_digest {
+            self.digest_wanted.store(true, Ordering::SeqCst);
+            self.nudge();
+        }
         if let Some(config) = update.config {
             self.accept_config(config);
         }
--- a/crates/anvilrack-wire/src/peer_message.rs
+++ b/crates/anvilrack-wire/src/peer_message.rs
@@ -8,8 +8,9 @@
     Revision, ServiceName, ShardId, TableVersion,
 };
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{ForwardReply, ForwardRequest};
+use crate::{ForwardReply, ForwardRequest, encode};
 
 /// What one router asks of another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -78,6 +79,33 @@
     pub cells: Vec<(ServiceName, TableVersion)>,
     /// Revision of the configuration.
     pub revision: Revision,
+    /// Where `cells` names some cells only: the hash of all of them.
+    pub summary: Option<u64>,
+}
+
+impl TableDigest {
+    /// Names one cell, and the rest by a hash alone.
+    ///
+    /// A hash that is the same by chance keeps an update back until the next change, no more.
+    #[must_use]
+    pub fn shortened(self, service: &str) -> Self {
+        Self {
+            summary: Some(self.hash()),
+            revision: self.revision,
+            cells: self
+                .cells
+                .into_iter()
+                .filter(|(name, _)| **name == *service)
+                .collect(),
+        }
+    }
+
+    /// The hash of all cells' versions and the revision.
+    #[must_use]
+    pub fn hash(&self) -> u64 {
+        let bytes = encode(&(&self.cells, self.revision));
+        bytes.map_or(0, |bytes| xxh3_64(&bytes))
+    }
 }
 
 /// Newer records than the receiver has.
@@ -89,6 +117,8 @@
     pub deltas: Vec<Arc<RecordDelta>>,
     /// The configuration.
     pub config: Option<Arc<ConfigRecord>>,
+    /// True where more may be lacking than a shortened digest could tell: send it in full.
+    pub wants_digest: bool,
 }
 
 /// A new coordinator's call to a router of its cell.
