--- a/crates/anvilrack-bench/src/lib.rs
+++ b/crates/anvilrack-bench/src/lib.rs
@@ -6,6 +6,8 @@
 
 mod byte_relay;
 mod capacity_page;
+mod capacity_roles;
+mod capacity_size;
 mod cpu_clock;
 mod sample_cell;
 mod shape_run;
--- a/crates/anvilrack-bench/src/main.rs
+++ b/crates/anvilrack-bench/src/main.rs
@@ -1,6 +1,7 @@
 //! `anvilrack-bench`: slopes, the capacity page and experiments.
 
 use std::fs;
+use std::path::Path;
 
 use anvilrack_bench::{MeasuredSlope, capacity_page, measure_slopes, short_number, slope_plot};
 use eyre::WrapErr;
@@ -26,8 +27,7 @@
         print_slope(slope);
     }
     if let Some(file) = &flags.json {
-        fs::write(file, serde_json::to_string_pretty(&slopes)?)
-            .wrap_err_with(|| format!("cannot write {}", file.display()))?;
+        write_slopes(file, &slopes, flags.only.is_some())?;
     }
     if let Some(dir) = &flags.svg {
         fs::create_dir_all(dir)?;
@@ -38,6 +38,26 @@
     Ok(())
 }
 
+/// Writes slopes to a file; those of one group replace their namesakes there.
+fn write_slopes(file: &Path, slopes: &[MeasuredSlope], merge: bool) -> eyre::Result<()> {
+    let mut all = if merge && file.exists() {
+        read_slopes(file)?
+    } else {
+        Vec::new()
+    };
+    all.retain(|known| slopes.iter().all(|slope| slope.name != known.name));
+    all.extend(slopes.iter().cloned());
+    all.sort_by(|one, other| one.name.cmp(&other.name));
+    fs::write(file, serde_json::to_string_pretty(&all)?)
+        .wrap_err_with(|| format!("cannot write {}", file.display()))
+}
+
+fn read_slopes(file: &Path) -> eyre::Result<Vec<MeasuredSlope>> {
+    let text =
+        fs::read_to_string(file).wrap_err_with(|| format!("cannot read {}", file.display()))?;
+    Ok(serde_json::from_str(&text)?)
+}
+
 fn print_slope(slope: &MeasuredSlope) {
     println!("{}: {} by {}", slope.name, slope.y_label, slope.x_label);
     for point in &slope.points {
@@ -57,9 +77,6 @@
 }
 
 fn print_capacity(flags: &flags::Capacity) -> eyre::Result<()> {
-    let text = fs::read_to_string(&flags.json)
-        .wrap_err_with(|| format!("cannot read {}", flags.json.display()))?;
-    let slopes: Vec<MeasuredSlope> = serde_json::from_str(&text)?;
-    print!("{}", capacity_page(&slopes)?);
+    print!("{}", capacity_page(&read_slopes(&flags.json)?)?);
     Ok(())
 }
--- a/crates/anvilrack-bench/src/slope_fit.rs
+++ b/crates/anvilrack-bench/src/slope_fit.rs
@@ -59,6 +59,35 @@
     pub fn at(&self, x: f64) -> f64 {
         self.fit.intercept + self.fit.slope * x
     }
+
+    /// Where the line cuts the axis; zero where it is flat.
+    #[must_use]
+    pub fn zero_crossing(&self) -> f64 {
+        if self.fit.slope == 0.0 {
+            return 0.0;
+        }
+        -self.fit.intercept / self.fit.slope
+    }
+
+    /// What was measured at the greatest size.
+    #[must_use]
+    pub fn last(&self) -> f64 {
+        self.points.last().map_or(0.0, |point| point.y)
+    }
+
+    /// The power of the size that the cost grows with: 1 for a straight line through zero.
+    #[must_use]
+    pub fn growth(&self) -> f64 {
+        let positive = |point: &&SlopePoint| point.x > 0.0 && point.y > 0.0;
+        let points = self.points.iter().filter(positive);
+        let logs: Vec<SlopePoint> = points
+            .map(|point| SlopePoint {
+                x: point.x.ln(),
+                y: point.y.ln(),
+            })
+            .collect();
+        SlopeFit::new(&logs).slope
+    }
 }
 
 impl SlopeFit {
--- a/crates/anvilrack-bench/src/slopes/coordinator.rs
+++ b/crates/anvilrack-bench/src/slopes/coordinator.rs
@@ -3,7 +3,7 @@
 use std::hint::black_box;
 use std::time::Duration;
 
-use anvilrack_core::CoordinatorState;
+use anvilrack_core::{CellRecord, CoordinatorState};
 
 use super::ROUNDS;
 use crate::MeasuredSlope;
@@ -43,6 +43,11 @@
             "one copy of the record, us",
             record_copy,
         ),
+        slope(
+            "coordinator.read",
+            "one record read from the store, us",
+            record_read,
+        ),
     ]
 }
 
@@ -102,3 +107,10 @@
         black_box(state.record().clone());
     })
 }
+
+fn record_read(members: u32) -> f64 {
+    let text = serde_json::to_vec(settled_coordinator(members).record()).unwrap_or_default();
+    each_us(REPEATS, |_| {
+        let _ = black_box(serde_json::from_slice::<CellRecord>(&text));
+    })
+}
--- a/crates/anvilrack-bench/src/slopes/fan_out.rs
+++ b/crates/anvilrack-bench/src/slopes/fan_out.rs
@@ -23,13 +23,17 @@
 
 /// A full record by members of the cell, and a delta by shards that moved.
 pub(super) fn measure() -> eyre::Result<Vec<MeasuredSlope>> {
-    let mut full = Vec::new();
+    let (mut full, mut stored) = (Vec::new(), Vec::new());
     for members in MEMBERS {
         let update = TableUpdate {
             cells: vec![Arc::new(sample_record("bookings", members))],
             ..TableUpdate::default()
         };
         full.push(point(members, update)?);
+        stored.push(SlopePoint {
+            x: f64::from(members),
+            y: serde_json::to_vec(&sample_record("bookings", members))?.len() as f64,
+        });
     }
     let record = sample_record("bookings", 400);
     let mut delta = Vec::new();
@@ -56,6 +60,12 @@
             "bytes of a record",
             full,
         ),
+        MeasuredSlope::new(
+            "fan-out.stored",
+            "members of the cell",
+            "bytes in the store",
+            stored,
+        ),
         MeasuredSlope::new(
             "fan-out.config",
             "pinned keys",
--- a/crates/anvilrack-bench/src/svg_plot.rs
+++ b/crates/anvilrack-bench/src/svg_plot.rs
@@ -24,7 +24,11 @@
     let mut canvas = PlotCanvas::new(max_x, max_y);
     canvas.title(&slope.name);
     canvas.axes(&slope.x_label, &slope.y_label);
-    canvas.line((0.0, slope.fit.intercept.max(0.0)), (max_x, line_end));
+    let start_x = slope.zero_crossing().clamp(0.0, max_x);
+    canvas.line(
+        (start_x, slope.at(start_x).max(0.0)),
+        (max_x, line_end.max(0.0)),
+    );
     for point in &slope.points {
         canvas.dot(point.x, point.y);
     }
