Count goodput over the time in which requests were sent

Cause: a caller of an open load slept until its next request before it saw that the load was over, so the load lasted up to a step longer and the rate came out a quarter too low at 60 requests a second. The load now ends at its end, and the table divides by the planned length.

--- a/crates/anvilrack-bench/src/bench_flags.rs
+++ b/crates/anvilrack-bench/src/bench_flags.rs
@@ -29,6 +29,8 @@
             optional --duration-ms ms: u64
             /// Kill a router a third into each load.
             optional --router-lost
+            /// Keys of each service: few of them show short times without an answer.
+            optional --keys keys: u32
             /// Fields for each router's settings, as JSON.
             optional --settings json: String
             /// Write the rows to this file.
--- a/crates/anvilrack-bench/src/shape_commands.rs
+++ b/crates/anvilrack-bench/src/shape_commands.rs
@@ -69,6 +69,7 @@
                 factor,
                 duration,
                 fault,
+                keys: flags.keys,
                 settings: settings.clone(),
             });
         }
@@ -154,7 +155,7 @@
     row.imbalance_p99 = of(|row| row.imbalance_p99);
     row.gap_median_ms = of(|row| row.gap_median_ms);
     row.gap_max_ms = of(|row| row.gap_max_ms);
-    row.report.requests_per_second = of(|row| row.report.requests_per_second);
+    row.goodput = of(|row| row.goodput);
     row.report.p50_us = by_latency(|row| row.report.p50_us);
     row.report.p99_us = by_latency(|row| row.report.p99_us);
     row.report.not_run = sum(|row| row.report.not_run);
--- a/crates/anvilrack-bench/src/shape_run.rs
+++ b/crates/anvilrack-bench/src/shape_run.rs
@@ -45,6 +45,8 @@
     pub duration: Duration,
     /// What goes wrong.
     pub fault: ShapeFault,
+    /// Keys of each service, where not as many as the shape says.
+    pub keys: Option<u32>,
     /// Fields put into each router's settings.
     pub settings: Value,
 }
@@ -60,6 +62,8 @@
     pub factor: f64,
     /// Requests a second that were to be sent.
     pub offered: f64,
+    /// Answers a second while requests were sent.
+    pub goodput: f64,
     /// Greatest number of runs of a target over the mean.
     pub imbalance_max: f64,
     /// The number of runs that 99 in 100 targets keep, over the mean.
@@ -82,9 +86,12 @@
     deployment.await_ready()?;
     let capacity = f64::from(plan.shape.slots) * TARGETS as f64 / SERVICE_TIME.as_secs_f64();
     let offered = capacity * plan.factor;
-    let loads = plan
+    let mut loads = plan
         .shape
         .loads(&deployment.callers, offered, plan.duration);
+    for load in &mut loads {
+        load.keys = plan.keys.unwrap_or(load.keys);
+    }
     let histories: Vec<LoadHistory> = thread::scope(|scope| {
         let loads = loads.iter().map(|load| scope.spawn(|| run_load(load)));
         let running: Vec<_> = loads.collect();
@@ -102,7 +109,9 @@
         let counts: Vec<u64> = runs.iter().map(|runs| runs.len() as u64).collect();
         let spread = RunSpread::new(&counts);
         let gaps = gaps_ms(history);
+        let report = judge(history, &runs);
         Ok(ShapeRow {
+            goodput: report.ran as f64 / plan.duration.as_secs_f64(),
             shape: plan.shape.name.to_owned(),
             service: service.service.to_owned(),
             factor: plan.factor,
@@ -111,7 +120,7 @@
             imbalance_p99: spread.p99_over_mean,
             gap_max_ms: gaps.iter().copied().fold(0.0, f64::max),
             gap_median_ms: median(gaps),
-            report: judge(history, &runs),
+            report,
         })
     });
     rows.collect()
--- a/crates/anvilrack-bench/src/shape_table.rs
+++ b/crates/anvilrack-bench/src/shape_table.rs
@@ -28,7 +28,7 @@
             row.shape,
             row.service,
             row.factor,
-            report.requests_per_second,
+            row.goodput,
             row.offered,
             report.p50_us as f64 / 1e3,
             report.p99_us as f64 / 1e3,
@@ -51,7 +51,7 @@
     for row in rows.iter().filter(|row| row.shape == shape) {
         let line = lines.entry(&row.service).or_default();
         let values = line.entry(row.factor.to_bits()).or_default();
-        values.push(row.report.requests_per_second);
+        values.push(row.goodput);
     }
     let series: Vec<PlotSeries> = lines
         .into_iter()
--- a/crates/anvilrack-bench/tests/shape_table.rs
+++ b/crates/anvilrack-bench/tests/shape_table.rs
@@ -9,6 +9,7 @@
         service: service.to_owned(),
         factor,
         offered: 300.0 * factor,
+        goodput,
         imbalance_max: 1.25,
         imbalance_p99: 1.25,
         gap_median_ms: 40.0,
@@ -20,7 +21,6 @@
             may_have_run: 1,
             p50_us: 81_000,
             p99_us: 140_000,
-            requests_per_second: goodput,
             ..LoadReport::default()
         },
     }
--- a/crates/anvilrack-load/src/load_worker.rs
+++ b/crates/anvilrack-load/src/load_worker.rs
@@ -42,10 +42,10 @@
     });
     for turn in 0.. {
         let due = step.map_or(Duration::ZERO, |step| offset + step * turn);
-        thread::sleep(due.saturating_sub(began.elapsed()));
-        if began.elapsed() >= options.duration {
+        if due.max(began.elapsed()) >= options.duration {
             break;
         }
+        thread::sleep(due.saturating_sub(began.elapsed()));
         let router = options.routers[(worker + turn as usize) % options.routers.len()];
         let request = plan.draw();
         // An open load counts the time a request had to wait for its caller.
