--- a/crates/anvilrack-load/src/load_shape.rs
+++ b/crates/anvilrack-load/src/load_shape.rs
@@ -8,8 +8,8 @@
 /// Time that a caller allows each request.
 const CALLER_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Most callers of a service.
-const CALLER_LIMIT: f64 = 500.0;
+/// Most callers of a service: each is a thread, and a machine that others use has not many to spare.
+const CALLER_LIMIT: f64 = 150.0;
 
 /// Keys of each service: few, so that each is asked often enough to see when it has no owner.
 const KEYS: u32 = 60;
@@ -111,7 +111,8 @@
     }
 }
 
-/// Enough callers that one is free for each request when it is due, also where all time out.
+/// Enough callers that one is free for each request when it is due, also where all time out, up to
+/// the limit. Above it a request waits for its caller, and its latency counts from when it was due.
 #[expect(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
