Tell whether a router that is killed under load coordinates its cell

Seen: cargo test -p anvilrack-harness, six_routers_reach_the_one_owner, failed once in eight runs on a machine with a load average of 103: one request to router-6 had no answer within its 2 s (E2001 ... tries=1 verdict=may-have-run us=2005214), the others at most 0.51 s. Cause not found.

--- a/crates/anvilrack-bench/src/shape_run.rs
+++ b/crates/anvilrack-bench/src/shape_run.rs
@@ -97,6 +97,8 @@
         let running: Vec<_> = loads.collect();
         if plan.fault == ShapeFault::RouterLost {
             thread::sleep(plan.duration.mul_f64(LOSS_AT));
+            let coordinator = deployment.coordinator(1).map(|index| index == 0);
+            log::info!("killing router-1; it coordinates its cell: {coordinator:?}");
             deployment.routers[0].kill();
         }
         let ended = running.into_iter();
