--- a/crates/anvilrack-harness/src/deployment.rs
+++ b/crates/anvilrack-harness/src/deployment.rs
@@ -273,6 +273,12 @@
         })
     }
 
+    /// Where other routers reach a router.
+    #[must_use]
+    pub fn peer_address(&self, index: usize) -> SocketAddr {
+        self.peers[index]
+    }
+
     // --- looking --------------------------------------------------------------------------------
 
     /// Waits until each router that runs knows an owner for each shard, and each router with a
@@ -310,12 +316,6 @@
         Ok(serde_json::from_str(&answer.text()?)?)
     }
 
-    /// Where other routers reach router `index`.
-    #[must_use]
-    pub fn peer_address(&self, index: usize) -> SocketAddr {
-        self.peers[index]
-    }
-
     /// The index of the router that coordinates the cell, as router `index` knows it.
     ///
     /// # Errors
--- a/crates/anvilrack-router/src/membership.rs
+++ b/crates/anvilrack-router/src/membership.rs
@@ -59,8 +59,8 @@
     let request = HeartbeatRequest {
         service: service.clone(),
         report: context.report(),
-        digest: context.digest(),
         crashes: context.crashes.report(),
+        digest: context.beat_digest(service),
     };
     let sent_at = boot_clock::now();
     let Some(reply) = ask_coordinator(context, cell, request) else {
