--- a/crates/anvilrack-bench/src/sample_cell.rs
+++ b/crates/anvilrack-bench/src/sample_cell.rs
@@ -78,6 +78,8 @@
         epoch: 3,
         ready: true,
         released: Vec::new(),
+        sick: false,
+        loads: Vec::new(),
     }
 }
 
--- a/crates/anvilrack-bench/src/slopes/heartbeat.rs
+++ b/crates/anvilrack-bench/src/slopes/heartbeat.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use anvilrack_core::CoordinatorState;
+use anvilrack_core::{CoordinatorState, CrashReport};
 use anvilrack_harness::free_port;
 use anvilrack_peer::{LinkClass, PeerLinks, PeerServer, PeerService, ReplySender};
 use anvilrack_wire::{HeartbeatReply, HeartbeatRequest, PeerReply, PeerRequest, TableDigest};
@@ -57,6 +57,7 @@
         reply.send(PeerReply::Heartbeat(Box::new(HeartbeatReply {
             answer,
             update: anvilrack_wire::TableUpdate::default(),
+            crashes: CrashReport::default(),
         })));
     }
 }
@@ -114,6 +115,7 @@
         service: "bookings".into(),
         report: sample_report(5),
         digest,
+        crashes: CrashReport::default(),
     })
 }
 
