--- a/crates/anvilrack-core/tests/coordinator_state.rs
+++ b/crates/anvilrack-core/tests/coordinator_state.rs
@@ -23,6 +23,19 @@
     Duration::from_millis(count)
 }
 
+/// The terms these cases are written for; the defaults may change.
+fn terms() -> LeaseTerms {
+    LeaseTerms {
+        lease: Duration::from_secs(1),
+        drift_margin: Duration::from_millis(50),
+        heartbeat: Duration::from_millis(200),
+        authority: Duration::from_millis(1_200),
+        promise: Duration::from_millis(1_200),
+        takeover_after: Duration::from_millis(700),
+        outage_limit: Duration::from_hours(24),
+    }
+}
+
 fn member(node: &str, incarnation: Incarnation) -> CellMember {
     CellMember {
         node: node.into(),
@@ -64,7 +77,7 @@
 
 /// In office since time zero; its authority alone ends before a promise given at 1.1 s does.
 fn office() -> CoordinatorState {
-    let mut office = CoordinatorState::new(record("a"), LeaseTerms::default(), ms(0), ms(0), ms(0));
+    let mut office = CoordinatorState::new(record("a"), terms(), ms(0), ms(0), ms(0));
     office.on_heartbeat(&report("b", 1), ms(1_000));
     office
 }
--- a/crates/anvilrack-core/tests/standby_state.rs
+++ b/crates/anvilrack-core/tests/standby_state.rs
@@ -12,9 +12,8 @@
         $(
             #[test]
             fn $name() {
-                let terms = LeaseTerms::default();
                 let standby =
-                    StandbyState::new($node.into(), $incarnation, terms, BootTime::ZERO);
+                    StandbyState::new($node.into(), $incarnation, terms(), BootTime::ZERO);
                 let now = Duration::from_millis($silence_ms);
                 assert_eq!(standby.step(&record(), now), TakeoverStep::$step);
             }
@@ -22,6 +21,19 @@
     };
 }
 
+/// The terms these cases are written for; the defaults may change.
+fn terms() -> LeaseTerms {
+    LeaseTerms {
+        lease: Duration::from_secs(1),
+        drift_margin: Duration::from_millis(50),
+        heartbeat: Duration::from_millis(200),
+        authority: Duration::from_millis(1_200),
+        promise: Duration::from_millis(1_200),
+        takeover_after: Duration::from_millis(700),
+        outage_limit: Duration::from_hours(24),
+    }
+}
+
 fn member(node: &str, incarnation: Incarnation) -> CellMember {
     CellMember {
         node: node.into(),
