Tell a duplicate that finds no room to wait why, and give tests the room they need

Cause: nine parallel duplicates need eight places to wait; a quarter of the tests' 24 guard workers are six, so two were told may-have-run, with 'timed-out' as the reason though no time had passed. Such a duplicate is told 'at-work' now. It is still never told that it has not run.

--- a/crates/anvilrack-core/src/request_verdict.rs
+++ b/crates/anvilrack-core/src/request_verdict.rs
@@ -141,6 +141,8 @@
     RecordLost,
     /// The target's answer is above the bound and was not kept.
     AnswerTooLarge,
+    /// The same request is at work already, and there is no room to wait for its outcome.
+    AtWork,
 }
 
 impl UncertainReason {
@@ -153,6 +155,7 @@
             Self::AnswerCutShort => "answer-cut-short",
             Self::RecordLost => "record-lost",
             Self::AnswerTooLarge => "answer-too-large",
+            Self::AtWork => "at-work",
         }
     }
 }
--- a/crates/anvilrack-harness/src/deployment.rs
+++ b/crates/anvilrack-harness/src/deployment.rs
@@ -70,7 +70,7 @@
 
 /// Fewer threads than a router has on a VM of its own, since many routers share this machine.
 fn small_limits() -> Value {
-    json!({ "caller_workers": 48, "guard_workers": 24 })
+    json!({ "caller_workers": 48, "guard_workers": 40 })
 }
 
 fn site() -> Value {
--- a/crates/anvilrack-router/src/run_keeper.rs
+++ b/crates/anvilrack-router/src/run_keeper.rs
@@ -135,7 +135,12 @@
         let others = self.joined.fetch_add(1, Ordering::Relaxed);
         if left.is_zero() || others >= self.join_limit {
             self.joined.fetch_sub(1, Ordering::Relaxed);
-            return Err(RequestVerdict::MayHaveRun(UncertainReason::TimedOut));
+            let reason = if left.is_zero() {
+                UncertainReason::TimedOut
+            } else {
+                UncertainReason::AtWork
+            };
+            return Err(RequestVerdict::MayHaveRun(reason));
         }
         let waited = self.settled.wait_timeout(record, left.min(JOIN_STEP));
         self.joined.fetch_sub(1, Ordering::Relaxed);
