--- a/crates/anvilrack-router/src/log_writer.rs
+++ b/crates/anvilrack-router/src/log_writer.rs
@@ -61,7 +61,7 @@
             .init();
     }
 
-    /// Waits until all lines so far are written, for [`CLOSE_LIMIT`] at most.
+    /// Waits until all lines so far are written, for half a second at most.
     pub fn close(self) {
         let (done, written) = bounded(1);
         if self
