Name admission, terms and wake-ups by their standard words

From a read-through as a newcomer: a desk, an office's kick and an office term stood for admission control, a wake-up and a coordinator's term. Names alone; behaviour and tests are as they were.

--- a/crates/anvilrack-fakes/src/http_worker.rs
+++ b/crates/anvilrack-fakes/src/http_worker.rs
@@ -10,7 +10,7 @@
 use tiny_http::{Request, Response, Server};
 
 /// Time between two connections that make the server look at its queue.
-const KICK_EVERY: Duration = Duration::from_millis(20);
+const WAKE_EVERY: Duration = Duration::from_millis(20);
 
 /// Starts a server whose requests are served by `workers` threads; never returns.
 pub(crate) fn serve_forever<F>(address: SocketAddr, workers: usize, serve: F) -> eyre::Result<()>
@@ -46,7 +46,7 @@
 fn kick_forever(address: SocketAddr) {
     loop {
         drop(TcpStream::connect(address));
-        thread::sleep(KICK_EVERY);
+        thread::sleep(WAKE_EVERY);
     }
 }
 
--- a/crates/anvilrack-router/src/accept_kick.rs
+++ b/crates/anvilrack-router/src/accept_wakeup.rs
@@ -8,7 +8,7 @@
 use crate::router_context::RouterContext;
 
 /// Time between two connections.
-const KICK_EVERY: Duration = Duration::from_millis(50);
+const WAKE_EVERY: Duration = Duration::from_millis(50);
 
 /// Time to open one.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
@@ -21,7 +21,7 @@
 pub fn start(context: &Arc<RouterContext>, address: SocketAddr) {
     let context = context.clone();
     thread::spawn(move || {
-        while context.pause(KICK_EVERY) {
+        while context.pause(WAKE_EVERY) {
             drop(TcpStream::connect_timeout(&address, CONNECT_TIMEOUT));
         }
     });
--- a/crates/anvilrack-router/src/admission_desk.rs
+++ b/crates/anvilrack-router/src/admission_control.rs
@@ -17,13 +17,13 @@
 
 /// The [`AdmissionQueue`] of one target, with the threads that wait at it.
 #[derive(Debug)]
-pub struct AdmissionDesk {
+pub struct AdmissionControl {
     mode: AdmissionMode,
-    state: Mutex<DeskState>,
+    state: Mutex<ControlState>,
 }
 
 #[derive(Debug)]
-struct DeskState {
+struct ControlState {
     queue: AdmissionQueue,
     health: TargetHealth,
     /// What each waiting thread waits on; one each, so that only those with news are woken.
@@ -39,7 +39,7 @@
     pub retry_after: Duration,
 }
 
-impl AdmissionDesk {
+impl AdmissionControl {
     /// You say by which rules room is found.
     #[must_use]
     pub fn new(mode: AdmissionMode) -> Self {
@@ -48,7 +48,7 @@
             AdmissionMode::Adaptive => limit,
             AdmissionMode::Slots | AdmissionMode::None => limit.with_fixed_limit(),
         };
-        let state = DeskState {
+        let state = ControlState {
             queue: AdmissionQueue::new(limit),
             health: TargetHealth::default(),
             sleepers: BTreeMap::new(),
@@ -137,12 +137,12 @@
         }
     }
 
-    fn state(&self) -> MutexGuard<'_, DeskState> {
+    fn state(&self) -> MutexGuard<'_, ControlState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-impl DeskState {
+impl ControlState {
     fn wake(&mut self) {
         for ticket in self.queue.take_news() {
             if let Some(sleeper) = self.sleepers.remove(&ticket) {
@@ -154,10 +154,10 @@
 
 /// Waits for news of a ticket, at most until the given time.
 fn sleep(
-    mut state: MutexGuard<'_, DeskState>,
+    mut state: MutexGuard<'_, ControlState>,
     ticket: TicketId,
     until: Duration,
-) -> MutexGuard<'_, DeskState> {
+) -> MutexGuard<'_, ControlState> {
     let sleeper = Arc::new(Condvar::new());
     state.sleepers.insert(ticket, sleeper.clone());
     let time = until.saturating_sub(boot_clock::now());
--- a/crates/anvilrack-router/src/config_watch.rs
+++ b/crates/anvilrack-router/src/config_watch.rs
@@ -7,8 +7,8 @@
 use anvilrack_store::{KeyStore, StoreIndex, StoredValue};
 use rand::Rng;
 
+use crate::coordinator_term::CoordinatorTerm;
 use crate::log_event;
-use crate::office_term::OfficeTerm;
 use crate::router_context::RouterContext;
 use crate::store_records::{CONFIG_KEY, parse_json};
 
@@ -21,7 +21,7 @@
 /// Waits for newer configurations while this router is in office.
 ///
 /// One watch a cell: members get the configuration with their heartbeats.
-pub fn run(term: &OfficeTerm) {
+pub fn run(term: &CoordinatorTerm) {
     let context = &term.context;
     let mut index = 0;
     while term.record().is_some() {
--- a/crates/anvilrack-router/src/coordinator_role.rs
+++ b/crates/anvilrack-router/src/coordinator_role.rs
@@ -9,7 +9,7 @@
 use anvilrack_peer::LinkClass;
 use anvilrack_wire::{PeerReply, PeerRequest, TakeoverCall};
 
-use crate::office_term::OfficeTerm;
+use crate::coordinator_term::CoordinatorTerm;
 use crate::record_writer::RecordWriter;
 use crate::router_context::RouterContext;
 use crate::store_records::read_cell;
@@ -34,8 +34,8 @@
 
 /// Runs the cell under that epoch until another router takes it over or the process ends.
 pub fn run(context: &Arc<RouterContext>, epoch: Epoch) {
-    let term = OfficeTerm::new(context.clone(), epoch);
-    let threads: [fn(&OfficeTerm); 4] = [
+    let term = CoordinatorTerm::new(context.clone(), epoch);
+    let threads: [fn(&CoordinatorTerm); 4] = [
         call_members,
         keep_promises,
         config_watch::run,
@@ -55,7 +55,7 @@
 }
 
 /// Tells every router of the cell about the new epoch; those that answer are not in doubt.
-fn call_members(term: &OfficeTerm) {
+fn call_members(term: &CoordinatorTerm) {
     let Some(record) = term.record() else {
         return;
     };
@@ -84,7 +84,7 @@
     others.map(|member| member.peer_address).collect()
 }
 
-fn stand_down(context: &RouterContext, term: OfficeTerm) {
+fn stand_down(context: &RouterContext, term: CoordinatorTerm) {
     let Some(record) = term.close() else {
         return;
     };
@@ -137,7 +137,7 @@
 
 /// Asks the standbys not to take over while the store is silent, again and again, so that the
 /// promises are in place before the authority from the store ends.
-fn keep_promises(term: &OfficeTerm) {
+fn keep_promises(term: &CoordinatorTerm) {
     while term.context.pause(PROMISE_EVERY) {
         let Some(record) = term.record() else {
             return;
@@ -152,7 +152,7 @@
     }
 }
 
-fn ask_promises(term: &OfficeTerm, record: &CellRecord, successors: Vec<NodeId>) {
+fn ask_promises(term: &CoordinatorTerm, record: &CellRecord, successors: Vec<NodeId>) {
     let request = PeerRequest::Promise(record.service.clone(), record.epoch);
     let known: Vec<_> = successors
         .into_iter()
--- a/crates/anvilrack-router/src/office_term.rs
+++ b/crates/anvilrack-router/src/coordinator_term.rs
@@ -11,13 +11,13 @@
 /// A router may lose its office and win it again while a thread of the old term still waits for the
 /// store. Such a thread must not touch the state of the new term, so all of them come through here.
 #[derive(Clone)]
-pub struct OfficeTerm {
+pub struct CoordinatorTerm {
     /// The router's shared state.
     pub context: Arc<RouterContext>,
     epoch: Epoch,
 }
 
-impl OfficeTerm {
+impl CoordinatorTerm {
     /// You give the epoch that this router has just won.
     #[must_use]
     pub fn new(context: Arc<RouterContext>, epoch: Epoch) -> Self {
--- a/crates/anvilrack-router/src/lib.rs
+++ b/crates/anvilrack-router/src/lib.rs
@@ -1,14 +1,14 @@
 //! `anvilrack-router`, the process beside each target.
 //!
-//! A request goes through the [`stages`]: accept → resolve → forward → guard → deliver → reply. Each
-//! stage is one module with one `process` function. Between the callers' side and the guard's side stands a
+//! A request goes through the [`stages`]: accept → resolve → forward → guard → admit → deliver → reply. Each
+//! stage is one module with one `process` function. In front of the workers of either side stands a
 //! bounded channel; what does not fit is refused at once.
 //!
 //! Beside the stages run a few threads: [`membership`] keeps the lease, [`coordinator_role`] runs
-//! the cell where this router holds that office, [`table_sync`] fetches other cells' tables.
+//! the cell where this router coordinates it, [`table_sync`] fetches other cells' tables.
 
-pub mod accept_kick;
-pub mod admission_desk;
+pub mod accept_wakeup;
+pub mod admission_control;
 pub mod boot_clock;
 pub mod caller_body;
 pub mod callers_port;
@@ -16,6 +16,7 @@
 pub mod config_watch;
 pub mod control_port;
 pub mod coordinator_role;
+pub mod coordinator_term;
 pub mod crash_keeper;
 pub mod entry_shares;
 pub mod event_log;
@@ -25,7 +26,6 @@
 pub mod load_meter;
 pub mod log_writer;
 pub mod membership;
-pub mod office_term;
 pub mod peer_handler;
 pub mod reach_check;
 pub mod record_handover;
--- a/crates/anvilrack-router/src/reach_check.rs
+++ b/crates/anvilrack-router/src/reach_check.rs
@@ -7,8 +7,8 @@
 use anvilrack_peer::LinkClass;
 use anvilrack_wire::PeerRequest;
 
+use crate::coordinator_term::CoordinatorTerm;
 use crate::log_event;
-use crate::office_term::OfficeTerm;
 
 /// Time between two rounds of calls.
 const ROUND_EVERY: Duration = Duration::from_millis(300);
@@ -22,7 +22,7 @@
 /// Calls each member again and again during a term of office.
 ///
 /// A member whose heartbeats arrive may still be one that no other router can send requests to.
-pub fn run(term: &OfficeTerm) {
+pub fn run(term: &CoordinatorTerm) {
     let mut lost = BTreeMap::<NodeId, u32>::new();
     let mut told = BTreeSet::new();
     while term.context.pause(ROUND_EVERY) {
@@ -48,7 +48,7 @@
 }
 
 /// Which members answered; none once the term has ended.
-fn call_members(term: &OfficeTerm) -> Option<BTreeMap<NodeId, bool>> {
+fn call_members(term: &CoordinatorTerm) -> Option<BTreeMap<NodeId, bool>> {
     let record = term.record()?;
     let context = &term.context;
     let others = record.members.iter();
--- a/crates/anvilrack-router/src/record_writer.rs
+++ b/crates/anvilrack-router/src/record_writer.rs
@@ -14,7 +14,7 @@
 use anvilrack_wire::PeerRequest;
 use rand::Rng;
 
-use crate::office_term::OfficeTerm;
+use crate::coordinator_term::CoordinatorTerm;
 use crate::router_context::RouterContext;
 use crate::store_records::{read_cell, write_cell};
 use crate::{boot_clock, log_event};
@@ -42,7 +42,7 @@
 
 impl RecordWriter {
     /// Does what is due; false once the office is lost.
-    pub fn step(&mut self, term: &OfficeTerm) -> bool {
+    pub fn step(&mut self, term: &CoordinatorTerm) -> bool {
         let touch_due = boot_clock::now() >= self.next_touch;
         let index_lost = self.index.is_none() && !self.outage;
         if (index_lost || touch_due) && !self.touch(term) {
@@ -56,7 +56,7 @@
     }
 
     /// Reads the record: proof of office, and the answer to a write whose reply was lost.
-    fn touch(&mut self, term: &OfficeTerm) -> bool {
+    fn touch(&mut self, term: &CoordinatorTerm) -> bool {
         let Some(record) = term.record() else {
             return false;
         };
@@ -85,7 +85,7 @@
     }
 
     /// Writes what is planned; a write of unknown outcome is sent again as it was.
-    fn write_plan(&mut self, term: &OfficeTerm, index: StoreIndex) {
+    fn write_plan(&mut self, term: &CoordinatorTerm, index: StoreIndex) {
         let Some((rules, revision)) = rules_in_force(term) else {
             return;
         };
@@ -116,7 +116,7 @@
     }
 
     /// Has the owners of shards that are to move ask for their orders now.
-    fn tell_moves(&mut self, term: &OfficeTerm) {
+    fn tell_moves(&mut self, term: &CoordinatorTerm) {
         let planned = term.with_state(|state| (state.record().clone(), state.moves().clone()));
         let Some((record, moves)) = planned else {
             return;
@@ -156,7 +156,7 @@
     }
 }
 
-fn commit(term: &OfficeTerm, next: &CellRecord, sent_at: BootTime) {
+fn commit(term: &CoordinatorTerm, next: &CellRecord, sent_at: BootTime) {
     let before = term.with_state(|state| {
         let moving: Vec<ShardId> = state.moves().keys().copied().collect();
         let old = state.record().clone();
@@ -204,7 +204,7 @@
     }
 }
 
-fn rules_in_force(term: &OfficeTerm) -> Option<(ServiceRules, Revision)> {
+fn rules_in_force(term: &CoordinatorTerm) -> Option<(ServiceRules, Revision)> {
     let record = term.record()?;
     let routes = term.context.routes();
     let rules = routes.rules(&record.service)?.clone();
@@ -212,7 +212,7 @@
 }
 
 /// Makes the committed record known to this router; members get it with their next heartbeat.
-fn publish(term: &OfficeTerm) {
+fn publish(term: &CoordinatorTerm) {
     if let Some(record) = term.record() {
         term.context.accept_cell(Arc::new(record));
     }
--- a/crates/anvilrack-router/src/router_context.rs
+++ b/crates/anvilrack-router/src/router_context.rs
@@ -17,7 +17,7 @@
 use crossbeam::sync::ShardedLock;
 use tokio::runtime::Handle;
 
-use crate::admission_desk::AdmissionDesk;
+use crate::admission_control::AdmissionControl;
 use crate::crash_keeper::CrashKeeper;
 use crate::entry_shares::EntryShares;
 use crate::load_meter::LoadMeter;
@@ -50,7 +50,7 @@
     /// The at-most-once record.
     pub runs: RunKeeper,
     /// Room at the target beside this router.
-    pub admission: AdmissionDesk,
+    pub admission: AdmissionControl,
     /// Requests by shard, for placement.
     pub meter: LoadMeter,
     /// Callers' workers, shared by services and by callers.
@@ -89,7 +89,7 @@
             links: PeerLinks::new(runtime),
             releases: ReleaseTracker::default(),
             runs: RunKeeper::new(&settings.limits),
-            admission: AdmissionDesk::new(settings.policies.admission),
+            admission: AdmissionControl::new(settings.policies.admission),
             meter: LoadMeter::new(settings.policies.placement),
             entry: EntryShares::new(settings.limits.caller_workers),
             retries: RetryKeeper::new(&settings.limits),
--- a/crates/anvilrack-router/src/router_process.rs
+++ b/crates/anvilrack-router/src/router_process.rs
@@ -15,7 +15,7 @@
 use crate::peer_handler::PeerHandler;
 use crate::router_context::RouterContext;
 use crate::{
-    accept_kick, boot_clock, control_port, coordinator_role, health_hints, log_event, membership,
+    accept_wakeup, boot_clock, control_port, coordinator_role, health_hints, log_event, membership,
     table_sync, target_notice,
 };
 
@@ -62,7 +62,7 @@
         let callers = CallersPort::start(runtime.handle(), &context, &guard)
             .wrap_err_with(|| format!("cannot listen on {address}"))?;
         // The control port is the last one on the house's HTTP server.
-        accept_kick::start(&context, context.settings.control_address());
+        accept_wakeup::start(&context, context.settings.control_address());
         let threads = [
             membership::run,
             table_sync::run,
--- a/crates/anvilrack-router/src/stages/admit.rs
+++ b/crates/anvilrack-router/src/stages/admit.rs
@@ -6,7 +6,7 @@
 };
 use anvilrack_wire::ForwardRequest;
 
-use crate::admission_desk::AdmissionDesk;
+use crate::admission_control::AdmissionControl;
 use crate::log_event;
 use crate::router_context::RouterContext;
 use crate::spread_choices::outcome_of;
@@ -14,7 +14,7 @@
 /// Room at the target for one request; dropping it gives the room back.
 #[derive(Debug)]
 pub struct AdmitPermit<'a> {
-    desk: &'a AdmissionDesk,
+    control: &'a AdmissionControl,
     ticket: TicketId,
     outcome: HealthOutcome,
 }
@@ -36,18 +36,18 @@
         deadline,
         caller: request.caller.clone(),
     };
-    let desk = &context.admission;
-    let refusal = match desk.enter(asked, rules) {
+    let control = &context.admission;
+    let refusal = match control.enter(asked, rules) {
         Ok(ticket) => {
             return Ok(AdmitPermit {
-                desk,
+                control,
                 ticket,
                 outcome: HealthOutcome::NotTried,
             });
         }
         Err(refusal) => refusal,
     };
-    let (in_flight, waiting) = desk.load();
+    let (in_flight, waiting) = control.load();
     log_event!(
         Info,
         events::ADMISSION_REFUSED,
@@ -78,6 +78,6 @@
 
 impl Drop for AdmitPermit<'_> {
     fn drop(&mut self) {
-        self.desk.leave(self.ticket, self.outcome);
+        self.control.leave(self.ticket, self.outcome);
     }
 }
