--- /dev/null
+++ b/crates/anvilrack-core/tests/common/mod.rs
@@ -0,0 +1,30 @@
+//! What several test files of the core share.
+
+use std::time::Duration;
+
+use anvilrack_core::{CellMember, Incarnation, LeaseTerms};
+
+/// The terms these cases are written for; the defaults may change.
+pub fn terms() -> LeaseTerms {
+    LeaseTerms {
+        lease: Duration::from_secs(1),
+        drift_margin: Duration::from_millis(50),
+        heartbeat: Duration::from_millis(200),
+        authority: Duration::from_millis(1_200),
+        promise: Duration::from_millis(1_200),
+        takeover_after: Duration::from_millis(700),
+        outage_limit: Duration::from_hours(24),
+    }
+}
+
+/// A member whose failure domain has its own name.
+pub fn member(node: &str, incarnation: Incarnation) -> CellMember {
+    CellMember {
+        node: node.into(),
+        incarnation,
+        peer_address: ([127, 0, 0, 1], 1).into(),
+        failure_domain: node.into(),
+        region: "centro".into(),
+        leaving: false,
+    }
+}
--- a/crates/anvilrack-core/tests/coordinator_state.rs
+++ b/crates/anvilrack-core/tests/coordinator_state.rs
@@ -3,10 +3,13 @@
 use std::time::Duration;
 
 use anvilrack_core::{
-    BootTime, CellMember, CellRecord, CoordinatorState, Incarnation, LeaseTerms, MemberReport,
-    WriterStamp,
+    BootTime, CellRecord, CoordinatorState, Incarnation, MemberReport, WriterStamp,
 };
 
+mod common;
+
+use common::{member, terms};
+
 /// Names one case each.
 macro_rules! coordinator_cases {
     ($($name:ident => $body:block)*) => {
@@ -23,30 +26,6 @@
     Duration::from_millis(count)
 }
 
-/// The terms these cases are written for; the defaults may change.
-fn terms() -> LeaseTerms {
-    LeaseTerms {
-        lease: Duration::from_secs(1),
-        drift_margin: Duration::from_millis(50),
-        heartbeat: Duration::from_millis(200),
-        authority: Duration::from_millis(1_200),
-        promise: Duration::from_millis(1_200),
-        takeover_after: Duration::from_millis(700),
-        outage_limit: Duration::from_hours(24),
-    }
-}
-
-fn member(node: &str, incarnation: Incarnation) -> CellMember {
-    CellMember {
-        node: node.into(),
-        incarnation,
-        peer_address: ([127, 0, 0, 1], 1).into(),
-        failure_domain: node.into(),
-        region: "centro".into(),
-        leaving: false,
-    }
-}
-
 fn report(node: &str, incarnation: Incarnation) -> MemberReport {
     MemberReport {
         member: member(node, incarnation),
--- a/crates/anvilrack-core/tests/standby_state.rs
+++ b/crates/anvilrack-core/tests/standby_state.rs
@@ -2,9 +2,11 @@
 
 use std::time::Duration;
 
-use anvilrack_core::{
-    BootTime, CellMember, CellRecord, Incarnation, LeaseTerms, StandbyState, TakeoverStep,
-};
+use anvilrack_core::{BootTime, CellRecord, StandbyState, TakeoverStep};
+
+mod common;
+
+use common::{member, terms};
 
 /// Names one case each: the router and its run, the time without an answer, what it does.
 macro_rules! takeover_steps {
@@ -21,30 +23,6 @@
     };
 }
 
-/// The terms these cases are written for; the defaults may change.
-fn terms() -> LeaseTerms {
-    LeaseTerms {
-        lease: Duration::from_secs(1),
-        drift_margin: Duration::from_millis(50),
-        heartbeat: Duration::from_millis(200),
-        authority: Duration::from_millis(1_200),
-        promise: Duration::from_millis(1_200),
-        takeover_after: Duration::from_millis(700),
-        outage_limit: Duration::from_hours(24),
-    }
-}
-
-fn member(node: &str, incarnation: Incarnation) -> CellMember {
-    CellMember {
-        node: node.into(),
-        incarnation,
-        peer_address: ([127, 0, 0, 1], 1).into(),
-        failure_domain: node.into(),
-        region: "centro".into(),
-        leaving: false,
-    }
-}
-
 fn record() -> CellRecord {
     CellRecord {
         epoch: 1,
