--- a/crates/anvilrack-router/src/stages/guard.rs
+++ b/crates/anvilrack-router/src/stages/guard.rs
@@ -30,13 +30,15 @@
     if context.service().as_ref() != Some(&request.service) {
         return refuse(RefusalReason::NotOwner);
     }
-    let Some(rules) = context.routes().rules(&request.service).cloned() else {
+    // The table stays as it was for this request; a copy of the rules would hold every pinned key.
+    let routes = context.routes();
+    let Some(rules) = routes.rules(&request.service) else {
         return refuse(RefusalReason::UnknownService);
     };
     let shard = ShardHash::new(rules.shards).shard_of(&request.key);
     let deadline = deadline.min(boot_clock::now() + BootTime::from_millis(rules.max_timeout_ms));
     let _in_use = context.releases.enter(shard);
-    let grant = match grant_for(context, &rules, request, shard, deadline) {
+    let grant = match grant_for(context, rules, request, shard, deadline) {
         Ok(grant) => grant,
         Err(reason) => {
             let known = look_up(context, request, deadline);
@@ -47,7 +49,7 @@
         Ok(ticket) => ticket,
         Err(verdict) => return verdict,
     };
-    let verdict = run(context, client, request, &rules, shard, deadline);
+    let verdict = run(context, client, request, rules, shard, deadline);
     if let Some(ticket) = ticket {
         ticket.settle(&verdict);
     }
