Name the store's keys once

The command line and the failure trials each spelled out the keys of the configuration and of a cell's record again; a change in one place would have parted them from the router. They stand in anvilrack-store now.

--- a/crates/anvilrack-cli/src/config_apply.rs
+++ b/crates/anvilrack-cli/src/config_apply.rs
@@ -5,16 +5,13 @@
 use std::time::Duration;
 
 use anvilrack_core::{ConfigDocument, ConfigRecord, Revision};
-use anvilrack_store::{KeyStore, StoreIndex, WriteOutcome};
+use anvilrack_store::{CONFIG_KEY, KeyStore, StoreIndex, WriteOutcome};
 use eyre::{WrapErr, bail, eyre};
 use uuid::Uuid;
 
 use crate::config_difference::difference;
 use crate::placement_check::check_placement;
 
-/// Key of the configuration in the store.
-pub const CONFIG_KEY: &str = "anvilrack/config";
-
 /// How often a lost reply is looked into before the command gives up.
 const READ_BACK_TRIES: u32 = 20;
 
--- a/crates/anvilrack-cli/src/placement_check.rs
+++ b/crates/anvilrack-cli/src/placement_check.rs
@@ -1,7 +1,7 @@
 //! Are there members for what a configuration asks?
 
 use anvilrack_core::{CellRecord, ConfigDocument, ServiceRules};
-use anvilrack_store::KeyStore;
+use anvilrack_store::{KeyStore, cell_key};
 use eyre::{WrapErr, bail};
 
 /// Holds the rules of placement against the members that each cell has now.
@@ -13,8 +13,10 @@
 /// The first rule that would leave shards without an owner, with what is there.
 pub fn check_placement<S: KeyStore>(store: &S, document: &ConfigDocument) -> eyre::Result<()> {
     for (service, rules) in &document.services {
-        let key = format!("anvilrack/cells/{service}");
-        let Some(stored) = store.read(&key).wrap_err("cannot read the cells")? else {
+        let Some(stored) = store
+            .read(&cell_key(service))
+            .wrap_err("cannot read the cells")?
+        else {
             continue;
         };
         let cell: CellRecord = serde_json::from_slice(&stored.value)
--- a/crates/anvilrack-harness/src/loss_trial.rs
+++ b/crates/anvilrack-harness/src/loss_trial.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use anvilrack_core::CellRecord;
-use anvilrack_store::{HttpStore, KeyStore};
+use anvilrack_store::{HttpStore, KeyStore, cell_key};
 use eyre::{bail, eyre};
 use serde::Serialize;
 
@@ -138,7 +138,7 @@
 
 fn record(deployment: &Deployment) -> eyre::Result<CellRecord> {
     let store = HttpStore::new(deployment.store_address);
-    let key = format!("anvilrack/cells/{}", deployment.service());
+    let key = cell_key(deployment.service());
     let stored = store.read(&key)?;
     let stored = stored.ok_or_else(|| eyre!("the cell is not in the store"))?;
     Ok(serde_json::from_slice(&stored.value)?)
--- a/crates/anvilrack-router/src/config_watch.rs
+++ b/crates/anvilrack-router/src/config_watch.rs
@@ -4,13 +4,13 @@
 use std::time::Duration;
 
 use anvilrack_core::{ConfigRecord, events};
-use anvilrack_store::{KeyStore, StoreIndex, StoredValue};
+use anvilrack_store::{CONFIG_KEY, KeyStore, StoreIndex, StoredValue};
 use rand::Rng;
 
 use crate::coordinator_term::CoordinatorTerm;
 use crate::log_event;
 use crate::router_context::RouterContext;
-use crate::store_records::{CONFIG_KEY, parse_json};
+use crate::store_records::parse_json;
 
 /// How long a watch waits in one call.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
--- a/crates/anvilrack-router/src/store_records.rs
+++ b/crates/anvilrack-router/src/store_records.rs
@@ -1,18 +1,9 @@
 //! Cells' records and the configuration, as they stand in the store.
 
 use anvilrack_core::{CellRecord, ConfigRecord};
-use anvilrack_store::{KeyStore, StoreError, StoreIndex, WriteOutcome};
+use anvilrack_store::{CONFIG_KEY, KeyStore, StoreError, StoreIndex, WriteOutcome, cell_key};
 use serde::de::DeserializeOwned;
 
-/// Key of the configuration.
-pub const CONFIG_KEY: &str = "anvilrack/config";
-
-/// Key of a cell's record.
-#[must_use]
-pub fn cell_key(service: &str) -> String {
-    format!("anvilrack/cells/{service}")
-}
-
 /// Reads a cell's record and its index; a cell that is not there has index zero.
 ///
 /// # Errors
--- a/crates/anvilrack-store/src/lib.rs
+++ b/crates/anvilrack-store/src/lib.rs
@@ -9,6 +9,8 @@
 
 mod http_store;
 mod key_store;
+mod record_keys;
 
 pub use http_store::HttpStore;
 pub use key_store::{KeyStore, StoreError, StoreIndex, StoredValue, WriteOutcome};
+pub use record_keys::{CONFIG_KEY, cell_key};
