Look routes up by host and longest prefix, and hand over with a shard

Cause: the users' platform routes by host and prefix with weighted splits, and its targets return a hand-over when keys are released; the core knew neither. Ruled out: a list of prefixes searched in order, as a document may hold hundreds of routes; the look-up takes one hash look-up for each slash of the path. Conclusion: ReleaseReport and ShardOwner carry the hand-over; a standby can go on under another incarnation; a retry budget can be shared by many routers.

--- a/crates/anvilrack-bench/src/sample_cell.rs
+++ b/crates/anvilrack-bench/src/sample_cell.rs
@@ -67,6 +67,7 @@
         incarnation: INCARNATION,
         token: 900_000 + u64::from(number),
         record_lost: false,
+        handover: None,
     }
 }
 
--- a/crates/anvilrack-core/src/cell_record.rs
+++ b/crates/anvilrack-core/src/cell_record.rs
@@ -1,5 +1,7 @@
 //! What the store keeps of one cell.
 
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -106,6 +108,9 @@
     pub token: FencingToken,
     /// True where the previous owner ended without handing over its at-most-once record.
     pub record_lost: bool,
+    /// What the previous owner's target handed over for its successor, if it did.
+    #[serde(default)]
+    pub handover: Option<Arc<str>>,
 }
 
 /// Marks a write so that its writer can recognise it, together with the record's epoch and version.
--- a/crates/anvilrack-core/src/coordinator_state.rs
+++ b/crates/anvilrack-core/src/coordinator_state.rs
@@ -1,6 +1,7 @@
 //! Who should own what, and who may go on serving.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
@@ -82,6 +83,9 @@
     pub token: FencingToken,
     /// The router, and its run, that has taken the at-most-once record over.
     pub record_at: Option<(NodeId, Incarnation)>,
+    /// What the target handed over for its successor, if it did.
+    #[serde(default)]
+    pub handover: Option<Arc<str>>,
 }
 
 /// A shard that its owner should give back.
@@ -464,9 +468,9 @@
         let Some(member) = self.members.get(node).and_then(|view| view.member.as_ref()) else {
             return;
         };
-        let record_at = self
-            .release_of(shard)
-            .and_then(|report| report.record_at.clone());
+        let report = self.release_of(shard);
+        let record_at = report.and_then(|report| report.record_at.clone());
+        let handover = report.and_then(|report| report.handover.clone());
         let kept = record_at == Some((member.node.clone(), member.incarnation));
         next.last_token += 1;
         next.shards[shard as usize] = Some(ShardOwner {
@@ -474,6 +478,7 @@
             incarnation: member.incarnation,
             token: next.last_token,
             record_lost: self.record.owner(shard).is_some() && !kept,
+            handover,
         });
     }
 
--- a/crates/anvilrack-core/src/lib.rs
+++ b/crates/anvilrack-core/src/lib.rs
@@ -38,6 +38,7 @@
 mod service_rules;
 mod shard_hash;
 mod shard_meter;
+mod site_routes;
 mod standby_state;
 mod target_choice;
 mod target_health;
@@ -77,6 +78,7 @@
 };
 pub use shard_hash::ShardHash;
 pub use shard_meter::{ShardLoad, ShardMeter};
+pub use site_routes::{CallerLimits, RouteRules, RoutedService, SiteRoutes, SiteVersion};
 pub use standby_state::{StandbyState, TakeoverStep};
 pub use target_choice::{ChoiceDraws, TargetChoice, TargetDistance};
 pub use target_health::{HealthOutcome, TargetHealth};
--- a/crates/anvilrack-core/src/retry_budget.rs
+++ b/crates/anvilrack-core/src/retry_budget.rs
@@ -34,6 +34,7 @@
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     saved: RetryMilli,
+    limit: RetryMilli,
 }
 
 impl Default for RetryBudget {
@@ -46,12 +47,23 @@
     /// Starts with all that may be saved up.
     #[must_use]
     pub fn new() -> Self {
-        Self { saved: SAVED_LIMIT }
+        Self {
+            saved: SAVED_LIMIT,
+            limit: SAVED_LIMIT,
+        }
+    }
+
+    /// Saves up that many retries at most, for a limit that many routers share.
+    #[must_use]
+    pub fn with_saved(mut self, retries: u32) -> Self {
+        self.limit = RetryMilli::from(retries) * WHOLE_RETRY;
+        self.saved = self.saved.min(self.limit);
+        self
     }
 
     /// Counts a request that is sent for the first time.
     pub fn on_first_try(&mut self) {
-        self.saved = SAVED_LIMIT.min(self.saved + RETRY_SHARE);
+        self.saved = self.limit.min(self.saved + RETRY_SHARE);
     }
 
     /// Takes one retry, if there is one left.
--- a/crates/anvilrack-core/src/standby_state.rs
+++ b/crates/anvilrack-core/src/standby_state.rs
@@ -47,6 +47,11 @@
         }
     }
 
+    /// Goes on under another incarnation of the member, keeping what this process has promised.
+    pub fn set_incarnation(&mut self, incarnation: Incarnation) {
+        self.incarnation = incarnation;
+    }
+
     /// The coordinator answered a heartbeat.
     pub fn on_answer(&mut self, now: BootTime) {
         self.last_answer = self.last_answer.max(now);
--- a/crates/anvilrack-core/tests/placement_load.rs
+++ b/crates/anvilrack-core/tests/placement_load.rs
@@ -23,6 +23,7 @@
         incarnation: 1,
         token: u64::from(shard) + 1,
         record_lost: false,
+        handover: None,
     };
     CellRecord {
         shards: (0..SHARDS).map(|shard| Some(owner(shard))).collect(),
--- a/crates/anvilrack-core/tests/record_delta.rs
+++ b/crates/anvilrack-core/tests/record_delta.rs
@@ -49,6 +49,7 @@
         incarnation: 7,
         token,
         record_lost: false,
+        handover: None,
     }
 }
 
--- a/crates/anvilrack-model/src/system_steps.rs
+++ b/crates/anvilrack-model/src/system_steps.rs
@@ -253,6 +253,7 @@
             shard,
             token,
             record_at: None,
+            handover: None,
         });
         router.released = reports.filter(|_| early || !busy).collect();
     }
--- a/crates/anvilrack-router/src/membership.rs
+++ b/crates/anvilrack-router/src/membership.rs
@@ -189,6 +189,7 @@
         shard: order.shard,
         token,
         record_at: record_handover::hand_over(context, order, token, lost_at),
+        handover: None,
     });
     context.nudge();
 }
