--- a/crates/anvilrack-core/src/admission_queue.rs
+++ b/crates/anvilrack-core/src/admission_queue.rs
@@ -127,11 +127,14 @@
         AdmissionStep::Wait(ticket, latest)
     }
 
-    /// A request that had a slot is over.
+    /// A request is over, or its caller left while it waited.
     ///
     /// `measured` says whether the target worked on it, so that its time tells of the target.
     pub fn leave(&mut self, ticket: TicketId, measured: bool, now: BootTime) {
         let full = self.running.len() >= self.limit.limit() as usize;
+        // Its caller may have left while it waited.
+        self.waiting.remove(&ticket);
+        self.refused.remove(&ticket);
         if let Some(request) = self.running.remove(&ticket).filter(|_| measured) {
             let took = now.saturating_sub(request.began);
             self.limit.record(took, full, now);
--- a/crates/anvilrack-core/src/event_catalogue.rs
+++ b/crates/anvilrack-core/src/event_catalogue.rs
@@ -35,13 +35,20 @@
     ROUTER_STOPPING = 1002, "router.stopping", "A graceful stop began.";
     ROUTER_STOPPED = 1003, "router.stopped", "A graceful stop ended; says what was still in flight.";
     LOG_DROPPED = 1004, "log.dropped", "The log could not keep up; says how many lines were dropped.";
+    SETTINGS_KEPT = 1005, "settings.kept", "The process was told that its settings changed; those in force were kept.";
     TARGET_ANNOUNCED = 1101, "target.announced", "A target announced itself to the router beside it.";
     TARGET_READY = 1102, "target.ready", "The target's own answer about being ready changed.";
+    TARGET_SEEN = 1103, "target.seen", "The target beside this router began a new life; says its id, start and slots.";
+    TARGET_LEAVING = 1104, "target.leaving", "The target takes no new work; says why and how long ago it was heard from.";
+    TARGET_GONE = 1105, "target.gone", "The target has ended; says what showed it.";
+    NOTICE_REFUSED = 1106, "target.notice-refused", "A notice of a target was late or cannot be read, and changed nothing.";
     GRANT_TAKEN = 1201, "grant.taken", "This router was granted shards; says which and with what tokens.";
     GRANT_ENDED = 1202, "grant.ended", "This router's grants ended; says why.";
     LEASE_LAPSED = 1203, "lease.lapsed", "The lease ran out before it was renewed.";
     SHARD_RELEASED = 1204, "shard.released", "A shard was given back for a planned move.";
     TARGET_TOLD = 1205, "target.told", "The target was told of grants and releases; says how many.";
+    GRANT_UNANSWERED = 1206, "grant.unanswered", "The target did not answer a grant or release, which may still take effect.";
+    GRANT_REFUSED = 1207, "grant.refused", "The target refused a grant; says its status and the token.";
     CELL_CREATED = 1301, "cell.created", "This router created its cell and coordinates it.";
     CELL_TAKEN_OVER = 1302, "cell.taken-over", "This router took its cell over.";
     CELL_SUPERSEDED = 1303, "cell.superseded", "Another router took the cell over; this one stands down.";
@@ -56,6 +63,13 @@
     CONFIG_TAKEN = 1501, "config.taken", "A newer configuration is in force on this router.";
     CONFIG_REFUSED = 1502, "config.refused", "An older configuration was offered and refused.";
     CONFIG_PUT_BACK = 1503, "config.put-back", "The store held an older configuration; the newest one was written back.";
+    SITE_TAKEN = 1504, "site.taken", "A newer document of routes is in force; says its version and routes.";
+    SITE_REFUSED = 1505, "site.refused", "A document of routes cannot be used; the one before stays in force.";
+    STORE_LOST = 1601, "store.lost", "The platform's store does not answer this router.";
+    STORE_BACK = 1602, "store.back", "The platform's store answers this router again; says after how long.";
+    ENTRY_WRITTEN = 1603, "entry.written", "This router's directory entry is in the store.";
+    ROUTER_SEEN = 1604, "directory.seen", "A router's directory entry came or changed.";
+    ROUTER_LAPSED = 1605, "directory.lapsed", "A router's directory entry lapsed, and the router is taken as gone.";
     REQUEST_ROUTED = 2001, "request.routed", "A request was answered; says to where it went and its verdict.";
     REQUEST_REFUSED = 2002, "request.refused", "A request was refused; says why.";
     PEER_LOST = 2101, "peer.lost", "A link to another router broke or went silent.";
@@ -68,4 +82,8 @@
     ADMISSION_REFUSED = 2301, "admission.refused", "A target has no room for a request; says why, its class and what runs and waits.";
     ENTRY_REFUSED = 2302, "entry.refused", "One service or one caller has its share of a router's workers already.";
     TARGET_SUSPECTED = 2303, "target.suspected", "This router's own requests say that a target is sick, or well again.";
+    REQUEST_ANSWERED = 2401, "request.answered", "A caller got its answer; says the outcome, the tries and the time.";
+    REQUEST_TRIED = 2402, "request.tried", "One try of a request ended without its target's answer; says where and why.";
+    REQUEST_BARRED = 2403, "request.barred", "The router beside the target was asked whether a request has begun, and to bar it.";
+    REQUEST_LEFT = 2404, "request.left", "A caller left before its answer; says how long it waited.";
 }
--- /dev/null
+++ b/crates/anvilrack-node/src/callers/caller_request.rs
@@ -0,0 +1,277 @@
+//! One request of a caller: read, routed, answered.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anvilrack_core::{BootTime, SiteRoutes, UncertainReason, events};
+use anvilrack_router::boot_clock;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::header::{CONNECTION, HOST, HeaderName, HeaderValue};
+use hyper::{Request, Response, StatusCode};
+
+use crate::message_headers;
+use crate::peers::RunReply;
+use crate::routing::{CallerRequest, ForwardOutcome, forward};
+use crate::{CallerHead, NodeShared, PlatformDialect, RequestId, tell};
+
+/// When a caller may come back before this router knows any routes.
+const NO_SITE_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// Time for a request whose caller names none.
+const USUAL_TIME: Duration = Duration::from_secs(10);
+
+/// One in so many successful requests is told in the log, picked by its id.
+///
+/// All routers pick the same requests, so that their lines can be joined.
+const TOLD_PART: u64 = 64;
+
+/// Answers a caller. Dropping the future, as when the caller leaves, drops the work.
+pub async fn answer<D: PlatformDialect>(
+    request: Request<Incoming>,
+    node: &Arc<NodeShared<D>>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    let began = boot_clock::now();
+    let head = node.dialect.read_head(request.headers());
+    let mut open = OpenRequest::new(node, head.request.clone(), began);
+    let mut response = match read(request, &head, node, began).await {
+        Ok(request) => {
+            let outcome = forward(node, &request).await;
+            open.told = true;
+            tell_answer(node, &request, &outcome, began);
+            write(node, &request.request, outcome)
+        }
+        Err(refusal) => {
+            open.told = true;
+            tell!(
+                Info,
+                events::REQUEST_REFUSED,
+                request = head.request.as_deref(),
+                status = refusal.status.as_u16(),
+                why = refusal.why
+            );
+            refusal.response(node, head.request.as_ref())
+        }
+    };
+    if node.is_stopping() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    Ok(response)
+}
+
+/// A request that goes no further.
+struct EarlyRefusal {
+    status: StatusCode,
+    why: &'static str,
+}
+
+impl EarlyRefusal {
+    fn new(status: StatusCode, why: &'static str) -> Self {
+        Self { status, why }
+    }
+
+    fn response<D: PlatformDialect>(
+        &self,
+        node: &NodeShared<D>,
+        request: Option<&RequestId>,
+    ) -> Response<Full<Bytes>> {
+        let mut response = Response::new(Full::from(self.why));
+        *response.status_mut() = self.status;
+        if self.status == StatusCode::SERVICE_UNAVAILABLE {
+            let headers = response.headers_mut();
+            node.dialect
+                .mark_refusal(headers, request, NO_SITE_RETRY_AFTER);
+        }
+        response
+    }
+}
+
+/// Reads the request whole and finds its route.
+async fn read<D: PlatformDialect>(
+    request: Request<Incoming>,
+    head: &CallerHead,
+    node: &NodeShared<D>,
+    began: BootTime,
+) -> Result<CallerRequest, EarlyRefusal> {
+    let site = node.site().ok_or(EarlyRefusal::new(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "no routes are known yet",
+    ))?;
+    let (parts, body) = request.into_parts();
+    let host = parts.uri.host().map(ToOwned::to_owned).or_else(|| {
+        let host = parts.headers.get(HOST)?.to_str().ok()?;
+        Some(host.split(':').next().unwrap_or(host).to_owned())
+    });
+    let host = host.ok_or(EarlyRefusal::new(
+        StatusCode::BAD_REQUEST,
+        "no host is named",
+    ))?;
+    let route = site
+        .find(&host, parts.uri.path())
+        .ok_or(EarlyRefusal::new(StatusCode::NOT_FOUND, "no route matches"))?
+        .clone();
+    let id = head.request.clone();
+    let id = id.ok_or(EarlyRefusal::new(
+        StatusCode::BAD_REQUEST,
+        "the request has no id",
+    ))?;
+    let service = route.pick_service(rand::random()).cloned();
+    let service = service.ok_or(EarlyRefusal::new(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "no service has a share of the route",
+    ))?;
+    let body = read_body(body, &site).await?;
+    let time = head.time_left.unwrap_or(USUAL_TIME).min(route.timeout);
+    let path = parts.uri.path_and_query();
+    Ok(CallerRequest {
+        request: id,
+        path: path.map_or_else(|| "/".to_owned(), ToString::to_string),
+        method: parts.method.as_str().to_owned(),
+        headers: message_headers::to_list(&parts.headers),
+        body,
+        key: head.key,
+        deadline: began + time,
+        route,
+        service,
+    })
+}
+
+async fn read_body(body: Incoming, site: &SiteRoutes) -> Result<Bytes, EarlyRefusal> {
+    let limit = site.limits.body_bytes;
+    let too_long = || EarlyRefusal::new(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long");
+    if body.size_hint().lower() > limit {
+        return Err(too_long());
+    }
+    let limit = usize::try_from(limit).unwrap_or(usize::MAX);
+    match Limited::new(body, limit).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(too_long()),
+        Err(_) => Err(EarlyRefusal::new(
+            StatusCode::BAD_REQUEST,
+            "the body ended early",
+        )),
+    }
+}
+
+/// The answer as the caller gets it.
+fn write<D: PlatformDialect>(
+    node: &NodeShared<D>,
+    request: &RequestId,
+    outcome: ForwardOutcome,
+) -> Response<Full<Bytes>> {
+    match outcome.reply {
+        RunReply::Ran { status, headers } => {
+            let mut response = Response::new(Full::new(outcome.body));
+            *response.status_mut() =
+                StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+            for (name, value) in headers {
+                let name = HeaderName::from_bytes(name.as_bytes());
+                if let (Ok(name), Ok(value)) = (name, HeaderValue::from_bytes(&value)) {
+                    response.headers_mut().append(name, value);
+                }
+            }
+            response
+        }
+        RunReply::NotRun {
+            reason,
+            retry_after,
+        } => {
+            let mut response = Response::new(Full::from(reason.word()));
+            *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+            let headers = response.headers_mut();
+            node.dialect
+                .mark_refusal(headers, Some(request), retry_after);
+            response
+        }
+        RunReply::MayHaveRun(reason) => {
+            let mut response = Response::new(Full::from(reason.word()));
+            *response.status_mut() = if reason == UncertainReason::TimedOut {
+                StatusCode::GATEWAY_TIMEOUT
+            } else {
+                StatusCode::BAD_GATEWAY
+            };
+            response
+        }
+    }
+}
+
+fn tell_answer<D: PlatformDialect>(
+    node: &NodeShared<D>,
+    request: &CallerRequest,
+    outcome: &ForwardOutcome,
+    began: BootTime,
+) {
+    let took = boot_clock::now().saturating_sub(began);
+    let (word, why) = match &outcome.reply {
+        RunReply::Ran { .. } => ("ran", None),
+        RunReply::NotRun { reason, .. } => ("not-run", Some(reason.word())),
+        RunReply::MayHaveRun(reason) => ("may-have-run", Some(reason.word())),
+    };
+    let service = &request.service;
+    node.metrics.record(service, took);
+    let labels = format!("service=\"{service}\",outcome=\"{word}\"");
+    node.metrics.count("requests", labels);
+    if why.is_none() && !is_told(&request.request) {
+        return;
+    }
+    tell!(
+        Info,
+        events::REQUEST_ANSWERED,
+        request = &*request.request,
+        route = &*request.route.name,
+        service = &**service,
+        key = request.key,
+        outcome = word,
+        why = why,
+        places = outcome.places,
+        place = outcome.last_place.as_deref(),
+        took_ms = took.as_millis() as u64,
+        routes_version = node.site().map(|site| site.version),
+        cell_version = node.cell(service).map(|cell| cell.version)
+    );
+}
+
+fn is_told(request: &RequestId) -> bool {
+    let sum = request.bytes().fold(0_u64, |sum, byte| {
+        sum.wrapping_mul(31).wrapping_add(u64::from(byte))
+    });
+    sum % TOLD_PART == 0
+}
+
+/// One request between its head and its answer.
+struct OpenRequest<'a, D: PlatformDialect> {
+    node: &'a NodeShared<D>,
+    request: Option<RequestId>,
+    began: BootTime,
+    told: bool,
+}
+
+impl<'a, D: PlatformDialect> OpenRequest<'a, D> {
+    fn new(node: &'a NodeShared<D>, request: Option<RequestId>, began: BootTime) -> Self {
+        node.open_requests(1);
+        Self {
+            node,
+            request,
+            began,
+            told: false,
+        }
+    }
+}
+
+impl<D: PlatformDialect> Drop for OpenRequest<'_, D> {
+    fn drop(&mut self) {
+        self.node.open_requests(-1);
+        if !self.told {
+            let waited = boot_clock::now().saturating_sub(self.began);
+            tell!(
+                Info,
+                events::REQUEST_LEFT,
+                request = self.request.as_deref(),
+                waited_ms = waited.as_millis() as u64
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/anvilrack-node/src/node_process.rs
@@ -0,0 +1,200 @@
+//! The process: what it starts, and how it stops.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anvilrack_core::events;
+use anvilrack_router::boot_clock;
+use bytes::Bytes;
+use eyre::{Result, WrapErr};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::time::sleep;
+
+use crate::callers::serve_callers;
+use crate::directory::{keep_entry, watch_entries, watch_site};
+use crate::guard::serve_control;
+use crate::ownership::{keep_grants, resign, run_member};
+use crate::peers::serve_peers;
+use crate::{NodeSettings, NodeShared, PlatformDialect, tell};
+
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Time between two looks for entries that lapsed.
+const EXPIRE_EVERY: Duration = Duration::from_millis(250);
+
+/// Time between two looks whether a stop is complete.
+const STOP_STEP: Duration = Duration::from_millis(50);
+
+/// Callers and routers need this long to turn elsewhere, so a stop takes no less.
+const LEAST_STOP: Duration = Duration::from_millis(3_300);
+
+/// A stop ends so long before the process would be killed.
+const STOP_MARGIN: Duration = Duration::from_millis(500);
+
+/// Time for a head at the ready and metrics addresses, counted also while a connection is idle.
+const HEAD_LIMIT: Duration = Duration::from_secs(30);
+
+/// Runs the router until it is told to stop.
+///
+/// # Errors
+///
+/// Where an address cannot be bound; the error names it.
+pub async fn run<D: PlatformDialect>(
+    settings: NodeSettings,
+    dialect: D,
+    store: D::Store,
+) -> Result<()> {
+    let listen = settings.listen.clone();
+    let node = Arc::new(NodeShared::new(settings, dialect, store));
+    let callers = bind(listen.callers).await?;
+    let peers = bind(listen.peers).await?;
+    let ready = bind(listen.ready).await?;
+    let control = bind(listen.control).await?;
+    let metrics = bind(listen.metrics).await?;
+    let mut stop = signal(SignalKind::terminate()).wrap_err("cannot listen for SIGTERM")?;
+    let mut reload = signal(SignalKind::hangup()).wrap_err("cannot listen for SIGHUP")?;
+    tell!(
+        Info,
+        events::ROUTER_STARTED,
+        node = &*node.settings.node,
+        run = node.run,
+        service = &*node.settings.service,
+        failure_domain = &*node.settings.failure_domain,
+        target = node.settings.target.to_string()
+    );
+    tokio::spawn(serve_callers(callers, node.clone()));
+    tokio::spawn(serve_peers(peers, node.clone()));
+    tokio::spawn(serve_answers(ready, node.clone(), is_ready));
+    tokio::spawn(serve_answers(metrics, node.clone(), metrics_text));
+    tokio::spawn(serve_control(control, node.clone()));
+    tokio::spawn(watch_site(node.clone()));
+    tokio::spawn(watch_entries(node.clone()));
+    tokio::spawn(keep_entry(node.clone()));
+    tokio::spawn(expire_entries(node.clone()));
+    tokio::spawn(run_member(node.clone()));
+    tokio::spawn(keep_grants(node.clone()));
+    loop {
+        tokio::select! {
+            _ = stop.recv() => break,
+            _ = reload.recv() => tell!(Info, events::SETTINGS_KEPT, node = &*node.settings.node),
+        }
+    }
+    stop_gracefully(&node).await;
+    Ok(())
+}
+
+/// Hands over what this router holds, and ends once nobody needs it any more.
+async fn stop_gracefully<D: PlatformDialect>(node: &Arc<NodeShared<D>>) {
+    let began = boot_clock::now();
+    tell!(Info, events::ROUTER_STOPPING, open = node.open_count());
+    node.begin_stop();
+    resign(node).await;
+    let longest = node.settings.terms.stop_grace.saturating_sub(STOP_MARGIN);
+    loop {
+        sleep(STOP_STEP).await;
+        let passed = boot_clock::now().saturating_sub(began);
+        let holds = node.owner().held().count() + node.grants.released().len();
+        let busy = node.open_count() > 0 || node.door.load().0 > 0 || holds > 0;
+        if passed >= longest || (passed >= LEAST_STOP.min(longest) && !busy) {
+            break;
+        }
+    }
+    tell!(
+        Info,
+        events::ROUTER_STOPPED,
+        open = node.open_count(),
+        at_target = node.door.load().0,
+        held = node.owner().held().count()
+    );
+}
+
+/// Accepts connections until the process ends.
+pub async fn accept_loop(listener: TcpListener, serve: impl Fn(TcpStream)) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => serve(stream),
+            Err(error) => {
+                log::warn!("cannot accept a connection: {error}");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .wrap_err_with(|| format!("cannot listen at {address}"))
+}
+
+async fn expire_entries<D: PlatformDialect>(node: Arc<NodeShared<D>>) {
+    loop {
+        sleep(EXPIRE_EVERY).await;
+        node.expire_entries();
+    }
+}
+
+/// Answers simple questions, one function for all paths.
+async fn serve_answers<D: PlatformDialect>(
+    listener: TcpListener,
+    node: Arc<NodeShared<D>>,
+    answer: fn(&NodeShared<D>, &str) -> Response<Full<Bytes>>,
+) {
+    accept_loop(listener, |stream| {
+        let node = node.clone();
+        tokio::spawn(async move {
+            let service = service_fn(|request: Request<Incoming>| {
+                let response = answer(&node, request.uri().path());
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(HEAD_LIMIT)
+                .serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = connection.await {
+                log::debug!("connection for a question ended: {error}");
+            }
+        });
+    })
+    .await;
+}
+
+fn is_ready<D: PlatformDialect>(node: &NodeShared<D>, path: &str) -> Response<Full<Bytes>> {
+    let known = path == node.dialect.ready_path();
+    let ready = node.site().is_some() && !node.is_stopping();
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = match (known, ready) {
+        (false, _) => StatusCode::NOT_FOUND,
+        (true, true) => StatusCode::OK,
+        (true, false) => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    response
+}
+
+fn metrics_text<D: PlatformDialect>(node: &NodeShared<D>, _path: &str) -> Response<Full<Bytes>> {
+    let (running, waiting) = node.door.load();
+    let mut text = node.metrics.text();
+    let site = node.site().map_or(0, |site| site.version);
+    let gauges = [
+        ("requests_open", node.open_count() as u64),
+        ("target_running", running as u64),
+        ("target_waiting", waiting as u64),
+        ("shards_held", node.owner().held().count() as u64),
+        ("routes_version", site),
+        ("peers", node.peer_addresses().len() as u64),
+    ];
+    for (name, value) in gauges {
+        text.push_str(&format!("anvilrack_{name} {value}\n"));
+    }
+    Response::new(Full::from(text))
+}
--- /dev/null
+++ b/crates/anvilrack-node/src/node_shared.rs
@@ -0,0 +1,471 @@
+//! What the parts of a router share.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicIsize, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use anvilrack_core::{
+    CellMember, CellRecord, CoordinatorState, LeaseTerms, MemberReport, NodeId, OwnerState,
+    RetryBudget, ServiceName, ShardId, SiteRoutes, StandbyState, TargetChoice, events,
+};
+use anvilrack_router::boot_clock;
+use tokio::sync::Notify;
+
+use crate::directory::{DirectoryEntry, DirectoryView};
+use crate::guard::{LifeState, TargetDoor, TargetLife};
+use crate::observe::NodeMetrics;
+use crate::ownership::{GrantKeeper, SHARD_COUNT, lease_terms, release_all};
+use crate::peers::{PeerCall, PeerLinks, PeerPlace, RecordMark, TargetPlace};
+use crate::{KEY_SPACE, KeyNumber, NodeSettings, PlatformDialect, tell};
+
+/// Retries that one router saves up at most, for the limit is shared by the fleet.
+const SAVED_RETRIES: u32 = 3;
+
+/// Time for a word to another router that nobody waits for.
+const TELL_LIMIT: std::time::Duration = std::time::Duration::from_millis(400);
+
+/// State of one router process.
+pub struct NodeShared<D: PlatformDialect> {
+    /// Its settings.
+    pub settings: NodeSettings,
+    /// The platform's words.
+    pub dialect: D,
+    /// The platform's store.
+    pub store: D::Store,
+    /// Links to other routers.
+    pub links: PeerLinks,
+    /// The door to the target beside this router.
+    pub door: TargetDoor,
+    /// The grants at that target.
+    pub grants: GrantKeeper,
+    /// The times that ownership hangs on.
+    pub lease_terms: LeaseTerms,
+    /// Which run of the process this is, in milliseconds since the Unix epoch.
+    pub run: u64,
+    /// Counters and latencies.
+    pub metrics: NodeMetrics,
+    /// A member has something to tell its coordinator.
+    pub member_news: Notify,
+    /// The coordinator has something to decide.
+    pub coordinator_news: Notify,
+    /// Grants may be due.
+    pub grant_news: Notify,
+    /// A grant was confirmed by the target.
+    pub door_news: Notify,
+    /// This router's entry may have changed.
+    pub entry_news: Notify,
+    /// A cell's record, or the directory, has changed.
+    pub route_news: Notify,
+    stopping: AtomicBool,
+    open: AtomicIsize,
+    entry_version: AtomicU64,
+    own_entry: Mutex<Option<DirectoryEntry>>,
+    site: Mutex<Option<Arc<SiteRoutes>>>,
+    directory: Mutex<DirectoryView>,
+    cells: Mutex<HashMap<ServiceName, Arc<CellRecord>>>,
+    choices: Mutex<HashMap<ServiceName, TargetChoice>>,
+    budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
+    owner: Mutex<OwnerState>,
+    standby: Mutex<StandbyState>,
+    coordinator: Mutex<Option<CoordinatorState>>,
+}
+
+impl<D: PlatformDialect> NodeShared<D> {
+    /// You give the settings, the platform's words and its store.
+    #[must_use]
+    pub fn new(settings: NodeSettings, dialect: D, store: D::Store) -> Self {
+        let terms = lease_terms();
+        let node = settings.node.clone();
+        let now = boot_clock::now();
+        Self {
+            door: TargetDoor::new(settings.target),
+            dialect,
+            store,
+            links: PeerLinks::default(),
+            grants: GrantKeeper::default(),
+            lease_terms: terms,
+            run: boot_clock::unix_ms(),
+            metrics: NodeMetrics::default(),
+            member_news: Notify::new(),
+            coordinator_news: Notify::new(),
+            grant_news: Notify::new(),
+            door_news: Notify::new(),
+            entry_news: Notify::new(),
+            route_news: Notify::new(),
+            stopping: AtomicBool::new(false),
+            open: AtomicIsize::new(0),
+            entry_version: AtomicU64::new(0),
+            own_entry: Mutex::default(),
+            site: Mutex::default(),
+            directory: Mutex::default(),
+            cells: Mutex::default(),
+            choices: Mutex::default(),
+            budgets: Mutex::default(),
+            owner: Mutex::new(OwnerState::new(node.clone(), 0, terms)),
+            standby: Mutex::new(StandbyState::new(node, 0, terms, now)),
+            coordinator: Mutex::default(),
+            settings,
+        }
+    }
+
+    // --- parts ----------------------------------------------------------------------------------
+
+    /// What this router may serve.
+    pub fn owner(&self) -> MutexGuard<'_, OwnerState> {
+        lock(&self.owner)
+    }
+
+    /// This router as a possible successor of its coordinator.
+    pub fn standby(&self) -> MutexGuard<'_, StandbyState> {
+        lock(&self.standby)
+    }
+
+    /// The office, while this router holds it.
+    pub fn coordinator(&self) -> MutexGuard<'_, Option<CoordinatorState>> {
+        lock(&self.coordinator)
+    }
+
+    /// The other routers.
+    pub fn directory(&self) -> MutexGuard<'_, DirectoryView> {
+        lock(&self.directory)
+    }
+
+    /// The targets of each service, as this router sees them.
+    pub fn choices(&self) -> MutexGuard<'_, HashMap<ServiceName, TargetChoice>> {
+        lock(&self.choices)
+    }
+
+    /// Runs `work` on the retry budget of a service.
+    pub fn with_budget<T>(
+        &self,
+        service: &ServiceName,
+        work: impl FnOnce(&mut RetryBudget) -> T,
+    ) -> T {
+        let mut budgets = lock(&self.budgets);
+        let budget = budgets
+            .entry(service.clone())
+            .or_insert_with(|| RetryBudget::new().with_saved(SAVED_RETRIES));
+        work(budget)
+    }
+
+    /// True once a stop has begun.
+    #[must_use]
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Counts a request that came, or one that ended.
+    pub fn open_requests(&self, change: isize) {
+        self.open.fetch_add(change, Ordering::Relaxed);
+    }
+
+    /// Requests of callers between their head and their answer.
+    #[must_use]
+    pub fn open_count(&self) -> usize {
+        usize::try_from(self.open.load(Ordering::Relaxed)).unwrap_or(0)
+    }
+
+    /// A stop begins: the target's keys go to other targets, and no new work comes here.
+    pub fn begin_stop(self: &Arc<Self>) {
+        self.stopping.store(true, Ordering::Relaxed);
+        self.publish_entry();
+        release_all(self);
+        self.member_news.notify_one();
+    }
+
+    // --- the operators' document ----------------------------------------------------------------
+
+    /// The document in force.
+    #[must_use]
+    pub fn site(&self) -> Option<Arc<SiteRoutes>> {
+        lock(&self.site).clone()
+    }
+
+    /// Takes a document; an older one changes nothing.
+    pub fn take_site(&self, site: SiteRoutes) {
+        let mut known = lock(&self.site);
+        let version = site.version;
+        if known.as_ref().is_some_and(|known| known.version >= version) {
+            return;
+        }
+        tell!(
+            Info,
+            events::SITE_TAKEN,
+            version = version,
+            routes = site.route_count(),
+            services = site.services.len()
+        );
+        *known = Some(Arc::new(site));
+        drop(known);
+        self.member_news.notify_one();
+    }
+
+    /// True where each key of a service is held by one target.
+    #[must_use]
+    pub fn is_divided(&self, service: &str) -> bool {
+        let site = self.site();
+        let service = site.as_ref().and_then(|site| site.services.get(service));
+        service.is_some_and(|service| service.divided_by_key)
+    }
+
+    /// The shard of a key, where its service is divided by key.
+    #[must_use]
+    pub fn shard_of(&self, service: &str, key: Option<KeyNumber>) -> Option<ShardId> {
+        let key = key.filter(|_| self.is_divided(service))?;
+        Some(u32::from(key) / (KEY_SPACE / SHARD_COUNT))
+    }
+
+    // --- directory ------------------------------------------------------------------------------
+
+    /// Takes another router's entry.
+    pub fn take_entry(&self, entry: DirectoryEntry) {
+        if entry.place.node == self.settings.node {
+            return;
+        }
+        let service = entry.service.clone();
+        let line = (entry.place.node.clone(), entry.is_ready(), entry.version);
+        if self.directory().take(entry) {
+            tell!(
+                Info,
+                events::ROUTER_SEEN,
+                router = &*line.0,
+                service = &*service,
+                ready = line.1,
+                version = line.2
+            );
+            self.refresh_choice(&service);
+        }
+    }
+
+    /// Drops the routers whose entries lapsed and did not come back.
+    pub fn expire_entries(&self) {
+        let gone = self.directory().expire(boot_clock::now());
+        if gone.is_empty() {
+            return;
+        }
+        for router in &gone {
+            tell!(Warn, events::ROUTER_LAPSED, router = &**router);
+        }
+        let services: Vec<_> = self.choices().keys().cloned().collect();
+        for service in services {
+            self.refresh_choice(&service);
+        }
+    }
+
+    fn refresh_choice(&self, service: &ServiceName) {
+        let own = self.own_entry();
+        let members: Vec<CellMember> = {
+            let directory = self.directory();
+            let others = directory.of_service(service);
+            let own = (own.service == *service).then_some(&own);
+            let ready = others.chain(own).filter(|entry| entry.is_ready());
+            ready.map(DirectoryEntry::as_member).collect()
+        };
+        let mut choices = self.choices();
+        let choice = choices.entry(service.clone()).or_default();
+        choice.set_members(&own.as_member(), members.iter(), boot_clock::now());
+        drop(choices);
+        self.route_news.notify_waiters();
+    }
+
+    /// Routers of a service whose target takes work.
+    #[must_use]
+    pub fn service_size(&self, service: &str) -> usize {
+        let own = usize::from(*self.settings.service == *service && self.own_entry().is_ready());
+        let directory = self.directory();
+        own + directory
+            .of_service(service)
+            .filter(|e| e.is_ready())
+            .count()
+    }
+
+    /// Where the other routers are reached.
+    #[must_use]
+    pub fn peer_addresses(&self) -> Vec<SocketAddr> {
+        let directory = self.directory();
+        directory
+            .entries()
+            .map(|entry| entry.place.address)
+            .collect()
+    }
+
+    /// This router's entry as it should stand in the store.
+    #[must_use]
+    pub fn own_entry(&self) -> DirectoryEntry {
+        let stopping = self.is_stopping();
+        let target = self.door.life().map(|life| TargetPlace {
+            incarnation: life.incarnation,
+            slots: life.slots,
+            ready: life.state == LifeState::Serving,
+        });
+        let mut kept = lock(&self.own_entry);
+        if let Some(entry) = kept.as_ref()
+            && entry.target == target
+            && entry.stopping == stopping
+        {
+            return entry.clone();
+        }
+        let entry = DirectoryEntry {
+            place: self.place(),
+            run: self.run,
+            version: self.entry_version.fetch_add(1, Ordering::Relaxed) + 1,
+            service: self.settings.service.clone(),
+            target,
+            stopping,
+        };
+        *kept = Some(entry.clone());
+        entry
+    }
+
+    /// Tells the store and the other routers that this router's entry has changed.
+    pub fn publish_entry(self: &Arc<Self>) {
+        self.entry_news.notify_one();
+        let service = self.settings.service.clone();
+        self.refresh_choice(&service);
+        let entry = self.own_entry();
+        if entry.is_ready() {
+            return;
+        }
+        // Bad news travels at once; good news may take the way over the store.
+        let node = self.clone();
+        tokio::spawn(async move {
+            let addresses = node.peer_addresses();
+            let call = PeerCall::Entry(entry);
+            node.links.call_all(addresses, &call, TELL_LIMIT).await;
+        });
+    }
+
+    fn place(&self) -> PeerPlace {
+        PeerPlace {
+            node: self.settings.node.clone(),
+            address: self.settings.listen.peers,
+            failure_domain: self.settings.failure_domain.clone(),
+            region: self.settings.region.clone(),
+        }
+    }
+
+    // --- cells ----------------------------------------------------------------------------------
+
+    /// The newest record of a service's cell that this router has.
+    #[must_use]
+    pub fn cell(&self, service: &str) -> Option<Arc<CellRecord>> {
+        lock(&self.cells).get(service).cloned()
+    }
+
+    /// Takes a record; an older one changes nothing.
+    pub fn take_cell(&self, record: CellRecord) {
+        let service = record.service.clone();
+        let record = Arc::new(record);
+        {
+            let mut cells = lock(&self.cells);
+            let mark = RecordMark::new(&record);
+            let known = cells.get(&service);
+            if known.is_some_and(|known| RecordMark::new(known) >= mark) {
+                return;
+            }
+            cells.insert(service.clone(), record.clone());
+        }
+        if service == self.settings.service {
+            self.owner().on_record(&record, boot_clock::now());
+            self.grant_news.notify_one();
+        }
+        self.route_news.notify_waiters();
+    }
+
+    /// This router as a member of its cell, once its target has been heard from.
+    #[must_use]
+    pub fn member(&self) -> Option<CellMember> {
+        let entry = self.own_entry();
+        entry.target.as_ref()?;
+        Some(entry.as_member())
+    }
+
+    /// What this router tells its coordinator.
+    #[must_use]
+    pub fn member_report(&self) -> Option<MemberReport> {
+        let member = self.member()?;
+        Some(MemberReport {
+            ready: !member.leaving,
+            member,
+            epoch: self.owner().epoch(),
+            released: self.grants.released(),
+            sick: false,
+            loads: self.door.shard_loads(),
+        })
+    }
+
+    /// What the previous owner of a shard handed over.
+    #[must_use]
+    pub fn handover_of(&self, shard: ShardId) -> Option<Arc<str>> {
+        let cell = self.cell(&self.settings.service)?;
+        cell.owner(shard)?.handover.clone()
+    }
+
+    /// The router beside the owner of a shard.
+    #[must_use]
+    pub fn owner_of(&self, service: &str, shard: ShardId) -> Option<(NodeId, SocketAddr)> {
+        let cell = self.cell(service)?;
+        let owner = cell.owner(shard)?;
+        let member = cell.member(&owner.node)?;
+        Some((member.node.clone(), member.peer_address))
+    }
+
+    // --- the target's life ----------------------------------------------------------------------
+
+    /// A new life of the target began: it holds nothing.
+    pub fn on_new_life(self: &Arc<Self>) {
+        let Some(life) = self.door.life() else { return };
+        tell!(
+            Info,
+            events::TARGET_SEEN,
+            target = &*life.id,
+            incarnation = life.incarnation,
+            slots = life.slots
+        );
+        let node = self.settings.node.clone();
+        let mut owner = OwnerState::new(node, life.incarnation, self.lease_terms);
+        if let Some(cell) = self.cell(&self.settings.service) {
+            owner.on_record(&cell, boot_clock::now());
+        }
+        *self.owner() = owner;
+        self.standby().set_incarnation(life.incarnation);
+        self.grants.clear();
+        self.publish_entry();
+        self.member_news.notify_one();
+    }
+
+    /// The target wants no new work; its keys go to others.
+    pub fn on_target_leaving(self: &Arc<Self>) {
+        if let Some(life) = self.door.life() {
+            tell!(Info, events::TARGET_LEAVING, target = &*life.id);
+        }
+        self.publish_entry();
+        release_all(self);
+        self.member_news.notify_one();
+    }
+
+    /// The target has ended, and with it what it held.
+    pub fn on_target_gone(&self, life: &TargetLife, shown_by: &str) {
+        tell!(
+            Warn,
+            events::TARGET_GONE,
+            target = &*life.id,
+            incarnation = life.incarnation,
+            shown_by = shown_by
+        );
+        let held: Vec<_> = self.owner().held().collect();
+        for (shard, token) in held {
+            self.owner().release(shard);
+            self.grants.report(shard, token, None);
+        }
+        self.entry_news.notify_one();
+        let service = self.settings.service.clone();
+        self.refresh_choice(&service);
+        self.member_news.notify_one();
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/anvilrack-node/src/observe/mod.rs
@@ -0,0 +1,7 @@
+//! What operators see: log lines and metrics.
+
+mod event_line;
+mod node_metrics;
+
+pub use event_line::{install, line};
+pub use node_metrics::NodeMetrics;
--- /dev/null
+++ b/crates/anvilrack-node/src/ownership/cell_calls.rs
@@ -0,0 +1,86 @@
+//! Answers to other routers about cells.
+
+use std::sync::Arc;
+
+use anvilrack_core::{BootTime, MemberReport, events};
+use anvilrack_router::boot_clock;
+
+use crate::ownership::PackedCell;
+use crate::peers::{BeatReply, MemberBeat, PeerCall, PeerReply, RecordMark};
+use crate::{NodeShared, PlatformDialect, tell};
+
+/// Answers a call about a cell.
+pub fn answer<D: PlatformDialect>(node: &Arc<NodeShared<D>>, call: PeerCall) -> PeerReply {
+    let now = boot_clock::now();
+    match call {
+        PeerCall::Heartbeat(beat) => answer_beat(node, &beat, now)
+            .map_or_else(|| not_coordinator(node, &beat), PeerReply::Heartbeat),
+        PeerCall::Takeover(packed) => PeerReply::TakeoverSeen(see_takeover(node, &packed)),
+        PeerCall::Promise(service, epoch) => {
+            let cell = node.cell(&service);
+            let promised = cell.is_some_and(|cell| node.standby().promise(&cell, epoch, now));
+            PeerReply::Promised(promised)
+        }
+        PeerCall::Cell(packed) => {
+            node.take_cell(packed.unpack());
+            PeerReply::Done
+        }
+        PeerCall::PullCell(service) => {
+            PeerReply::Cell(node.cell(&service).map(|cell| PackedCell::new(&cell)))
+        }
+        PeerCall::Run(_) | PeerCall::Bar(_) | PeerCall::Entry(_) => PeerReply::Done,
+    }
+}
+
+/// Answers a member where this router coordinates its cell.
+pub fn answer_beat<D: PlatformDialect>(
+    node: &NodeShared<D>,
+    beat: &MemberBeat,
+    now: BootTime,
+) -> Option<Box<BeatReply>> {
+    let mut coordinator = node.coordinator();
+    let state = coordinator.as_mut()?;
+    if state.record().service != beat.service || state.is_superseded() {
+        return None;
+    }
+    let answer = state.on_heartbeat(&beat.report, now);
+    let record = state.record();
+    let update = (beat.known < RecordMark::new(record)).then(|| PackedCell::new(record));
+    drop(coordinator);
+    if !beat.report.released.is_empty() {
+        node.coordinator_news.notify_one();
+    }
+    Some(Box::new(BeatReply { answer, update }))
+}
+
+fn not_coordinator<D: PlatformDialect>(node: &NodeShared<D>, beat: &MemberBeat) -> PeerReply {
+    let cell = node.cell(&beat.service);
+    let newer = cell.filter(|cell| beat.known < RecordMark::new(cell));
+    PeerReply::NotCoordinator(newer.map(|cell| PackedCell::new(&cell)))
+}
+
+/// Moves to the new epoch at once; a member of the cell reports what it is.
+fn see_takeover<D: PlatformDialect>(
+    node: &Arc<NodeShared<D>>,
+    packed: &PackedCell,
+) -> Option<MemberReport> {
+    let record = packed.unpack();
+    let epoch = record.epoch;
+    if record.service != node.settings.service {
+        node.take_cell(record);
+        return None;
+    }
+    tell!(
+        Info,
+        events::CELL_TAKEN_OVER,
+        service = &*record.service,
+        epoch = epoch,
+        coordinator = &*record.coordinator
+    );
+    node.take_cell(record);
+    if !node.owner().on_takeover(epoch) {
+        return None;
+    }
+    node.standby().on_answer(boot_clock::now());
+    node.member_report()
+}
--- /dev/null
+++ b/crates/anvilrack-node/src/ownership/coordinator_role.rs
@@ -0,0 +1,359 @@
+//! This router as the coordinator of its cell.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use anvilrack_core::{
+    BootTime, CellRecord, Epoch, PlacementWeights, RequestClass, ServiceRules, events,
+};
+use anvilrack_router::boot_clock;
+use rand::Rng;
+use tokio::time::sleep;
+
+use crate::directory::{StoreFault, StoreRevision, WriteResult};
+use crate::http_pool::within;
+use crate::ownership::cell_store::{read_cell, write_cell};
+use crate::ownership::{PackedCell, SHARD_COUNT};
+use crate::peers::{PeerCall, PeerReply};
+use crate::{NodeShared, PlatformDialect, tell};
+
+/// Time between two looks at what is to be done, unless something happens.
+const STEP: Duration = Duration::from_millis(100);
+
+/// Time between two reads of the record, which prove that the office still stands.
+const TOUCH_EVERY: Duration = Duration::from_millis(600);
+
+/// The store is silent for this long before promises are asked for.
+///
+/// In ordinary times there are none, since a standby that promised takes over later.
+const PROMISE_AFTER: Duration = Duration::from_millis(900);
+
+/// Time between two rounds of promises.
+const PROMISE_EVERY: Duration = Duration::from_millis(350);
+
+/// Time for one call to a router.
+const CALL_LIMIT: Duration = Duration::from_millis(400);
+
+/// A new cell waits this long after its newest member before shards are given out.
+///
+/// Else the first member would get all of them, and most would have to move again.
+const SETTLE_AFTER: Duration = Duration::from_millis(1_000);
+
+/// A new cell waits no longer than this for its members.
+const SETTLE_LIMIT: Duration = Duration::from_millis(3_000);
+
+/// Runs the cell under that epoch until another router takes it over or the process ends.
+pub async fn run<D: PlatformDialect>(node: Arc<NodeShared<D>>, epoch: Epoch) {
+    let promises = tokio::spawn(keep_promises(node.clone(), epoch));
+    call_members(&node).await;
+    let mut writer = RecordWriter::new(boot_clock::now());
+    loop {
+        within(STEP, node.coordinator_news.notified()).await;
+        if current_record(&node, epoch).is_none() {
+            break;
+        }
+        if !writer.step(&node).await {
+            let service = node.settings.service.clone();
+            tell!(
+                Warn,
+                events::CELL_SUPERSEDED,
+                service = &*service,
+                epoch = epoch
+            );
+            *node.coordinator() = None;
+            if let Ok((Some(record), _)) = read_cell(&node.store, &service).await {
+                node.take_cell(record);
+            }
+            break;
+        }
+    }
+    promises.abort();
+}
+
+/// Ends this router's office, so that a standby takes over without waiting for its silence.
+pub async fn resign<D: PlatformDialect>(node: &Arc<NodeShared<D>>) {
+    let Some(state) = node.coordinator().take() else {
+        return;
+    };
+    let record = state.record().clone();
+    tell!(
+        Info,
+        events::CELL_RESIGNED,
+        service = &*record.service,
+        epoch = record.epoch
+    );
+}
+
+/// Tells every router about a record.
+pub async fn push_cell<D: PlatformDialect>(node: &Arc<NodeShared<D>>, record: &CellRecord) {
+    let call = PeerCall::Cell(PackedCell::new(record));
+    let addresses = node.peer_addresses();
+    node.links.call_all(addresses, &call, CALL_LIMIT).await;
+}
+
+fn current_record<D: PlatformDialect>(node: &NodeShared<D>, epoch: Epoch) -> Option<CellRecord> {
+    let coordinator = node.coordinator();
+    let state = coordinator.as_ref()?;
+    (state.record().epoch == epoch && !state.is_superseded()).then(|| state.record().clone())
+}
+
+/// Tells every member about the new epoch; those that answer are not in doubt.
+async fn call_members<D: PlatformDialect>(node: &Arc<NodeShared<D>>) {
+    let Some(record) = node.cell(&node.settings.service) else {
+        return;
+    };
+    let call = PeerCall::Takeover(PackedCell::new(&record));
+    let others = record
+        .members
+        .iter()
+        .filter(|member| member.node != node.settings.node);
+    let addresses = others.map(|member| member.peer_address).collect();
+    let answers = node.links.call_all(addresses, &call, CALL_LIMIT).await;
+    let now = boot_clock::now();
+    let mut coordinator = node.coordinator();
+    let Some(state) = coordinator.as_mut() else {
+        return;
+    };
+    for answer in answers.into_iter().flatten() {
+        if let PeerReply::TakeoverSeen(Some(report)) = answer {
+            state.on_heartbeat(&report, now);
+        }
+    }
+}
+
+/// Asks the standbys not to take over while the store is silent, so that the promises are in place
+/// before the authority from the store ends.
+async fn keep_promises<D: PlatformDialect>(node: Arc<NodeShared<D>>, epoch: Epoch) {
+    loop {
+        sleep(PROMISE_EVERY).await;
+        let Some(record) = current_record(&node, epoch) else {
+            return;
+        };
+        let asked = {
+            let coordinator = node.coordinator();
+            let state = coordinator.as_ref();
+            state.map(|state| (state.successors(), state.last_store_contact()))
+        };
+        let Some((successors, contact)) = asked else {
+            return;
+        };
+        if boot_clock::now() < contact + PROMISE_AFTER {
+            continue;
+        }
+        let known: Vec<_> = successors
+            .into_iter()
+            .filter_map(|name| Some((record.member(&name)?.peer_address, name)))
+            .collect();
+        let addresses = known.iter().map(|(address, _)| *address).collect();
+        let call = PeerCall::Promise(record.service.clone(), record.epoch);
+        let sent_at = boot_clock::now();
+        let answers = node.links.call_all(addresses, &call, CALL_LIMIT).await;
+        let mut coordinator = node.coordinator();
+        let Some(state) = coordinator.as_mut() else {
+            return;
+        };
+        for (answer, (_, name)) in answers.into_iter().zip(known) {
+            if matches!(answer, Ok(PeerReply::Promised(true))) {
+                state.on_promise(&name, sent_at);
+            }
+        }
+    }
+}
+
+/// Reads and writes the cell's record during one term of office.
+#[derive(Debug)]
+struct RecordWriter {
+    revision: Option<StoreRevision>,
+    next_touch: BootTime,
+    /// The revision that a write of unknown outcome was made on.
+    unresolved: Option<StoreRevision>,
+    began: BootTime,
+    members_seen: usize,
+    member_came_at: BootTime,
+    outage: bool,
+}
+
+impl RecordWriter {
+    fn new(now: BootTime) -> Self {
+        Self {
+            revision: None,
+            next_touch: now,
+            unresolved: None,
+            began: now,
+            members_seen: 0,
+            member_came_at: now,
+            outage: false,
+        }
+    }
+
+    /// Does what is due; false once the office is lost.
+    async fn step<D: PlatformDialect>(&mut self, node: &Arc<NodeShared<D>>) -> bool {
+        let now = boot_clock::now();
+        let due = now >= self.next_touch || (self.revision.is_none() && !self.outage);
+        if due && !self.touch(node).await {
+            return false;
+        }
+        if let Some(base) = self.revision {
+            self.write_plan(node, base).await;
+        }
+        true
+    }
+
+    /// Reads the record: proof of office, and the answer to a write whose reply was lost.
+    async fn touch<D: PlatformDialect>(&mut self, node: &Arc<NodeShared<D>>) -> bool {
+        let sent_at = boot_clock::now();
+        self.next_touch = sent_at + TOUCH_EVERY;
+        let read = read_cell(&node.store, &node.settings.service).await;
+        self.tell_outage(node, read.as_ref().err());
+        let Ok((stored, revision)) = read else {
+            let jitter = rand::rng().random_range(0.5..1.5);
+            self.next_touch = boot_clock::now() + (TOUCH_EVERY / 2).mul_f64(jitter);
+            return true;
+        };
+        let stored = stored.unwrap_or_default();
+        let refused = self.unresolved.take_if(|based_on| *based_on != revision);
+        let published = {
+            let mut coordinator = node.coordinator();
+            let Some(state) = coordinator.as_mut() else {
+                return false;
+            };
+            let had = state.record().version;
+            let stands = state.on_store_seen(&stored, sent_at);
+            if refused.is_some() {
+                state.on_refused();
+            }
+            if !stands {
+                return false;
+            }
+            (state.record().version > had).then(|| state.record().clone())
+        };
+        self.revision = Some(revision);
+        if let Some(record) = published {
+            publish(node, record);
+        }
+        true
+    }
+
+    /// Writes what is planned; a write of unknown outcome is sent again as it was.
+    async fn write_plan<D: PlatformDialect>(
+        &mut self,
+        node: &Arc<NodeShared<D>>,
+        base: StoreRevision,
+    ) {
+        let now = boot_clock::now();
+        let next = {
+            let mut coordinator = node.coordinator();
+            let Some(state) = coordinator.as_mut() else {
+                return;
+            };
+            if state.pending().is_none() && self.is_settling(state.record(), node, now) {
+                return;
+            }
+            state.set_weights(PlacementWeights::default());
+            let pending = state.pending().cloned();
+            pending.or_else(|| state.plan(&shard_rules(), 0, now))
+        };
+        let Some(next) = next else { return };
+        let sent_at = boot_clock::now();
+        let outcome = write_cell(&node.store, &next, base).await;
+        self.revision = None;
+        match outcome {
+            Ok(WriteResult::Written(revision)) => {
+                self.unresolved = None;
+                self.revision = Some(revision);
+                if let Some(state) = node.coordinator().as_mut() {
+                    state.on_committed(sent_at);
+                }
+                publish(node, next);
+            }
+            Ok(WriteResult::Conflict | WriteResult::LeaseEnded) => self.unresolved = Some(base),
+            Err(fault) => {
+                if !matches!(fault, StoreFault::Refused(_)) || self.unresolved.is_some() {
+                    self.unresolved = Some(base);
+                }
+                tell!(
+                    Warn,
+                    events::CELL_WRITE_UNKNOWN,
+                    version = next.version,
+                    fault = fault.to_string()
+                );
+                self.outage = true;
+                self.next_touch = boot_clock::now() + TOUCH_EVERY / 2;
+            }
+        }
+    }
+
+    /// True while a new cell still gathers its members.
+    fn is_settling<D: PlatformDialect>(
+        &mut self,
+        record: &CellRecord,
+        node: &NodeShared<D>,
+        now: BootTime,
+    ) -> bool {
+        if record.shards.iter().any(Option::is_some) || now > self.began + SETTLE_LIMIT {
+            return false;
+        }
+        let members = node.service_size(&record.service);
+        if members != self.members_seen {
+            self.members_seen = members;
+            self.member_came_at = now;
+        }
+        now < self.member_came_at + SETTLE_AFTER
+    }
+
+    fn tell_outage<D: PlatformDialect>(
+        &mut self,
+        node: &NodeShared<D>,
+        fault: Option<&StoreFault>,
+    ) {
+        match fault {
+            Some(fault) if !self.outage => tell!(
+                Warn,
+                events::OUTAGE_BEGAN,
+                service = &*node.settings.service,
+                fault = fault.to_string()
+            ),
+            None if self.outage => {
+                tell!(
+                    Info,
+                    events::OUTAGE_ENDED,
+                    service = &*node.settings.service
+                );
+            }
+            _ => {}
+        }
+        self.outage = fault.is_some();
+    }
+}
+
+/// Makes a committed record known to this router and to all others.
+fn publish<D: PlatformDialect>(node: &Arc<NodeShared<D>>, record: CellRecord) {
+    tell!(
+        Info,
+        events::CELL_WRITTEN,
+        service = &*record.service,
+        epoch = record.epoch,
+        version = record.version,
+        members = record.members.len(),
+        unowned = record.unowned(),
+        last_token = record.last_token
+    );
+    node.take_cell(record.clone());
+    let node = node.clone();
+    tokio::spawn(async move { push_cell(&node, &record).await });
+}
+
+/// Targets refuse older tokens, so an owner's end is enough for the next one.
+fn shard_rules() -> ServiceRules {
+    ServiceRules {
+        divided_by_key: true,
+        shards: SHARD_COUNT,
+        slots: 0,
+        connections: 0,
+        checks_fence: true,
+        max_timeout_ms: 0,
+        class: RequestClass::default(),
+        regions: Vec::new(),
+        pinned_keys: std::collections::BTreeMap::default(),
+    }
+}
--- /dev/null
+++ b/crates/anvilrack-node/src/ownership/member_role.rs
@@ -0,0 +1,131 @@
+//! This router as a member of its cell: heartbeats, the lease, and the watch over its coordinator.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use anvilrack_core::{CellRecord, TakeoverStep, events};
+use anvilrack_router::boot_clock;
+
+use crate::http_pool::within;
+use crate::ownership::{cell_calls, cell_takeover, grant_keeper};
+use crate::peers::{BeatReply, MemberBeat, PeerCall, PeerReply, RecordMark};
+use crate::{NodeShared, PlatformDialect, tell};
+
+/// Time for one heartbeat: a few round trips between regions.
+const BEAT_LIMIT: Duration = Duration::from_millis(350);
+
+/// Time between two looks while there is no cell, or no coordinator answers.
+const SEARCH_STEP: Duration = Duration::from_millis(200);
+
+/// Keeps this router a member of its cell until the process ends.
+pub async fn run_member<D: PlatformDialect>(node: Arc<NodeShared<D>>) {
+    let mut had_lease = false;
+    let mut pause = node.lease_terms.heartbeat;
+    loop {
+        within(pause, node.member_news.notified()).await;
+        pause = SEARCH_STEP;
+        if !node.is_divided(&node.settings.service) || node.member().is_none() {
+            continue;
+        }
+        let Some(cell) = node.cell(&node.settings.service) else {
+            cell_takeover::find_or_create(&node).await;
+            continue;
+        };
+        let restarted = cell.coordinator == node.settings.node && node.coordinator().is_none();
+        if restarted && !node.is_stopping() {
+            cell_takeover::take_over(&node, &cell, TakeoverStep::Wait).await;
+            continue;
+        }
+        if beat(&node, &cell).await {
+            pause = node.lease_terms.heartbeat;
+        }
+        let step = node.standby().step(&cell, boot_clock::now());
+        if step != TakeoverStep::Wait && !node.is_stopping() {
+            cell_takeover::take_over(&node, &cell, step).await;
+        }
+        had_lease = tell_lease(&node, had_lease);
+    }
+}
+
+/// Sends one heartbeat and takes its answer; says whether the coordinator answered.
+async fn beat<D: PlatformDialect>(node: &Arc<NodeShared<D>>, cell: &CellRecord) -> bool {
+    let Some(report) = node.member_report() else {
+        return false;
+    };
+    let beat = MemberBeat {
+        service: cell.service.clone(),
+        report,
+        known: RecordMark::new(cell),
+    };
+    let sent_at = boot_clock::now();
+    let Some(reply) = ask_coordinator(node, cell, beat).await else {
+        return false;
+    };
+    if let Some(update) = &reply.update {
+        node.take_cell(update.unpack());
+    }
+    let answer = reply.answer;
+    node.standby().on_answer(boot_clock::now());
+    if answer.renewed {
+        node.owner()
+            .on_renewal(sent_at, answer.epoch, answer.version);
+        node.grant_news.notify_one();
+    }
+    node.grants.forget_taken(&node.owner());
+    for order in answer.release {
+        let held = node.owner().held().any(|(shard, _)| shard == order.shard);
+        if held {
+            tokio::spawn(grant_keeper::release_shard(node.clone(), order.shard));
+        }
+    }
+    true
+}
+
+async fn ask_coordinator<D: PlatformDialect>(
+    node: &Arc<NodeShared<D>>,
+    cell: &CellRecord,
+    beat: MemberBeat,
+) -> Option<BeatReply> {
+    if cell.coordinator == node.settings.node {
+        return cell_calls::answer_beat(node, &beat, boot_clock::now()).map(|reply| *reply);
+    }
+    let address = cell.member(&cell.coordinator)?.peer_address;
+    let call = PeerCall::Heartbeat(beat);
+    match node.links.call(address, &call, &[], BEAT_LIMIT).await {
+        Ok((PeerReply::Heartbeat(reply), _)) => Some(*reply),
+        Ok((PeerReply::NotCoordinator(update), _)) => {
+            match update {
+                Some(update) => node.take_cell(update.unpack()),
+                None => cell_takeover::find_or_create(node).await,
+            }
+            None
+        }
+        Ok(_) => None,
+        Err(fault) => {
+            tell!(
+                Info,
+                events::PEER_LOST,
+                peer = address.to_string(),
+                about = "heartbeat",
+                fault = fault.to_string()
+            );
+            None
+        }
+    }
+}
+
+/// Tells of a lease that began or lapsed; returns whether it runs now.
+fn tell_lease<D: PlatformDialect>(node: &NodeShared<D>, before: bool) -> bool {
+    let (runs, shards, epoch) = {
+        let owner = node.owner();
+        let runs = boot_clock::now() < owner.lease_until();
+        (runs, owner.held().count(), owner.epoch())
+    };
+    if before && !runs {
+        tell!(Warn, events::LEASE_LAPSED, shards = shards, epoch = epoch);
+    }
+    if runs && !before {
+        tell!(Info, events::GRANT_TAKEN, shards = shards, epoch = epoch);
+    }
+    runs
+}
--- /dev/null
+++ b/crates/anvilrack-node/src/peers/mod.rs
@@ -0,0 +1,14 @@
+//! Links between routers: HTTP/2 with bincode.
+
+mod peer_frame;
+mod peer_links;
+mod peer_message;
+mod peer_server;
+
+pub use peer_frame::{FrameFault, pack, unpack};
+pub use peer_links::{PeerFault, PeerLinks};
+pub use peer_message::{
+    BeatReply, MemberBeat, PeerCall, PeerPlace, PeerReply, RecordMark, RunCall, RunReply,
+    TargetPlace,
+};
+pub use peer_server::serve_peers;
--- /dev/null
+++ b/crates/anvilrack-node/src/peers/peer_links.rs
@@ -0,0 +1,208 @@
+//! Calls to other routers over kept HTTP/2 connections.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http2::{self, SendRequest};
+use hyper::{Request, StatusCode};
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use thiserror::Error;
+use tokio::net::TcpStream;
+use tokio::sync::Mutex as AsyncMutex;
+use tokio::time::{Instant, timeout_at};
+
+use crate::peers::{FrameFault, PeerCall, PeerReply, pack, unpack};
+use crate::socket_options;
+
+/// Longest time for a new connection; some three times a round trip between regions.
+const CONNECT_LIMIT: Duration = Duration::from_millis(250);
+
+/// Time between two pings while an answer is awaited.
+const PING_EVERY: Duration = Duration::from_millis(250);
+
+/// A ping without an answer for this long means that the link went silent.
+const PING_LIMIT: Duration = Duration::from_millis(400);
+
+/// Longest answer that is read, in bytes.
+const ANSWER_LIMIT: usize = 96 * 1024 * 1024;
+
+/// HTTP/2 window for one stream and for one connection, in bytes.
+const WINDOW_BYTES: u32 = 1024 * 1024;
+
+/// A call without an answer.
+#[derive(Debug, Error)]
+pub enum PeerFault {
+    /// The router cannot be reached; nothing was sent.
+    #[error("no connection to {0}")]
+    Unreachable(SocketAddr),
+    /// The connection ended before the call was sent.
+    #[error("call was not sent")]
+    NotSent,
+    /// The link broke or went silent after the call was sent.
+    #[error("link lost: {0}")]
+    Lost(Arc<str>),
+    /// There was no answer in time.
+    #[error("no answer in time")]
+    Timeout,
+    /// The message or the answer cannot be coded.
+    #[error(transparent)]
+    Frame(#[from] FrameFault),
+}
+
+impl PeerFault {
+    /// True where the other router cannot have seen the call.
+    #[must_use]
+    pub fn is_unsent(&self) -> bool {
+        matches!(self, Self::Unreachable(_) | Self::NotSent)
+    }
+}
+
+type PeerSender = SendRequest<Full<Bytes>>;
+
+/// Links to other routers, opened when they are first needed.
+#[derive(Clone, Debug, Default)]
+pub struct PeerLinks {
+    links: Arc<Mutex<HashMap<SocketAddr, Arc<PeerLink>>>>,
+}
+
+#[derive(Debug, Default)]
+struct PeerLink {
+    sender: AsyncMutex<Option<PeerSender>>,
+}
+
+impl PeerLinks {
+    /// Calls a router and returns its answer with the body that follows it.
+    ///
+    /// Dropping the future resets the stream, so the other router drops the work.
+    ///
+    /// # Errors
+    ///
+    /// [`PeerFault`], which says whether the call may have been seen.
+    pub async fn call(
+        &self,
+        address: SocketAddr,
+        call: &PeerCall,
+        body: &[u8],
+        limit: Duration,
+    ) -> Result<(PeerReply, Bytes), PeerFault> {
+        let until = Instant::now() + limit;
+        let mut frame = pack(call, body)?;
+        for is_last in [false, true] {
+            let mut sender = self.sender(address, until).await?;
+            let request = Request::post(format!("http://{address}/"))
+                .body(Full::new(frame))
+                .map_err(|_| PeerFault::NotSent)?;
+            let answer = match timeout_at(until, sender.try_send_request(request)).await {
+                Err(_) => return Err(PeerFault::Timeout),
+                Ok(Ok(answer)) => answer,
+                Ok(Err(mut error)) => match error.take_message() {
+                    // The kept link had ended; a new one is opened once.
+                    Some(unsent) if !is_last => {
+                        self.forget(address).await;
+                        frame = collect(unsent).await;
+                        continue;
+                    }
+                    Some(_) => return Err(PeerFault::NotSent),
+                    None => return Err(PeerFault::Lost(error.error().to_string().into())),
+                },
+            };
+            return read_answer(answer, until).await;
+        }
+        Err(PeerFault::NotSent)
+    }
+
+    /// Calls many routers side by side; the answers come in the order of the addresses.
+    pub async fn call_all(
+        &self,
+        addresses: Vec<SocketAddr>,
+        call: &PeerCall,
+        limit: Duration,
+    ) -> Vec<Result<PeerReply, PeerFault>> {
+        let tasks: Vec<_> = addresses
+            .into_iter()
+            .map(|address| {
+                let (links, call) = (self.clone(), call.clone());
+                tokio::spawn(async move { links.call(address, &call, &[], limit).await })
+            })
+            .collect();
+        let mut answers = Vec::with_capacity(tasks.len());
+        for task in tasks {
+            let answer = task.await.unwrap_or(Err(PeerFault::NotSent));
+            answers.push(answer.map(|(reply, _)| reply));
+        }
+        answers
+    }
+
+    /// Ends the link to a router, so that the next call opens a new one.
+    pub async fn forget(&self, address: SocketAddr) {
+        let link = self.link(address);
+        *link.sender.lock().await = None;
+    }
+
+    fn link(&self, address: SocketAddr) -> Arc<PeerLink> {
+        let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
+        links.entry(address).or_default().clone()
+    }
+
+    async fn sender(&self, address: SocketAddr, until: Instant) -> Result<PeerSender, PeerFault> {
+        let link = self.link(address);
+        let mut kept = link.sender.lock().await;
+        if let Some(sender) = kept.as_ref().filter(|sender| !sender.is_closed()) {
+            return Ok(sender.clone());
+        }
+        let until = until.min(Instant::now() + CONNECT_LIMIT);
+        let sender = timeout_at(until, connect(address))
+            .await
+            .ok()
+            .flatten()
+            .ok_or(PeerFault::Unreachable(address))?;
+        *kept = Some(sender.clone());
+        Ok(sender)
+    }
+}
+
+async fn connect(address: SocketAddr) -> Option<PeerSender> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    socket_options::set(&stream);
+    let (sender, connection) = http2::Builder::new(TokioExecutor::new())
+        .timer(TokioTimer::new())
+        .keep_alive_interval(PING_EVERY)
+        .keep_alive_timeout(PING_LIMIT)
+        .initial_stream_window_size(WINDOW_BYTES)
+        .initial_connection_window_size(WINDOW_BYTES)
+        .max_send_buf_size(WINDOW_BYTES as usize)
+        .handshake(TokioIo::new(stream))
+        .await
+        .ok()?;
+    // How it ended shows at the calls that were on it.
+    tokio::spawn(async move { connection.await.ok() });
+    Some(sender)
+}
+
+async fn collect(request: Request<Full<Bytes>>) -> Bytes {
+    match request.into_body().collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(never) => match never {},
+    }
+}
+
+async fn read_answer(
+    answer: hyper::Response<hyper::body::Incoming>,
+    until: Instant,
+) -> Result<(PeerReply, Bytes), PeerFault> {
+    let status = answer.status();
+    let body = Limited::new(answer.into_body(), ANSWER_LIMIT).collect();
+    let body = match timeout_at(until, body).await {
+        Err(_) => return Err(PeerFault::Timeout),
+        Ok(Err(error)) => return Err(PeerFault::Lost(error.to_string().into())),
+        Ok(Ok(body)) => body.to_bytes(),
+    };
+    if status != StatusCode::OK {
+        return Err(PeerFault::Lost(format!("status {status}").into()));
+    }
+    Ok(unpack(body)?)
+}
--- /dev/null
+++ b/crates/anvilrack-node/src/peers/peer_message.rs
@@ -0,0 +1,166 @@
+//! Messages between routers.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use anvilrack_core::{
+    CellRecord, DomainName, Epoch, Incarnation, MemberReport, NodeId, RefusalReason, RegionName,
+    RenewalAnswer, RequestClass, ServiceName, TableVersion, UncertainReason,
+};
+use serde::{Deserialize, Serialize};
+
+use crate::directory::DirectoryEntry;
+use crate::ownership::PackedCell;
+use crate::{KeyNumber, RequestId};
+
+/// What one router asks of another; a request's body follows the message.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum PeerCall {
+    /// Run a request at the target beside you.
+    Run(RunCall),
+    /// Has this request begun? If not, never begin it.
+    Bar(RequestId),
+    /// A member tells its coordinator that it lives.
+    Heartbeat(MemberBeat),
+    /// A router has taken a cell over.
+    Takeover(PackedCell),
+    /// The coordinator asks a standby not to take over.
+    Promise(ServiceName, Epoch),
+    /// A newer record of a cell.
+    Cell(PackedCell),
+    /// Which record of that cell do you have?
+    PullCell(ServiceName),
+    /// The sender's own directory entry has changed.
+    Entry(DirectoryEntry),
+}
+
+/// The answer to a [`PeerCall`]; an answer's body follows the message.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum PeerReply {
+    /// How the request ended.
+    Run(RunReply),
+    /// True where the request has not begun and will not.
+    Barred(bool),
+    /// From the coordinator.
+    Heartbeat(Box<BeatReply>),
+    /// This router does not coordinate that cell; its newer record, if it has one.
+    NotCoordinator(Option<PackedCell>),
+    /// The takeover was seen; a report from a member of the cell.
+    TakeoverSeen(Option<MemberReport>),
+    /// Whether the promise is given.
+    Promised(bool),
+    /// The record that was asked for.
+    Cell(Option<PackedCell>),
+    /// Nothing to say.
+    Done,
+}
+
+/// One request on its way to the router beside its target.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct RunCall {
+    /// Names this try of the caller.
+    pub request: RequestId,
+    /// The service that is to run it.
+    pub service: ServiceName,
+    /// HTTP method.
+    pub method: String,
+    /// Path and query, unchanged.
+    pub path: String,
+    /// The caller's headers, less those of one connection.
+    pub headers: Vec<(String, Vec<u8>)>,
+    /// Time left for it.
+    pub time_left: Duration,
+    /// The key, where the service is divided by key.
+    pub key: Option<KeyNumber>,
+    /// Which requests go first.
+    pub class: RequestClass,
+    /// True where it must not run twice.
+    pub run_once: bool,
+    /// The service beside the router that took it from its caller.
+    pub caller_service: ServiceName,
+}
+
+/// How a request ended at the router beside its target.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum RunReply {
+    /// The target answered.
+    Ran {
+        /// HTTP status.
+        status: u16,
+        /// The target's headers, less those of one connection.
+        headers: Vec<(String, Vec<u8>)>,
+    },
+    /// It has not run and will not run here.
+    NotRun {
+        /// Why.
+        reason: RefusalReason,
+        /// When coming back is worth while.
+        retry_after: Duration,
+    },
+    /// Nobody can tell.
+    MayHaveRun(UncertainReason),
+}
+
+/// A member's heartbeat.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct MemberBeat {
+    /// The cell.
+    pub service: ServiceName,
+    /// What the member says of itself.
+    pub report: MemberReport,
+    /// The record that it has.
+    pub known: RecordMark,
+}
+
+/// The coordinator's answer.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct BeatReply {
+    /// About the lease, and what to release.
+    pub answer: RenewalAnswer,
+    /// A newer record than the member's.
+    pub update: Option<PackedCell>,
+}
+
+/// Which record of a cell somebody has.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct RecordMark {
+    /// Term of office.
+    pub epoch: Epoch,
+    /// Number of the write.
+    pub version: TableVersion,
+}
+
+impl RecordMark {
+    /// The mark of a record.
+    #[must_use]
+    pub fn new(record: &CellRecord) -> Self {
+        Self {
+            epoch: record.epoch,
+            version: record.version,
+        }
+    }
+}
+
+/// A router as its peers see it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerPlace {
+    /// Its name.
+    pub node: NodeId,
+    /// Where its peers reach it.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub failure_domain: DomainName,
+    /// Its region.
+    pub region: RegionName,
+}
+
+/// A life of a target.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetPlace {
+    /// Which life: a later one has a greater number.
+    pub incarnation: Incarnation,
+    /// Requests that it runs side by side.
+    pub slots: u32,
+    /// True while it takes new work.
+    pub ready: bool,
+}
--- /dev/null
+++ b/crates/anvilrack-node/src/peers/peer_server.rs
@@ -0,0 +1,107 @@
+//! Answers other routers.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http2;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::ownership::cell_calls;
+use crate::peers::{PeerCall, PeerReply, pack, unpack};
+use crate::{NodeShared, PlatformDialect, accept_loop, socket_options};
+
+/// Longest call that is read, in bytes.
+const CALL_LIMIT: usize = 96 * 1024 * 1024;
+
+/// Time between two pings on a link that has calls under way.
+const PING_EVERY: Duration = Duration::from_secs(1);
+
+/// A ping without an answer for this long ends the link, and the work on it.
+const PING_LIMIT: Duration = Duration::from_secs(1);
+
+/// HTTP/2 window for one stream and for one connection, in bytes.
+const WINDOW_BYTES: u32 = 1024 * 1024;
+
+/// Streams that one router may have open on a link.
+const STREAM_LIMIT: u32 = 2_000;
+
+/// Accepts links from other routers until the process ends.
+pub async fn serve_peers<D: PlatformDialect>(listener: TcpListener, node: Arc<NodeShared<D>>) {
+    accept_loop(listener, |stream| {
+        tokio::spawn(serve_link(stream, node.clone()));
+    })
+    .await;
+}
+
+async fn serve_link<D: PlatformDialect>(stream: TcpStream, node: Arc<NodeShared<D>>) {
+    socket_options::set(&stream);
+    let service = service_fn(move |request| answer(request, node.clone()));
+    let connection = http2::Builder::new(TokioExecutor::new())
+        .timer(TokioTimer::new())
+        .keep_alive_interval(PING_EVERY)
+        .keep_alive_timeout(PING_LIMIT)
+        .max_concurrent_streams(STREAM_LIMIT)
+        .initial_stream_window_size(WINDOW_BYTES)
+        .initial_connection_window_size(WINDOW_BYTES)
+        .max_send_buf_size(WINDOW_BYTES as usize)
+        .serve_connection(TokioIo::new(stream), service);
+    if let Err(error) = connection.await {
+        log::debug!("link from a router ended: {error}");
+    }
+}
+
+async fn answer<D: PlatformDialect>(
+    request: Request<Incoming>,
+    node: Arc<NodeShared<D>>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    let frame = match Limited::new(request.into_body(), CALL_LIMIT)
+        .collect()
+        .await
+    {
+        Ok(frame) => frame.to_bytes(),
+        Err(error) => return Ok(refuse(StatusCode::BAD_REQUEST, &error.to_string())),
+    };
+    let (call, body) = match unpack(frame) {
+        Ok(call) => call,
+        Err(error) => return Ok(refuse(StatusCode::BAD_REQUEST, &error.to_string())),
+    };
+    let (reply, body) = dispatch(call, body, &node).await;
+    Ok(match pack(&reply, &body) {
+        Ok(frame) => Response::new(Full::new(frame)),
+        Err(error) => refuse(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string()),
+    })
+}
+
+async fn dispatch<D: PlatformDialect>(
+    call: PeerCall,
+    body: Bytes,
+    node: &Arc<NodeShared<D>>,
+) -> (PeerReply, Bytes) {
+    let reply = match call {
+        PeerCall::Run(run) => {
+            let (reply, body) = node.door.run(node, run, body).await;
+            return (PeerReply::Run(reply), body);
+        }
+        PeerCall::Bar(request) => PeerReply::Barred(node.door.bar(&request)),
+        PeerCall::Entry(entry) => {
+            node.take_entry(entry);
+            PeerReply::Done
+        }
+        call => cell_calls::answer(node, call),
+    };
+    (reply, Bytes::new())
+}
+
+fn refuse(status: StatusCode, fault: &str) -> Response<Full<Bytes>> {
+    log::warn!("a router's call cannot be answered: {fault}");
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = status;
+    response
+}
