Keep the retry budget and finish requests before a stop ends

A refusal by the target itself now costs a retry; a refusal by the router beside it costs the target nothing. Cause 3 (traffic between regions): a router counted only its own requests at a target, so the near one looked busy after one request. Targets' load now comes with every answer, and the choice goes from the own domain over the region outwards.

--- a/crates/anvilrack-core/src/lib.rs
+++ b/crates/anvilrack-core/src/lib.rs
@@ -80,5 +80,5 @@
 pub use shard_meter::{ShardLoad, ShardMeter};
 pub use site_routes::{CallerLimits, RouteRules, RoutedService, SiteRoutes, SiteVersion};
 pub use standby_state::{StandbyState, TakeoverStep};
-pub use target_choice::{ChoiceDraws, TargetChoice, TargetDistance};
+pub use target_choice::{ChoiceDraws, TargetChoice, TargetDistance, TargetLoad};
 pub use target_health::{HealthOutcome, TargetHealth};
--- a/crates/anvilrack-core/src/retry_budget.rs
+++ b/crates/anvilrack-core/src/retry_budget.rs
@@ -35,6 +35,7 @@
 pub struct RetryBudget {
     saved: RetryMilli,
     limit: RetryMilli,
+    share: RetryMilli,
 }
 
 impl Default for RetryBudget {
@@ -50,6 +51,7 @@
         Self {
             saved: SAVED_LIMIT,
             limit: SAVED_LIMIT,
+            share: RETRY_SHARE,
         }
     }
 
@@ -61,9 +63,16 @@
         self
     }
 
+    /// Adds that many retries for a thousand first tries.
+    #[must_use]
+    pub fn with_share(mut self, per_thousand: u32) -> Self {
+        self.share = RetryMilli::from(per_thousand);
+        self
+    }
+
     /// Counts a request that is sent for the first time.
     pub fn on_first_try(&mut self) {
-        self.saved = self.limit.min(self.saved + RETRY_SHARE);
+        self.saved = self.limit.min(self.saved + self.share);
     }
 
     /// Takes one retry, if there is one left.
--- a/crates/anvilrack-core/src/target_choice.rs
+++ b/crates/anvilrack-core/src/target_choice.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::{BootTime, CellMember, HealthOutcome, Incarnation, NodeId, TargetHealth};
 
 /// Weight of the newest latency in the mean, as a divisor.
@@ -13,6 +15,12 @@
 /// A near target is left for one farther away where its cost is this many times greater.
 const SPILL_FACTOR: u128 = 2;
 
+/// What a target says of its load counts for this long.
+const LOAD_AGE: Duration = Duration::from_millis(600);
+
+/// A target that uses less than this share of its slots is not crowded, in percent.
+const CROWDED_PERCENT: u128 = 75;
+
 /// Time over which a target that has just come gets its full share.
 const SLOW_START: Duration = Duration::from_secs(10);
 
@@ -34,6 +42,8 @@
 pub struct TargetChoice {
     targets: Vec<TargetFigures>,
     near: Vec<usize>,
+    /// Those of the own region, where it is not all of them.
+    region: Vec<usize>,
     turn: usize,
 }
 
@@ -46,11 +56,21 @@
     latency: Duration,
     measured_at: Option<BootTime>,
     busy_until: BootTime,
+    load: Option<(TargetLoad, BootTime)>,
     /// When it came; `None` where it was there from the start.
     came_at: Option<BootTime>,
     health: TargetHealth,
 }
 
+/// What a target was seen to have under way.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetLoad {
+    /// Requests that run or wait.
+    pub busy: u32,
+    /// Requests that it runs side by side.
+    pub slots: u32,
+}
+
 /// How far a target is from the router that chooses.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum TargetDistance {
@@ -105,6 +125,9 @@
         self.near = (0..self.targets.len())
             .filter(|index| Some(self.targets[*index].distance) == nearest)
             .collect();
+        self.region = (0..self.targets.len())
+            .filter(|index| self.targets[*index].distance < TargetDistance::Remote)
+            .collect();
     }
 
     // --- choosing -------------------------------------------------------------------------------
@@ -121,13 +144,21 @@
         let usable = |index: &usize| !trusts || !self.targets[*index].health.is_suspect();
         let near: Vec<usize> = self.near.iter().copied().filter(usable).collect();
         let all: Vec<usize> = (0..self.targets.len()).filter(usable).collect();
+        let region: Vec<usize> = self.region.iter().copied().filter(usable).collect();
         let near = self.better_of(&near, [draws[0], draws[1]], now);
+        let region = self.better_of(&region, [draws[1], draws[2]], now);
         let far = self.better_of(&all, [draws[2], draws[3]], now);
-        let chosen = match (near, far) {
-            (Some(near), Some(far)) if self.spills(near, far, now) => far,
-            (Some(near), _) => near,
-            (None, far) => far?,
-        };
+        // From the nearest outwards; each step out has to be worth it.
+        let chosen = [near, region, far]
+            .into_iter()
+            .flatten()
+            .reduce(|nearer, farther| {
+                if self.spills(nearer, farther, now) {
+                    farther
+                } else {
+                    nearer
+                }
+            })?;
         Some(self.targets[chosen].node.clone())
     }
 
@@ -171,7 +202,7 @@
         } else {
             1
         };
-        latency * (u128::from(target.in_flight) + 1) * target.slow_start(now) * busy
+        target.crowded(latency, now) * target.slow_start(now) * busy
     }
 
     /// What is assumed of a target that was not measured lately: the mean of the others.
@@ -224,6 +255,13 @@
         }
     }
 
+    /// A target's answer told what it has under way.
+    pub fn set_load(&mut self, node: &str, load: TargetLoad, now: BootTime) {
+        if let Some(target) = self.target(node) {
+            target.load = Some((load, now));
+        }
+    }
+
     /// True where a target is thought to be sick.
     #[must_use]
     pub fn is_suspect(&self, node: &str) -> bool {
@@ -246,6 +284,7 @@
             latency: Duration::ZERO,
             measured_at: None,
             busy_until: BootTime::ZERO,
+            load: None,
             came_at,
             health: TargetHealth::default(),
         }
@@ -265,6 +304,22 @@
         self.measured_at = Some(now);
     }
 
+    /// The latency to be expected with what is under way.
+    ///
+    /// Where the target told its load lately, that counts: while it has slots free, one more request
+    /// slows nobody down. Else this router's own requests there are all that is known.
+    fn crowded(&self, latency: u128, now: BootTime) -> u128 {
+        let fresh = |(_, at): &&(TargetLoad, BootTime)| now < *at + LOAD_AGE;
+        match self.load.as_ref().filter(fresh) {
+            Some((load, _)) if load.slots > 0 => {
+                let used = 100 * u128::from(load.busy.max(self.in_flight) + 1);
+                let free = u128::from(load.slots) * CROWDED_PERCENT;
+                latency * used.max(free) / free
+            }
+            _ => latency * (u128::from(self.in_flight) + 1),
+        }
+    }
+
     /// A factor that falls from ten to one while a new target warms up.
     fn slow_start(&self, now: BootTime) -> u128 {
         let Some(came_at) = self.came_at else {
--- a/crates/anvilrack-node/src/callers/caller_connection.rs
+++ b/crates/anvilrack-node/src/callers/caller_connection.rs
@@ -1,5 +1,6 @@
 //! Callers' connections.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -24,10 +25,13 @@
 
 /// Accepts callers until the process ends.
 pub async fn serve_callers<D: PlatformDialect>(listener: TcpListener, node: Arc<NodeShared<D>>) {
-    accept_loop(listener, |stream| {
+    let accepting = accept_loop(listener, |stream| {
         tokio::spawn(serve_caller(stream, node.clone()));
-    })
-    .await;
+    });
+    tokio::select! {
+        () = accepting => {}
+        () = node.closed() => {}
+    }
 }
 
 async fn serve_caller<D: PlatformDialect>(stream: TcpStream, node: Arc<NodeShared<D>>) {
@@ -42,7 +46,15 @@
         .header_read_timeout(limits.idle_timeout + IDLE_MARGIN)
         .max_buf_size(room)
         .serve_connection(TokioIo::new(stream), service);
-    if let Err(error) = connection.await {
+    let mut connection = pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = node.closed() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
         log::debug!("connection of a caller ended: {error}");
     }
 }
--- a/crates/anvilrack-node/src/callers/caller_request.rs
+++ b/crates/anvilrack-node/src/callers/caller_request.rs
@@ -178,6 +178,7 @@
         RunReply::NotRun {
             reason,
             retry_after,
+            ..
         } => {
             let mut response = Response::new(Full::from(reason.word()));
             *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
--- a/crates/anvilrack-node/src/guard/target_door.rs
+++ b/crates/anvilrack-node/src/guard/target_door.rs
@@ -6,7 +6,7 @@
 
 use anvilrack_core::{
     AdmissionQueue, AdmissionRequest, AdmissionStep, LatencyLimit, RefusalReason, ShardId,
-    ShardMeter, TicketId, UncertainReason, events,
+    ShardMeter, TargetLoad, TicketId, UncertainReason, events,
 };
 use anvilrack_router::boot_clock;
 use bytes::Bytes;
@@ -100,11 +100,7 @@
             Ok((slot, life)) => self.deliver(node, call, body, slot, &life, deadline).await,
             Err((reason, retry_after)) => {
                 let retry_after = retry_after.max(LEAST_RETRY_AFTER);
-                let reply = RunReply::NotRun {
-                    reason,
-                    retry_after,
-                };
-                (reply, Bytes::new())
+                not_run(reason, retry_after)
             }
         }
     }
@@ -152,6 +148,16 @@
         (queue.in_flight(), queue.waiting())
     }
 
+    /// What the target has under way, for other routers.
+    #[must_use]
+    pub fn target_load(&self) -> TargetLoad {
+        let (running, waiting) = self.load();
+        TargetLoad {
+            busy: u32::try_from(running + waiting).unwrap_or(u32::MAX),
+            slots: self.life().map_or(0, |life| life.slots),
+        }
+    }
+
     /// The load of each shard, for the coordinator.
     #[must_use]
     pub fn shard_loads(&self) -> Vec<anvilrack_core::ShardLoad> {
@@ -365,6 +371,7 @@
     let reply = RunReply::NotRun {
         reason,
         retry_after,
+        by_target: false,
     };
     (reply, Bytes::new())
 }
@@ -406,6 +413,7 @@
             RefusalReason::TargetRefused
         },
         retry_after: LEAST_RETRY_AFTER,
+        by_target: true,
     })
 }
 
--- a/crates/anvilrack-node/src/node_process.rs
+++ b/crates/anvilrack-node/src/node_process.rs
@@ -39,7 +39,7 @@
 const LEAST_STOP: Duration = Duration::from_millis(3_300);
 
 /// A stop ends so long before the process would be killed.
-const STOP_MARGIN: Duration = Duration::from_millis(500);
+const STOP_MARGIN: Duration = Duration::from_millis(300);
 
 /// Time for a head at the ready and metrics addresses, counted also while a connection is idle.
 const HEAD_LIMIT: Duration = Duration::from_secs(30);
@@ -103,6 +103,9 @@
     loop {
         sleep(STOP_STEP).await;
         let passed = boot_clock::now().saturating_sub(began);
+        if passed >= LEAST_STOP.min(longest * 3 / 5) {
+            node.begin_close();
+        }
         let holds = node.owner().held().count() + node.grants.released().len();
         let busy = node.open_count() > 0 || node.door.load().0 > 0 || holds > 0;
         if passed >= longest || (passed >= LEAST_STOP.min(longest) && !busy) {
--- a/crates/anvilrack-node/src/node_shared.rs
+++ b/crates/anvilrack-node/src/node_shared.rs
@@ -10,7 +10,7 @@
     RetryBudget, ServiceName, ShardId, SiteRoutes, StandbyState, TargetChoice, events,
 };
 use anvilrack_router::boot_clock;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use crate::directory::{DirectoryEntry, DirectoryView};
 use crate::guard::{LifeState, TargetDoor, TargetLife};
@@ -20,7 +20,12 @@
 use crate::{KEY_SPACE, KeyNumber, NodeSettings, PlatformDialect, tell};
 
 /// Retries that one router saves up at most, for the limit is shared by the fleet.
-const SAVED_RETRIES: u32 = 3;
+const SAVED_RETRIES: u32 = 2;
+
+/// Retries for a thousand requests.
+///
+/// The deployments allow 200; calls that repeated runs make count as well, and nobody sees all.
+const RETRY_SHARE: u32 = 140;
 
 /// Time for a word to another router that nobody waits for.
 const TELL_LIMIT: std::time::Duration = std::time::Duration::from_millis(400);
@@ -58,6 +63,7 @@
     /// A cell's record, or the directory, has changed.
     pub route_news: Notify,
     stopping: AtomicBool,
+    closing: watch::Sender<bool>,
     open: AtomicIsize,
     entry_version: AtomicU64,
     own_entry: Mutex<Option<DirectoryEntry>>,
@@ -94,6 +100,7 @@
             entry_news: Notify::new(),
             route_news: Notify::new(),
             stopping: AtomicBool::new(false),
+            closing: watch::Sender::new(false),
             open: AtomicIsize::new(0),
             entry_version: AtomicU64::new(0),
             own_entry: Mutex::default(),
@@ -143,9 +150,11 @@
         work: impl FnOnce(&mut RetryBudget) -> T,
     ) -> T {
         let mut budgets = lock(&self.budgets);
-        let budget = budgets
-            .entry(service.clone())
-            .or_insert_with(|| RetryBudget::new().with_saved(SAVED_RETRIES));
+        let budget = budgets.entry(service.clone()).or_insert_with(|| {
+            RetryBudget::new()
+                .with_saved(SAVED_RETRIES)
+                .with_share(RETRY_SHARE)
+        });
         work(budget)
     }
 
@@ -174,6 +183,18 @@
         self.member_news.notify_one();
     }
 
+    /// No connection of a caller takes another request; those under way are finished.
+    pub fn begin_close(&self) {
+        self.closing.send_replace(true);
+    }
+
+    /// Ends once [`Self::begin_close`] was called.
+    pub async fn closed(&self) {
+        let mut closing = self.closing.subscribe();
+        // The sender lives as long as this does.
+        closing.wait_for(|closing| *closing).await.ok();
+    }
+
     // --- the operators' document ----------------------------------------------------------------
 
     /// The document in force.
--- a/crates/anvilrack-node/src/peers/peer_message.rs
+++ b/crates/anvilrack-node/src/peers/peer_message.rs
@@ -5,7 +5,7 @@
 
 use anvilrack_core::{
     CellRecord, DomainName, Epoch, Incarnation, MemberReport, NodeId, RefusalReason, RegionName,
-    RenewalAnswer, RequestClass, ServiceName, TableVersion, UncertainReason,
+    RenewalAnswer, RequestClass, ServiceName, TableVersion, TargetLoad, UncertainReason,
 };
 use serde::{Deserialize, Serialize};
 
@@ -37,8 +37,8 @@
 /// The answer to a [`PeerCall`]; an answer's body follows the message.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum PeerReply {
-    /// How the request ended.
-    Run(RunReply),
+    /// How the request ended, and what the target has under way.
+    Run(RunReply, TargetLoad),
     /// True where the request has not begun and will not.
     Barred(bool),
     /// From the coordinator.
@@ -96,6 +96,8 @@
         reason: RefusalReason,
         /// When coming back is worth while.
         retry_after: Duration,
+        /// True where the target itself has refused it, so that it has cost the target something.
+        by_target: bool,
     },
     /// Nobody can tell.
     MayHaveRun(UncertainReason),
--- a/crates/anvilrack-node/src/peers/peer_server.rs
+++ b/crates/anvilrack-node/src/peers/peer_server.rs
@@ -87,7 +87,7 @@
     let reply = match call {
         PeerCall::Run(run) => {
             let (reply, body) = node.door.run(node, run, body).await;
-            return (PeerReply::Run(reply), body);
+            return (PeerReply::Run(reply, node.door.target_load()), body);
         }
         PeerCall::Bar(request) => PeerReply::Barred(node.door.bar(&request)),
         PeerCall::Entry(entry) => {
--- a/crates/anvilrack-node/src/routing/forward.rs
+++ b/crates/anvilrack-node/src/routing/forward.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use anvilrack_core::{
-    BootTime, HealthOutcome, NodeId, RefusalReason, RouteRules, ServiceName, ShardId,
-    UncertainReason, events, retry_pause,
+    BootTime, HealthOutcome, NodeId, RefusalReason, RetryBudget, RouteRules, ServiceName, ShardId,
+    TargetLoad, UncertainReason, events, retry_pause,
 };
 use anvilrack_router::boot_clock;
 use bytes::Bytes;
@@ -111,7 +111,7 @@
         waited: Duration::ZERO,
         last_place: None,
     };
-    node.with_budget(&request.service, anvilrack_core::RetryBudget::on_first_try);
+    node.with_budget(&request.service, RetryBudget::on_first_try);
     loop {
         if let NextStep::Tell(reply, body) = way.step().await {
             return ForwardOutcome {
@@ -143,7 +143,13 @@
             RunReply::NotRun {
                 reason,
                 retry_after,
-            } => self.after_refusal(&place, reason, retry_after).await,
+                by_target,
+            } => {
+                if by_target && !self.may_send_again() {
+                    return self.refuse(reason, retry_after);
+                }
+                self.after_refusal(&place, reason, retry_after).await
+            }
             RunReply::MayHaveRun(reason) => self.after_doubt(reason).await,
         }
     }
@@ -213,7 +219,10 @@
         let links = &self.node.links;
         let body = &self.request.body;
         let fault = match links.call(address, &PeerCall::Run(call), body, limit).await {
-            Ok((PeerReply::Run(reply), body)) => return (reply, body),
+            Ok((PeerReply::Run(reply, load), body)) => {
+                self.see_load(place, load);
+                return (reply, body);
+            }
             Ok(_) => PeerFault::Lost("answer to another call".into()),
             Err(fault) => fault,
         };
@@ -229,12 +238,19 @@
             fault if fault.is_unsent() => RunReply::NotRun {
                 reason: RefusalReason::OwnerUnreachable,
                 retry_after: NO_TARGET_RETRY_AFTER,
+                by_target: false,
             },
             _ => self.ask_whether_begun(address).await,
         };
         (reply, Bytes::new())
     }
 
+    fn see_load(&self, place: &NodeId, load: TargetLoad) {
+        if let Some(choice) = self.node.choices().get_mut(&self.request.service) {
+            choice.set_load(place, load, boot_clock::now());
+        }
+    }
+
     /// The link broke: over a new one, the router there tells whether the request has begun.
     async fn ask_whether_begun(&self, address: SocketAddr) -> RunReply {
         let doubt = RunReply::MayHaveRun(UncertainReason::ConnectionLost);
@@ -258,6 +274,7 @@
             RunReply::NotRun {
                 reason: RefusalReason::OwnerUnreachable,
                 retry_after: NO_TARGET_RETRY_AFTER,
+                by_target: false,
             }
         } else {
             doubt
@@ -335,6 +352,12 @@
         NextStep::Again
     }
 
+    /// Takes one retry out of the budget; each time a target is reached again counts.
+    fn may_send_again(&self) -> bool {
+        self.node
+            .with_budget(&self.request.service, RetryBudget::take_retry)
+    }
+
     fn refuse(&self, reason: RefusalReason, retry_after: Duration) -> NextStep {
         let reply = if self.runs > 0 {
             // An earlier try may have run.
@@ -343,6 +366,7 @@
             RunReply::NotRun {
                 reason,
                 retry_after,
+                by_target: false,
             }
         };
         NextStep::Tell(reply, Bytes::new())
