Let a router that joins late learn who owns the keys, and test the parts of the node

Now a router without a record, or with one that no longer fits, asks two routers of the service and, if they know nothing newer, the store, at most once in 150 ms and 900 ms a service. Ruled out: keys without an owner; every record from 2.6 s before traffic on has all 128.

--- a/crates/anvilrack-node/src/node_shared.rs
+++ b/crates/anvilrack-node/src/node_shared.rs
@@ -15,7 +15,7 @@
 use crate::directory::{DirectoryEntry, DirectoryView};
 use crate::guard::{LifeState, TargetDoor, TargetLife};
 use crate::observe::NodeMetrics;
-use crate::ownership::{GrantKeeper, SHARD_COUNT, lease_terms, release_all};
+use crate::ownership::{GrantKeeper, RefreshTimes, SHARD_COUNT, lease_terms, release_all};
 use crate::peers::{PeerCall, PeerLinks, PeerPlace, RecordMark, TargetPlace};
 use crate::{KEY_SPACE, KeyNumber, NodeSettings, PlatformDialect, tell};
 
@@ -72,6 +72,7 @@
     cells: Mutex<HashMap<ServiceName, Arc<CellRecord>>>,
     choices: Mutex<HashMap<ServiceName, TargetChoice>>,
     budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
+    refreshes: Mutex<HashMap<ServiceName, RefreshTimes>>,
     owner: Mutex<OwnerState>,
     standby: Mutex<StandbyState>,
     coordinator: Mutex<Option<CoordinatorState>>,
@@ -109,6 +110,7 @@
             cells: Mutex::default(),
             choices: Mutex::default(),
             budgets: Mutex::default(),
+            refreshes: Mutex::default(),
             owner: Mutex::new(OwnerState::new(node.clone(), 0, terms)),
             standby: Mutex::new(StandbyState::new(node, 0, terms, now)),
             coordinator: Mutex::default(),
@@ -158,6 +160,15 @@
         work(budget)
     }
 
+    /// Runs `work` on the times at which records of a service's cell were asked for.
+    pub fn with_refresh<T>(
+        &self,
+        service: &ServiceName,
+        work: impl FnOnce(&mut RefreshTimes) -> T,
+    ) -> T {
+        work(lock(&self.refreshes).entry(service.clone()).or_default())
+    }
+
     /// True once a stop has begun.
     #[must_use]
     pub fn is_stopping(&self) -> bool {
@@ -301,6 +312,14 @@
             .count()
     }
 
+    /// Where the routers beside a service's targets are reached, less this one.
+    #[must_use]
+    pub fn service_addresses(&self, service: &str) -> Vec<SocketAddr> {
+        let directory = self.directory();
+        let entries = directory.of_service(service);
+        entries.map(|entry| entry.place.address).collect()
+    }
+
     /// Where the other routers are reached.
     #[must_use]
     pub fn peer_addresses(&self) -> Vec<SocketAddr> {
--- a/crates/anvilrack-node/src/ownership/cell_store.rs
+++ b/crates/anvilrack-node/src/ownership/cell_store.rs
@@ -7,7 +7,7 @@
 use crate::ownership::PackedCell;
 
 /// Where the records stand.
-pub const CELL_PREFIX: &str = "anvilrack/cell/";
+const CELL_PREFIX: &str = "anvilrack/cell/";
 
 /// Reads a cell's record and the revision that it has; zero where there is none.
 ///
--- a/crates/anvilrack-node/src/ownership/mod.rs
+++ b/crates/anvilrack-node/src/ownership/mod.rs
@@ -3,6 +3,7 @@
 //! The decisions are those of `anvilrack-core`; this is their I/O.
 
 pub mod cell_calls;
+mod cell_refresh;
 mod cell_store;
 mod cell_takeover;
 mod coordinator_role;
@@ -10,7 +11,8 @@
 mod member_role;
 mod packed_cell;
 
-pub use cell_store::{CELL_PREFIX, read_cell};
+pub use cell_refresh::{RefreshTimes, refresh_cell};
+pub use cell_store::read_cell;
 pub use coordinator_role::{push_cell, resign};
 pub use grant_keeper::{GrantKeeper, keep_grants, release_all};
 pub use member_role::run_member;
--- a/crates/anvilrack-node/src/routing/forward.rs
+++ b/crates/anvilrack-node/src/routing/forward.rs
@@ -13,6 +13,7 @@
 use tokio::time::sleep;
 
 use crate::http_pool::within;
+use crate::ownership::refresh_cell;
 use crate::peers::{PeerCall, PeerFault, PeerReply, RunCall, RunReply};
 use crate::{KeyNumber, NodeShared, PlatformDialect, RequestId, tell};
 
@@ -81,7 +82,7 @@
 
 /// The way of one request.
 struct RequestWay<'a, D: PlatformDialect> {
-    node: &'a NodeShared<D>,
+    node: &'a Arc<NodeShared<D>>,
     request: &'a CallerRequest,
     shard: Option<ShardId>,
     places: u32,
@@ -99,7 +100,7 @@
 
 /// Takes a request to a target, and to another one where that does no harm.
 pub async fn forward<D: PlatformDialect>(
-    node: &NodeShared<D>,
+    node: &Arc<NodeShared<D>>,
     request: &CallerRequest,
 ) -> ForwardOutcome {
     let mut way = RequestWay {
@@ -193,6 +194,7 @@
         if self.waited >= most {
             return self.refuse(reason, retry_after);
         }
+        refresh_cell(self.node, &self.request.service);
         let began = boot_clock::now();
         within(MOVE_STEP, self.node.route_news.notified()).await;
         // News may come often; a pause keeps the tries apart.
--- /dev/null
+++ b/crates/anvilrack-node/tests/directory_view.rs
@@ -0,0 +1,95 @@
+//! Which routers count as there, around outages of the store and restarts.
+
+use std::time::Duration;
+
+use anvilrack_node::directory::{DirectoryEntry, DirectoryView};
+use anvilrack_node::peers::{PeerPlace, TargetPlace};
+
+fn entry(node: &str, run: u64, version: u64) -> DirectoryEntry {
+    DirectoryEntry {
+        place: PeerPlace {
+            node: node.into(),
+            address: ([127, 0, 0, 1], 7000).into(),
+            failure_domain: "norte-a".into(),
+            region: "norte".into(),
+        },
+        run,
+        version,
+        service: "views".into(),
+        target: Some(TargetPlace {
+            incarnation: 1,
+            slots: 12,
+            ready: true,
+        }),
+        stopping: false,
+    }
+}
+
+fn names(view: &DirectoryView) -> Vec<String> {
+    view.entries()
+        .map(|entry| entry.place.node.to_string())
+        .collect()
+}
+
+fn at(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+#[test]
+fn older_entry_of_a_run_changes_nothing() {
+    let mut view = DirectoryView::default();
+    assert!(view.take(entry("a", 5, 2)));
+    assert!(!view.take(entry("a", 5, 1)));
+    assert!(!view.take(entry("a", 4, 9)));
+}
+
+#[test]
+fn same_entry_again_is_no_news() {
+    let mut view = DirectoryView::default();
+    assert!(view.take(entry("a", 5, 2)));
+    assert!(!view.take(entry("a", 5, 2)));
+}
+
+#[test]
+fn entries_that_lapsed_in_an_outage_count_until_they_are_back() {
+    let mut view = DirectoryView::default();
+    view.take(entry("a", 5, 1));
+    view.take(entry("b", 5, 1));
+    view.lapse("a", at(1_000));
+    view.lapse("b", at(1_000));
+    assert!(view.expire(at(2_900)).is_empty());
+    view.take(entry("a", 5, 1));
+    let gone = view.expire(at(3_600));
+    assert_eq!(gone, vec!["b".into()]);
+    assert_eq!(names(&view), ["a"]);
+}
+
+#[test]
+fn router_missing_from_a_full_list_has_lapsed() {
+    let mut view = DirectoryView::default();
+    view.take(entry("a", 5, 1));
+    view.take(entry("b", 5, 1));
+    view.retain_listed(&["b".into()], at(0));
+    assert_eq!(view.expire(at(2_600)), vec!["a".into()]);
+}
+
+#[test]
+fn run_with_an_earlier_clock_counts_after_a_lapse() {
+    let mut view = DirectoryView::default();
+    view.take(entry("a", 5_000, 3));
+    assert!(!view.take(entry("a", 3_000, 1)));
+    view.lapse("a", at(0));
+    assert!(view.take(entry("a", 3_000, 1)));
+    assert!(view.expire(at(9_000)).is_empty());
+}
+
+#[test]
+fn target_that_is_not_ready_is_no_choice() {
+    let mut stopping = entry("a", 1, 1);
+    stopping.stopping = true;
+    assert!(!stopping.is_ready());
+    let mut silent = entry("a", 1, 1);
+    silent.target = None;
+    assert!(!silent.is_ready());
+    assert!(entry("a", 1, 1).is_ready());
+}
--- /dev/null
+++ b/crates/anvilrack-node/tests/packed_cell.rs
@@ -0,0 +1,65 @@
+//! A record comes out of its packed form as it went in, and in fewer bytes.
+
+use anvilrack_core::{CellMember, CellRecord, ShardOwner};
+use anvilrack_node::ownership::PackedCell;
+use anvilrack_wire::{decode, encode};
+
+const MEMBERS: u64 = 6;
+const SHARDS: u64 = 128;
+
+fn node(number: u64) -> String {
+    format!("sidecar-norte-a-{number}")
+}
+
+fn record() -> CellRecord {
+    let member = |number| CellMember {
+        node: node(number).into(),
+        incarnation: 1_700_000_000_000 + number,
+        peer_address: ([10, 1, 0, 8], 8300).into(),
+        failure_domain: "norte-a".into(),
+        region: "norte".into(),
+        leaving: false,
+    };
+    let owner = |shard: u64| {
+        (shard != 7).then(|| ShardOwner {
+            node: node(shard % MEMBERS).into(),
+            incarnation: 1_700_000_000_000 + shard % MEMBERS,
+            token: shard + 1,
+            record_lost: shard % 2 == 0,
+            handover: (shard == 9).then(|| "5c0e7a21".into()),
+        })
+    };
+    CellRecord {
+        service: "views".into(),
+        epoch: 3,
+        version: 40,
+        coordinator: node(0).into(),
+        standbys: vec![node(1).into(), node(2).into()],
+        last_token: SHARDS,
+        members: (0..MEMBERS).map(member).collect(),
+        shards: (0..SHARDS).map(owner).collect(),
+        ..CellRecord::default()
+    }
+}
+
+#[test]
+fn packed_record_comes_back_whole() {
+    let record = record();
+    let bytes = encode(&PackedCell::new(&record)).expect("a record can be coded");
+    let packed: PackedCell = decode(&bytes).expect("what was coded can be read");
+    assert_eq!(packed.unpack(), record);
+}
+
+#[test]
+fn packed_record_is_small() {
+    let record = record();
+    let packed = encode(&PackedCell::new(&record)).expect("a record can be coded");
+    let plain = encode(&record).expect("a record can be coded");
+    // Names take most of the plain form; a record crosses regions with every change.
+    assert!(
+        packed.len() * 3 < plain.len(),
+        "{} of {}",
+        packed.len(),
+        plain.len()
+    );
+}
