Spread busy neighbours over targets, and move nothing while the store is away

Now nothing moves unless the store answered within a second, and such a coordinator offers its office to a standby that reaches it. Cause 2: busy keys are some hundred neighbours and lay in one of 128 shards. Shards are 32 keys wide now, given out round-robin. Records travel as steps, and the coordinator proves its office by a condition without reading the value. Both routers now take what waits and close in the same breath, and finish kept connections before they end; the tests of stops run next. Also: log lines name their router and are bounded; 'anvilrack trace' tells a request's way.

--- a/crates/anvilrack-cli/src/command_flags.rs
+++ b/crates/anvilrack-cli/src/command_flags.rs
@@ -43,6 +43,13 @@
             /// Print JSON.
             optional --json
         }
+        /// Tell a request's way from the logs of the routers, and the cause of its end.
+        cmd trace {
+            /// The request's id.
+            required request: String
+            /// Log files; standard input where there are none.
+            repeated logs: PathBuf
+        }
         /// Ask a router to give its shards to others and to take no new work.
         cmd drain {
             /// Control address of that router, as ip:port.
--- a/crates/anvilrack-cli/src/main.rs
+++ b/crates/anvilrack-cli/src/main.rs
@@ -1,13 +1,17 @@
 //! `anvilrack`: the operators' command.
 
+use std::{fs, io};
+
 use anvilrack_cli::report_text::{explanation_text, status_text};
+use anvilrack_cli::request_story::RequestStory;
 use anvilrack_cli::{config_apply, router_calls};
 use anvilrack_settings::config_file::read_config;
 use anvilrack_store::HttpStore;
+use eyre::WrapErr;
 use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
 use serde_json::Value;
 
-use crate::command_flags::{Anvilrack, AnvilrackCmd, Apply, Explain, Status};
+use crate::command_flags::{Anvilrack, AnvilrackCmd, Apply, Explain, Status, Trace};
 
 mod command_flags;
 
@@ -29,6 +33,7 @@
         }
         AnvilrackCmd::Status(flags) => status(&flags)?,
         AnvilrackCmd::Explain(flags) => explain(&flags)?,
+        AnvilrackCmd::Trace(flags) => trace(&flags)?,
         AnvilrackCmd::Drain(drain) => {
             router_calls::drain(drain.router)?;
             println!("{} is giving its shards to others", drain.router);
@@ -58,6 +63,25 @@
     Ok(())
 }
 
+fn trace(flags: &Trace) -> eyre::Result<()> {
+    let mut log = String::new();
+    for file in &flags.logs {
+        log += &fs::read_to_string(file)
+            .wrap_err_with(|| format!("cannot read {}", file.display()))?;
+    }
+    if flags.logs.is_empty() {
+        log = io::read_to_string(io::stdin())?;
+    }
+    let story = RequestStory::new(&flags.request, log.lines());
+    eyre::ensure!(
+        !story.is_empty(),
+        "no line is about request {}",
+        flags.request
+    );
+    print!("{}", story.text());
+    Ok(())
+}
+
 fn print(value: &Value, json: bool, text: impl Fn(&Value) -> String) {
     if json {
         println!("{value}");
--- /dev/null
+++ b/crates/anvilrack-cli/tests/request_story.rs
@@ -0,0 +1,48 @@
+//! The cause of a failed request from the lines of several routers.
+
+use anvilrack_cli::request_story::RequestStory;
+
+const LOG: &str = r#"
+12.1 router-b {"at_ms":1040,"node":"router-b","event":2301,"name":"admission.refused","request":"a1","running":12,"waiting":30}
+12.2 router-a {"at_ms":1060,"node":"router-a","event":2401,"name":"request.answered","request":"a1","outcome":"not-run","why":"overloaded","place":"router-b","service":"bookings"}
+{"at_ms":1000,"node":"router-a","event":2402,"name":"request.tried","request":"b2","fault":"link lost: reset"}
+{"at_ms":1010,"node":"router-a","event":2401,"name":"request.answered","request":"b2","outcome":"may-have-run","why":"connection-lost","place":"router-c","service":"bookings"}
+{"at_ms":1000,"node":"router-a","event":2401,"name":"request.answered","request":"c3","outcome":"not-run","why":"moving","key":4711,"place":"router-c","service":"views"}
+{"at_ms":1000,"node":"router-a","event":2401,"name":"request.answered","request":"c3.1","outcome":"ran","why":null,"place":"router-c","service":"bookings"}
+{"at_ms":1500,"node":"router-a","event":2404,"name":"request.left","request":"d4","waited_ms":420}
+{"at_ms":1500,"node":"router-a","event":2002,"name":"request.refused","request":"e5","why":"no routes are known yet"}
+{"at_ms":1,"node":"router-a","event":1304,"name":"cell.written"}
+not a line of ours, request a1
+"#;
+
+macro_rules! causes {
+    ($($name:ident: $request:literal => $cause:literal;)*) => {$(
+        #[test]
+        fn $name() {
+            let story = RequestStory::new($request, LOG.lines());
+            assert_eq!(story.cause(), $cause);
+        }
+    )*};
+}
+
+causes! {
+    refused_under_load: "a1" => "refused under load: router-b could not start it in time (bookings)";
+    uncertain_after_a_lost_link:
+        "b2" => "uncertain: the link or the target beside router-c was lost after it was sent";
+    refused_without_an_owner: "c3.1" => "the target beside router-c answered";
+    caller_left: "d4" => "the caller left after 420 ms";
+    refused_without_routes: "e5" => "refused at the callers' side: no routes are known yet";
+    nothing_known: "zz" => "no line tells how it ended; the logs may be from another time";
+}
+
+#[test]
+fn lines_are_told_in_time_order_with_the_calls_of_the_target() {
+    let story = RequestStory::new("a1", LOG.lines());
+    let text = story.text();
+    let refused = text.find("admission.refused").expect("the door's line");
+    let answered = text.find("request.answered").expect("the caller's line");
+    assert!(refused < answered, "{text}");
+    assert!(text.contains("running=12"), "{text}");
+    let calls = RequestStory::new("c3", LOG.lines()).text();
+    assert_eq!(calls.lines().count(), 3, "{calls}");
+}
--- a/crates/anvilrack-node/src/callers/caller_connection.rs
+++ b/crates/anvilrack-node/src/callers/caller_connection.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use anvilrack_router::accept_drain;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -23,15 +24,19 @@
 /// Room beyond the longest head, for the line and the separators, in bytes.
 const HEAD_SLACK: usize = 1024;
 
-/// Accepts callers until the process ends.
+/// Accepts callers until a stop closes their connections.
 pub async fn serve_callers<D: PlatformDialect>(listener: TcpListener, node: Arc<NodeShared<D>>) {
-    let accepting = accept_loop(listener, |stream| {
+    let serve = |stream| {
         tokio::spawn(serve_caller(stream, node.clone()));
-    });
+    };
     tokio::select! {
-        () = accepting => {}
+        () = accept_loop(&listener, serve) => {}
         () = node.closed() => {}
     }
+    match accept_drain::close_listener(listener) {
+        Ok(waiting) => waiting.into_iter().for_each(serve),
+        Err(error) => log::warn!("connections that waited were not taken: {error}"),
+    }
 }
 
 async fn serve_caller<D: PlatformDialect>(stream: TcpStream, node: Arc<NodeShared<D>>) {
--- a/crates/anvilrack-node/src/directory/entry_keeper.rs
+++ b/crates/anvilrack-node/src/directory/entry_keeper.rs
@@ -65,7 +65,9 @@
         if let Some(lease) = self.lease
             && now >= self.next_keep
         {
-            if node.store.keep_lease(lease).await? {
+            let kept = node.store.keep_lease(lease).await?;
+            node.see_store();
+            if kept {
                 self.next_keep = now + KEEP_EVERY;
             } else {
                 self.lease = None;
@@ -98,6 +100,7 @@
             self.lease = None;
             return Err(StoreFault::Refused("the lease has ended".into()));
         }
+        node.see_store();
         tell!(
             Info,
             events::ENTRY_WRITTEN,
--- a/crates/anvilrack-node/src/directory/metadata_store.rs
+++ b/crates/anvilrack-node/src/directory/metadata_store.rs
@@ -36,6 +36,13 @@
         write: StoreWrite,
     ) -> impl Future<Output = Result<WriteResult, StoreFault>> + Send;
 
+    /// True where a key still has the revision `revision`; the value does not travel.
+    fn is_unchanged(
+        &self,
+        key: &str,
+        revision: StoreRevision,
+    ) -> impl Future<Output = Result<bool, StoreFault>> + Send;
+
     /// Opens a lease; returns it and the time to live that applies.
     fn open_lease(
         &self,
--- a/crates/anvilrack-node/src/guard/control_address.rs
+++ b/crates/anvilrack-node/src/guard/control_address.rs
@@ -25,7 +25,7 @@
 
 /// Answers the target until the process ends.
 pub async fn serve_control<D: PlatformDialect>(listener: TcpListener, node: Arc<NodeShared<D>>) {
-    accept_loop(listener, |stream| {
+    accept_loop(&listener, |stream| {
         let node = node.clone();
         tokio::spawn(async move {
             let service = service_fn(move |request| answer(request, node.clone()));
--- a/crates/anvilrack-node/src/guard/target_door.rs
+++ b/crates/anvilrack-node/src/guard/target_door.rs
@@ -99,6 +99,18 @@
         match self.admit(node, &call, deadline).await {
             Ok((slot, life)) => self.deliver(node, call, body, slot, &life, deadline).await,
             Err((reason, retry_after)) => {
+                let (running, waiting) = self.load();
+                tell!(
+                    Info,
+                    events::ADMISSION_REFUSED,
+                    request = &*call.request,
+                    why = reason.word(),
+                    key = call.key,
+                    running = running,
+                    waiting = waiting,
+                    time_left_ms = call.time_left.as_millis() as u64,
+                    retry_after_ms = retry_after.as_millis() as u64
+                );
                 let retry_after = retry_after.max(LEAST_RETRY_AFTER);
                 not_run(reason, retry_after)
             }
--- a/crates/anvilrack-node/src/node_process.rs
+++ b/crates/anvilrack-node/src/node_process.rs
@@ -24,7 +24,7 @@
 use crate::guard::serve_control;
 use crate::ownership::{keep_grants, resign, run_member};
 use crate::peers::serve_peers;
-use crate::{NodeSettings, NodeShared, PlatformDialect, tell};
+use crate::{NodeSettings, NodeShared, PlatformDialect, observe, tell};
 
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -39,7 +39,7 @@
 const LEAST_STOP: Duration = Duration::from_millis(3_300);
 
 /// A stop ends so long before the process would be killed.
-const STOP_MARGIN: Duration = Duration::from_millis(300);
+const STOP_MARGIN: Duration = Duration::from_millis(700);
 
 /// Time for a head at the ready and metrics addresses, counted also while a connection is idle.
 const HEAD_LIMIT: Duration = Duration::from_secs(30);
@@ -54,6 +54,7 @@
     dialect: D,
     store: D::Store,
 ) -> Result<()> {
+    observe::set_node(settings.node.clone());
     let listen = settings.listen.clone();
     let node = Arc::new(NodeShared::new(settings, dialect, store));
     let callers = bind(listen.callers).await?;
@@ -66,7 +67,6 @@
     tell!(
         Info,
         events::ROUTER_STARTED,
-        node = &*node.settings.node,
         run = node.run,
         service = &*node.settings.service,
         failure_domain = &*node.settings.failure_domain,
@@ -122,7 +122,7 @@
 }
 
 /// Accepts connections until the process ends.
-pub async fn accept_loop(listener: TcpListener, serve: impl Fn(TcpStream)) {
+pub async fn accept_loop(listener: &TcpListener, serve: impl Fn(TcpStream)) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => serve(stream),
@@ -153,7 +153,7 @@
     node: Arc<NodeShared<D>>,
     answer: fn(&NodeShared<D>, &str) -> Response<Full<Bytes>>,
 ) {
-    accept_loop(listener, |stream| {
+    accept_loop(&listener, |stream| {
         let node = node.clone();
         tokio::spawn(async move {
             let service = service_fn(|request: Request<Incoming>| {
--- a/crates/anvilrack-node/src/node_shared.rs
+++ b/crates/anvilrack-node/src/node_shared.rs
@@ -6,8 +6,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use anvilrack_core::{
-    CellMember, CellRecord, CoordinatorState, LeaseTerms, MemberReport, NodeId, OwnerState,
-    RetryBudget, ServiceName, ShardId, SiteRoutes, StandbyState, TargetChoice, events,
+    BootTime, CellMember, CellRecord, CoordinatorState, LeaseTerms, MemberReport, NodeId,
+    OwnerState, RecordDelta, RetryBudget, ServiceName, ShardId, SiteRoutes, StandbyState,
+    TargetChoice, events,
 };
 use anvilrack_router::boot_clock;
 use tokio::sync::{Notify, watch};
@@ -15,8 +16,10 @@
 use crate::directory::{DirectoryEntry, DirectoryView};
 use crate::guard::{LifeState, TargetDoor, TargetLife};
 use crate::observe::NodeMetrics;
-use crate::ownership::{GrantKeeper, RefreshTimes, SHARD_COUNT, lease_terms, release_all};
-use crate::peers::{PeerCall, PeerLinks, PeerPlace, RecordMark, TargetPlace};
+use crate::ownership::{
+    GrantKeeper, PackedCell, RefreshTimes, SHARD_COUNT, lease_terms, refresh_cell, release_all,
+};
+use crate::peers::{CellUpdate, PeerCall, PeerLinks, PeerPlace, RecordMark, TargetPlace};
 use crate::{KEY_SPACE, KeyNumber, NodeSettings, PlatformDialect, tell};
 
 /// Retries that one router saves up at most, for the limit is shared by the fleet.
@@ -27,6 +30,12 @@
 /// The deployments allow 200; calls that repeated runs make count as well, and nobody sees all.
 const RETRY_SHARE: u32 = 140;
 
+/// With more shards than this a step is no smaller than the packed record.
+const STEP_LIMIT: usize = 200;
+
+/// The store counts as reached for this long after an answer; the entry's lease is renewed more often.
+const STORE_REACHED: std::time::Duration = std::time::Duration::from_millis(1_600);
+
 /// Time for a word to another router that nobody waits for.
 const TELL_LIMIT: std::time::Duration = std::time::Duration::from_millis(400);
 
@@ -70,6 +79,8 @@
     site: Mutex<Option<Arc<SiteRoutes>>>,
     directory: Mutex<DirectoryView>,
     cells: Mutex<HashMap<ServiceName, Arc<CellRecord>>>,
+    last_step: Mutex<Option<RecordDelta>>,
+    store_seen_at: Mutex<BootTime>,
     choices: Mutex<HashMap<ServiceName, TargetChoice>>,
     budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
     refreshes: Mutex<HashMap<ServiceName, RefreshTimes>>,
@@ -108,6 +119,8 @@
             site: Mutex::default(),
             directory: Mutex::default(),
             cells: Mutex::default(),
+            last_step: Mutex::default(),
+            store_seen_at: Mutex::default(),
             choices: Mutex::default(),
             budgets: Mutex::default(),
             refreshes: Mutex::default(),
@@ -413,6 +426,65 @@
         self.route_news.notify_waiters();
     }
 
+    /// Takes a newer record, in full or as a step from the one before.
+    pub fn take_update(self: &Arc<Self>, update: CellUpdate) {
+        let step = match update {
+            CellUpdate::Full(packed) => return self.take_cell(packed.unpack()),
+            CellUpdate::Step(step) => step,
+        };
+        let known = self.cell(&step.service);
+        let newest = known.as_ref().map(|known| RecordMark::new(known));
+        let offered = RecordMark {
+            epoch: step.stamp.epoch,
+            version: step.stamp.version,
+        };
+        if newest >= Some(offered) {
+            return;
+        }
+        let mut record = known.map(|known| (*known).clone()).unwrap_or_default();
+        if step.apply_to(&mut record) {
+            self.take_cell(record);
+        } else {
+            refresh_cell(self, &step.service);
+        }
+    }
+
+    /// What somebody with the record `known` needs to have `record`.
+    #[must_use]
+    pub fn update_from(&self, known: RecordMark, record: &CellRecord) -> CellUpdate {
+        let step = lock(&self.last_step);
+        let fits = |step: &&RecordDelta| {
+            step.stamp.is_of(record)
+                && (step.base.epoch, step.base.version) == (known.epoch, known.version)
+        };
+        match step.as_ref().filter(fits) {
+            Some(step) => CellUpdate::Step(Box::new(step.clone())),
+            None => CellUpdate::Full(PackedCell::new(record)),
+        }
+    }
+
+    /// Remembers the step to a record that was just written, for those that have the one before.
+    pub fn keep_step(&self, old: &CellRecord, new: &CellRecord) -> CellUpdate {
+        let step = RecordDelta::new(old, new);
+        if step.shards.len() > STEP_LIMIT {
+            *lock(&self.last_step) = None;
+            return CellUpdate::Full(PackedCell::new(new));
+        }
+        *lock(&self.last_step) = Some(step.clone());
+        CellUpdate::Step(Box::new(step))
+    }
+
+    /// The store has answered a call of this router.
+    pub fn see_store(&self) {
+        *lock(&self.store_seen_at) = boot_clock::now();
+    }
+
+    /// True where the store has answered this router lately.
+    #[must_use]
+    pub fn reaches_store(&self) -> bool {
+        boot_clock::now() < *lock(&self.store_seen_at) + STORE_REACHED
+    }
+
     /// This router as a member of its cell, once its target has been heard from.
     #[must_use]
     pub fn member(&self) -> Option<CellMember> {
--- a/crates/anvilrack-node/src/observe/event_line.rs
+++ b/crates/anvilrack-node/src/observe/event_line.rs
@@ -1,12 +1,40 @@
 //! Structured log lines.
 
 use std::io::{self, Write};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
+use std::time::Duration;
 
-use anvilrack_core::LogEvent;
+use anvilrack_core::{BootTime, LogEvent, events};
+use anvilrack_router::boot_clock;
 use anvilrack_router::log_writer::LogWriter;
 use env_logger::{Builder, Env, Target};
 use serde_json::{Map, Value};
 
+/// Lines about requests that one router writes in a second at most.
+///
+/// A line takes some 30 microseconds to write; this many take half a percent of a core.
+const REQUEST_LINES: u32 = 150;
+
+/// Numbers of the events that tell of one request.
+const REQUEST_EVENTS: std::ops::Range<u16> = 2_000..3_000;
+
+/// Over this time lines about requests are counted.
+const WINDOW: Duration = Duration::from_secs(1);
+
+static NODE: OnceLock<Arc<str>> = OnceLock::new();
+static WINDOW_COUNT: Mutex<LineCount> = Mutex::new(LineCount {
+    since: Duration::ZERO,
+    written: 0,
+    dropped: 0,
+});
+
+#[derive(Debug)]
+struct LineCount {
+    since: BootTime,
+    written: u32,
+    dropped: u64,
+}
+
 /// Makes standard output the place of the log: one JSON object a line, never blocking.
 #[must_use]
 pub fn install() -> LogWriter {
@@ -20,20 +48,59 @@
             // Lines of libraries get the same frame.
             let text = Value::from(record.args().to_string());
             let level = record.level();
-            writeln!(line, "{{\"level\":\"{level}\",\"text\":{text}}}")
+            let at_ms = boot_clock::unix_ms();
+            writeln!(
+                line,
+                "{{\"at_ms\":{at_ms},\"level\":\"{level}\",\"text\":{text}}}"
+            )
         })
         .init();
     writer
 }
 
+/// Names the router in all lines to come.
+pub fn set_node(node: Arc<str>) {
+    // The first name stays; a process is one router.
+    NODE.set(node).ok();
+}
+
+/// Says whether a line of that event may be written now; what may not is counted, and told with the
+/// next line that may.
+#[must_use]
+pub fn may_write(event: LogEvent) -> bool {
+    if !REQUEST_EVENTS.contains(&event.number) {
+        return true;
+    }
+    let now = boot_clock::now();
+    let mut count = WINDOW_COUNT.lock().unwrap_or_else(PoisonError::into_inner);
+    if now >= count.since + WINDOW {
+        let dropped = std::mem::take(&mut count.dropped);
+        count.since = now;
+        count.written = 0;
+        if dropped > 0 {
+            let mut fields = Map::new();
+            fields.insert("lines".into(), dropped.into());
+            let line = line(log::Level::Warn, events::LOG_DROPPED, fields);
+            log::warn!(target: "anvilrack", "{line}");
+        }
+    }
+    let may = count.written < REQUEST_LINES;
+    if may {
+        count.written += 1;
+    } else {
+        count.dropped += 1;
+    }
+    may
+}
+
 /// Builds the line of an event.
 #[must_use]
 pub fn line(level: log::Level, event: LogEvent, fields: Map<String, Value>) -> String {
     let mut line = Map::new();
-    line.insert(
-        "at_ms".into(),
-        anvilrack_router::boot_clock::unix_ms().into(),
-    );
+    line.insert("at_ms".into(), boot_clock::unix_ms().into());
+    if let Some(node) = NODE.get() {
+        line.insert("node".into(), (**node).into());
+    }
     line.insert("level".into(), level.as_str().into());
     line.insert("event".into(), event.number.into());
     line.insert("name".into(), event.name.into());
@@ -45,7 +112,9 @@
 #[macro_export]
 macro_rules! tell {
     ($level:ident, $event:expr $(, $field:ident = $value:expr)* $(,)?) => {
-        if log::log_enabled!(target: "anvilrack", log::Level::$level) {
+        if log::log_enabled!(target: "anvilrack", log::Level::$level)
+            && $crate::observe::may_write($event)
+        {
             let fields = match serde_json::json!({ $(stringify!($field): $value),* }) {
                 serde_json::Value::Object(fields) => fields,
                 _ => serde_json::Map::new(),
--- a/crates/anvilrack-node/src/ownership/cell_calls.rs
+++ b/crates/anvilrack-node/src/ownership/cell_calls.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use anvilrack_core::{BootTime, MemberReport, events};
+use anvilrack_core::{BootTime, Epoch, MemberReport, events};
 use anvilrack_router::boot_clock;
 
 use crate::ownership::PackedCell;
@@ -21,10 +21,13 @@
             let promised = cell.is_some_and(|cell| node.standby().promise(&cell, epoch, now));
             PeerReply::Promised(promised)
         }
-        PeerCall::Cell(packed) => {
-            node.take_cell(packed.unpack());
+        PeerCall::Cell(update) => {
+            node.take_update(update);
             PeerReply::Done
         }
+        PeerCall::Resign(service, epoch) => {
+            PeerReply::Resigned(accept_office(node, &service, epoch))
+        }
         PeerCall::PullCell(service) => {
             PeerReply::Cell(node.cell(&service).map(|cell| PackedCell::new(&cell)))
         }
@@ -45,7 +48,8 @@
     }
     let answer = state.on_heartbeat(&beat.report, now);
     let record = state.record();
-    let update = (beat.known < RecordMark::new(record)).then(|| PackedCell::new(record));
+    let update =
+        (beat.known < RecordMark::new(record)).then(|| node.update_from(beat.known, record));
     drop(coordinator);
     if !beat.report.released.is_empty() {
         node.coordinator_news.notify_one();
@@ -53,10 +57,26 @@
     Some(Box::new(BeatReply { answer, update }))
 }
 
+/// Takes the office over if this router is a standby and reaches the store.
+fn accept_office<D: PlatformDialect>(
+    node: &Arc<NodeShared<D>>,
+    service: &str,
+    epoch: Epoch,
+) -> bool {
+    let Some(cell) = node.cell(service).filter(|_| node.reaches_store()) else {
+        return false;
+    };
+    let accepted = !node.is_stopping() && node.standby().on_resignation(&cell, epoch);
+    if accepted {
+        node.member_news.notify_one();
+    }
+    accepted
+}
+
 fn not_coordinator<D: PlatformDialect>(node: &NodeShared<D>, beat: &MemberBeat) -> PeerReply {
     let cell = node.cell(&beat.service);
     let newer = cell.filter(|cell| beat.known < RecordMark::new(cell));
-    PeerReply::NotCoordinator(newer.map(|cell| PackedCell::new(&cell)))
+    PeerReply::NotCoordinator(newer.map(|cell| node.update_from(beat.known, &cell)))
 }
 
 /// Moves to the new epoch at once; a member of the cell reports what it is.
--- a/crates/anvilrack-node/src/ownership/cell_store.rs
+++ b/crates/anvilrack-node/src/ownership/cell_store.rs
@@ -26,6 +26,21 @@
     Ok((Some(packed.unpack()), item.revision))
 }
 
+/// True where the cell's record still has that revision.
+///
+/// # Errors
+///
+/// [`StoreFault`] where the store did not answer.
+pub async fn is_unchanged<S: MetadataStore>(
+    store: &S,
+    service: &ServiceName,
+    revision: StoreRevision,
+) -> Result<bool, StoreFault> {
+    store
+        .is_unchanged(&format!("{CELL_PREFIX}{service}"), revision)
+        .await
+}
+
 /// Writes a cell's record if it still has the revision `base`.
 ///
 /// # Errors
--- a/crates/anvilrack-node/src/ownership/coordinator_role.rs
+++ b/crates/anvilrack-node/src/ownership/coordinator_role.rs
@@ -12,9 +12,9 @@
 
 use crate::directory::{StoreFault, StoreRevision, WriteResult};
 use crate::http_pool::within;
-use crate::ownership::cell_store::{read_cell, write_cell};
+use crate::ownership::cell_store::{is_unchanged, read_cell, write_cell};
 use crate::ownership::{PackedCell, SHARD_COUNT};
-use crate::peers::{PeerCall, PeerReply};
+use crate::peers::{CellUpdate, PeerCall, PeerFault, PeerReply};
 use crate::{NodeShared, PlatformDialect, tell};
 
 /// Time between two looks at what is to be done, unless something happens.
@@ -28,6 +28,15 @@
 /// In ordinary times there are none, since a standby that promised takes over later.
 const PROMISE_AFTER: Duration = Duration::from_millis(900);
 
+/// A coordinator that the store does not answer for so long offers its office to a standby.
+const RESIGN_AFTER: Duration = Duration::from_millis(1_000);
+
+/// Moves are planned only where the store has answered within this time.
+const PLAN_CONTACT: Duration = Duration::from_millis(1_000);
+
+/// Time between two plans; a plan looks at every shard.
+const PLAN_EVERY: Duration = Duration::from_millis(40);
+
 /// Time between two rounds of promises.
 const PROMISE_EVERY: Duration = Duration::from_millis(350);
 
@@ -70,23 +79,46 @@
     promises.abort();
 }
 
-/// Ends this router's office, so that a standby takes over without waiting for its silence.
-pub async fn resign<D: PlatformDialect>(node: &Arc<NodeShared<D>>) {
-    let Some(state) = node.coordinator().take() else {
-        return;
+/// Hands this router's office to a standby that reaches the store; says whether one takes it.
+///
+/// It may renew leases until the answer arrives, or is lost; the standby's wait for silent owners
+/// covers that, as it covers the authority of any coordinator that is replaced.
+pub async fn resign<D: PlatformDialect>(node: &Arc<NodeShared<D>>) -> bool {
+    let record = {
+        let coordinator = node.coordinator();
+        let Some(state) = coordinator.as_ref() else {
+            return false;
+        };
+        state.record().clone()
     };
-    let record = state.record().clone();
-    tell!(
-        Info,
-        events::CELL_RESIGNED,
-        service = &*record.service,
-        epoch = record.epoch
-    );
+    let standbys = record.standbys.iter();
+    let addresses: Vec<_> = standbys
+        .filter_map(|name| Some(record.member(name)?.peer_address))
+        .collect();
+    let call = PeerCall::Resign(record.service.clone(), record.epoch);
+    for address in addresses {
+        let answer = node.links.call(address, &call, &[], CALL_LIMIT).await;
+        let declined = matches!(answer, Ok((PeerReply::Resigned(false), _)))
+            || answer.as_ref().is_err_and(PeerFault::is_unsent);
+        if declined {
+            continue;
+        }
+        *node.coordinator() = None;
+        tell!(
+            Info,
+            events::CELL_RESIGNED,
+            service = &*record.service,
+            epoch = record.epoch,
+            to = address.to_string()
+        );
+        return true;
+    }
+    false
 }
 
-/// Tells every router about a record.
-pub async fn push_cell<D: PlatformDialect>(node: &Arc<NodeShared<D>>, record: &CellRecord) {
-    let call = PeerCall::Cell(PackedCell::new(record));
+/// Tells every router about a newer record.
+async fn push_cell<D: PlatformDialect>(node: &Arc<NodeShared<D>>, update: CellUpdate) {
+    let call = PeerCall::Cell(update);
     let addresses = node.peer_addresses();
     node.links.call_all(addresses, &call, CALL_LIMIT).await;
 }
@@ -171,6 +203,9 @@
     members_seen: usize,
     member_came_at: BootTime,
     outage: bool,
+    /// When the store was last known to answer.
+    answered_at: BootTime,
+    next_plan: BootTime,
 }
 
 impl RecordWriter {
@@ -183,6 +218,8 @@
             members_seen: 0,
             member_came_at: now,
             outage: false,
+            answered_at: now,
+            next_plan: now,
         }
     }
 
@@ -203,14 +240,17 @@
     async fn touch<D: PlatformDialect>(&mut self, node: &Arc<NodeShared<D>>) -> bool {
         let sent_at = boot_clock::now();
         self.next_touch = sent_at + TOUCH_EVERY;
-        let read = read_cell(&node.store, &node.settings.service).await;
+        let read = self.read(node).await;
         self.tell_outage(node, read.as_ref().err());
         let Ok((stored, revision)) = read else {
+            if sent_at > self.answered_at + RESIGN_AFTER && resign(node).await {
+                return true;
+            }
             let jitter = rand::rng().random_range(0.5..1.5);
             self.next_touch = boot_clock::now() + (TOUCH_EVERY / 2).mul_f64(jitter);
             return true;
         };
-        let stored = stored.unwrap_or_default();
+        self.answered_at = sent_at;
         let refused = self.unresolved.take_if(|based_on| *based_on != revision);
         let published = {
             let mut coordinator = node.coordinator();
@@ -234,6 +274,23 @@
         true
     }
 
+    /// Finds out which record the store holds; where it is the known one, few bytes travel.
+    async fn read<D: PlatformDialect>(
+        &self,
+        node: &Arc<NodeShared<D>>,
+    ) -> Result<(CellRecord, StoreRevision), StoreFault> {
+        let service = &node.settings.service;
+        if let Some(revision) = self.revision
+            && is_unchanged(&node.store, service, revision).await?
+            && let Some(state) = node.coordinator().as_ref()
+        {
+            return Ok((state.record().clone(), revision));
+        }
+        let (stored, revision) = read_cell(&node.store, service).await?;
+        // A store that lost the record altogether is like one put back to its very beginning.
+        Ok((stored.unwrap_or_default(), revision))
+    }
+
     /// Writes what is planned; a write of unknown outcome is sent again as it was.
     async fn write_plan<D: PlatformDialect>(
         &mut self,
@@ -246,9 +303,13 @@
             let Some(state) = coordinator.as_mut() else {
                 return;
             };
-            if state.pending().is_none() && self.is_settling(state.record(), node, now) {
+            let waits = now < self.next_plan || self.is_settling(state.record(), node, now);
+            // What was released cannot be given to anyone while the store is away, so nothing moves.
+            let doubtful = now > state.last_store_contact() + PLAN_CONTACT;
+            if state.pending().is_none() && (waits || doubtful) {
                 return;
             }
+            self.next_plan = now + PLAN_EVERY;
             state.set_weights(PlacementWeights::default());
             let pending = state.pending().cloned();
             pending.or_else(|| state.plan(&shard_rules(), 0, now))
@@ -338,9 +399,13 @@
         unowned = record.unowned(),
         last_token = record.last_token
     );
-    node.take_cell(record.clone());
+    let update = node.cell(&record.service).map_or_else(
+        || CellUpdate::Full(PackedCell::new(&record)),
+        |known| node.keep_step(&known, &record),
+    );
+    node.take_cell(record);
     let node = node.clone();
-    tokio::spawn(async move { push_cell(&node, &record).await });
+    tokio::spawn(async move { push_cell(&node, update).await });
 }
 
 /// Targets refuse older tokens, so an owner's end is enough for the next one.
--- a/crates/anvilrack-node/src/ownership/grant_keeper.rs
+++ b/crates/anvilrack-node/src/ownership/grant_keeper.rs
@@ -21,7 +21,7 @@
 const STEP: Duration = Duration::from_millis(100);
 
 /// A grant is renewed once less than this is left of it.
-const RENEW_BELOW: Duration = Duration::from_millis(1_300);
+const RENEW_BELOW: Duration = Duration::from_millis(1_200);
 
 /// Time for the answer to a grant; the target stands on the same VM.
 const GRANT_LIMIT: Duration = Duration::from_millis(300);
@@ -36,7 +36,7 @@
 const LEAST_HOLD: Duration = Duration::from_millis(100);
 
 /// Calls about keys that run side by side.
-const CALLS_AT_ONCE: usize = 4;
+const CALLS_AT_ONCE: usize = 6;
 
 /// A target's clock may run this many percent slow, so that it holds keys for longer.
 const SLOW_CLOCK_PERCENT: u32 = 2;
@@ -272,6 +272,7 @@
     incarnation: Option<u64>,
 ) -> Option<Arc<str>> {
     let order = order_for(shard, token);
+    let _place = node.grants.calls.acquire().await;
     loop {
         if !is_same_life(node, incarnation) {
             return None;
--- a/crates/anvilrack-node/src/ownership/member_role.rs
+++ b/crates/anvilrack-node/src/ownership/member_role.rs
@@ -61,8 +61,8 @@
     let Some(reply) = ask_coordinator(node, cell, beat).await else {
         return false;
     };
-    if let Some(update) = &reply.update {
-        node.take_cell(update.unpack());
+    if let Some(update) = reply.update {
+        node.take_update(update);
     }
     let answer = reply.answer;
     node.standby().on_answer(boot_clock::now());
@@ -90,12 +90,12 @@
         return cell_calls::answer_beat(node, &beat, boot_clock::now()).map(|reply| *reply);
     }
     let address = cell.member(&cell.coordinator)?.peer_address;
-    let call = PeerCall::Heartbeat(beat);
+    let call = PeerCall::Heartbeat(Box::new(beat));
     match node.links.call(address, &call, &[], BEAT_LIMIT).await {
         Ok((PeerReply::Heartbeat(reply), _)) => Some(*reply),
         Ok((PeerReply::NotCoordinator(update), _)) => {
             match update {
-                Some(update) => node.take_cell(update.unpack()),
+                Some(update) => node.take_update(update),
                 None => cell_takeover::find_or_create(node).await,
             }
             None
--- a/crates/anvilrack-node/src/ownership/mod.rs
+++ b/crates/anvilrack-node/src/ownership/mod.rs
@@ -13,7 +13,7 @@
 
 pub use cell_refresh::{RefreshTimes, refresh_cell};
 pub use cell_store::read_cell;
-pub use coordinator_role::{push_cell, resign};
+pub use coordinator_role::resign;
 pub use grant_keeper::{GrantKeeper, keep_grants, release_all};
 pub use member_role::run_member;
 pub use packed_cell::PackedCell;
@@ -24,9 +24,9 @@
 
 /// Shards of a service; the number never changes.
 ///
-/// Busy keys are neighbours, and shards are given out round-robin, so a busy stretch of keys is spread
-/// over several targets.
-pub const SHARD_COUNT: u32 = 128;
+/// Busy keys are neighbours, some hundred of them at a time, and shards are given out round-robin. So
+/// narrow shards spread a busy stretch over several targets before anybody has to move.
+pub const SHARD_COUNT: u32 = 2_048;
 
 /// The times that ownership hangs on.
 ///
@@ -36,7 +36,7 @@
 #[must_use]
 pub fn lease_terms() -> LeaseTerms {
     LeaseTerms {
-        lease: Duration::from_millis(2_400),
+        lease: Duration::from_millis(3_000),
         drift_margin: Duration::from_millis(150),
         heartbeat: Duration::from_millis(400),
         authority: Duration::from_millis(1_800),
--- a/crates/anvilrack-node/src/peers/peer_message.rs
+++ b/crates/anvilrack-node/src/peers/peer_message.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 
 use anvilrack_core::{
-    CellRecord, DomainName, Epoch, Incarnation, MemberReport, NodeId, RefusalReason, RegionName,
-    RenewalAnswer, RequestClass, ServiceName, TableVersion, TargetLoad, UncertainReason,
+    CellRecord, DomainName, Epoch, Incarnation, MemberReport, NodeId, RecordDelta, RefusalReason,
+    RegionName, RenewalAnswer, RequestClass, ServiceName, TableVersion, TargetLoad,
+    UncertainReason,
 };
 use serde::{Deserialize, Serialize};
 
@@ -21,13 +22,15 @@
     /// Has this request begun? If not, never begin it.
     Bar(RequestId),
     /// A member tells its coordinator that it lives.
-    Heartbeat(MemberBeat),
+    Heartbeat(Box<MemberBeat>),
     /// A router has taken a cell over.
     Takeover(PackedCell),
     /// The coordinator asks a standby not to take over.
     Promise(ServiceName, Epoch),
     /// A newer record of a cell.
-    Cell(PackedCell),
+    Cell(CellUpdate),
+    /// The coordinator asks a standby to take its place, if that one reaches the store.
+    Resign(ServiceName, Epoch),
     /// Which record of that cell do you have?
     PullCell(ServiceName),
     /// The sender's own directory entry has changed.
@@ -44,11 +47,13 @@
     /// From the coordinator.
     Heartbeat(Box<BeatReply>),
     /// This router does not coordinate that cell; its newer record, if it has one.
-    NotCoordinator(Option<PackedCell>),
+    NotCoordinator(Option<CellUpdate>),
     /// The takeover was seen; a report from a member of the cell.
     TakeoverSeen(Option<MemberReport>),
     /// Whether the promise is given.
     Promised(bool),
+    /// Whether the standby takes the coordinator's place.
+    Resigned(bool),
     /// The record that was asked for.
     Cell(Option<PackedCell>),
     /// Nothing to say.
@@ -120,7 +125,16 @@
     /// About the lease, and what to release.
     pub answer: RenewalAnswer,
     /// A newer record than the member's.
-    pub update: Option<PackedCell>,
+    pub update: Option<CellUpdate>,
+}
+
+/// A newer record of a cell.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum CellUpdate {
+    /// The record in full.
+    Full(PackedCell),
+    /// The step from the record before.
+    Step(Box<RecordDelta>),
 }
 
 /// Which record of a cell somebody has.
--- a/crates/anvilrack-node/src/peers/peer_server.rs
+++ b/crates/anvilrack-node/src/peers/peer_server.rs
@@ -34,7 +34,7 @@
 
 /// Accepts links from other routers until the process ends.
 pub async fn serve_peers<D: PlatformDialect>(listener: TcpListener, node: Arc<NodeShared<D>>) {
-    accept_loop(listener, |stream| {
+    accept_loop(&listener, |stream| {
         tokio::spawn(serve_link(stream, node.clone()));
     })
     .await;
--- a/crates/anvilrack-router/src/callers_port.rs
+++ b/crates/anvilrack-router/src/callers_port.rs
@@ -10,6 +10,7 @@
 use std::convert::Infallible;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
@@ -24,7 +25,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Handle;
-use tokio::sync::{Semaphore, oneshot};
+use tokio::sync::{Semaphore, oneshot, watch};
 use tokio::task::JoinHandle;
 
 use crate::caller_body::{self, BODY_ROOM};
@@ -35,7 +36,7 @@
 use crate::stages::reply::ReplyBody;
 use crate::stages::resolve::NextHop;
 use crate::stages::{accept, forward, reply};
-use crate::{boot_clock, log_event};
+use crate::{accept_drain, boot_clock, log_event};
 
 /// Connections of callers open at once; more wait to be accepted.
 const CONNECTION_LIMIT: usize = 8_192;
@@ -64,6 +65,10 @@
     jobs: Sender<CallerJob>,
     in_flight: AtomicUsize,
     body_room: Semaphore,
+    /// Open connections.
+    connections: AtomicUsize,
+    /// Turns true once connections end with the request that is on them.
+    closing: watch::Sender<bool>,
 }
 
 /// A request that was read whole.
@@ -108,6 +113,8 @@
             jobs: sender,
             in_flight: AtomicUsize::new(0),
             body_room: Semaphore::new(BODY_ROOM),
+            connections: AtomicUsize::new(0),
+            closing: watch::Sender::new(false),
         });
         let listener = runtime.spawn(accept_callers(listener, shared.clone()));
         Ok(Self { listener, shared })
@@ -119,24 +126,36 @@
         self.shared.in_flight.load(Ordering::Relaxed)
     }
 
-    /// Stops taking new connections; those that are open go on.
+    /// Connections that callers have open.
+    #[must_use]
+    pub fn connections(&self) -> usize {
+        self.shared.connections.load(Ordering::Relaxed)
+    }
+
+    /// Stops taking new connections; those that are open end once the request on them is answered.
     pub fn stop_listening(&self) {
-        self.listener.abort();
+        self.shared.closing.send_replace(true);
     }
 
-    /// Stops taking new connections. Those that are open end with the process.
+    /// Ends what is still open.
     pub fn close(self) {
         self.stop_listening();
+        self.listener.abort();
     }
 }
 
 async fn accept_callers(listener: TcpListener, shared: Arc<CallersShared>) {
     let places = Arc::new(Semaphore::new(CONNECTION_LIMIT));
+    let mut closing = shared.closing.subscribe();
     loop {
         let Ok(place) = places.clone().acquire_owned().await else {
             return;
         };
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = wait_until_closing(&mut closing) => break,
+        };
+        match accepted {
             Ok((stream, caller)) => {
                 let shared = shared.clone();
                 tokio::spawn(async move {
@@ -150,24 +169,50 @@
             }
         }
     }
+    match accept_drain::close_listener(listener) {
+        Ok(waiting) => {
+            for stream in waiting {
+                let caller = stream.peer_addr();
+                if let Ok(caller) = caller {
+                    tokio::spawn(serve_caller(stream, caller, shared.clone()));
+                }
+            }
+        }
+        Err(error) => log::warn!("connections that waited were not taken: {error}"),
+    }
 }
 
 async fn serve_caller(stream: TcpStream, caller: SocketAddr, shared: Arc<CallersShared>) {
     if stream.set_nodelay(true).is_err() {
         return;
     }
-    let service = service_fn(move |request| answer(shared.clone(), caller.ip(), request));
-    let served = http1::Builder::new()
+    shared.connections.fetch_add(1, Ordering::Relaxed);
+    let mut closing = shared.closing.subscribe();
+    let service = service_fn(|request| answer(shared.clone(), caller.ip(), request));
+    let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIMEOUT)
         .max_buf_size(HEAD_LIMIT)
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = pin!(connection);
+    let served = tokio::select! {
+        served = connection.as_mut() => served,
+        () = wait_until_closing(&mut closing) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    shared.connections.fetch_sub(1, Ordering::Relaxed);
     if let Err(error) = served {
         log::debug!("connection of {caller} ended: {error}");
     }
 }
 
+async fn wait_until_closing(closing: &mut watch::Receiver<bool>) {
+    // The sender lives as long as the port does, so the wait ends with the flag alone.
+    closing.wait_for(|closing| *closing).await.ok();
+}
+
 async fn answer(
     shared: Arc<CallersShared>,
     caller: IpAddr,
--- a/crates/anvilrack-router/src/lib.rs
+++ b/crates/anvilrack-router/src/lib.rs
@@ -7,7 +7,8 @@
 //! Beside the stages run a few threads: [`membership`] keeps the lease, [`coordinator_role`] runs
 //! the cell where this router coordinates it, [`table_sync`] fetches other cells' tables.
 
-pub mod accept_wakeup;
+pub mod accept_drain;
+mod accept_wakeup;
 pub mod admission_control;
 pub mod boot_clock;
 pub mod caller_body;
--- a/crates/anvilrack-router/src/router_process.rs
+++ b/crates/anvilrack-router/src/router_process.rs
@@ -104,7 +104,7 @@
         self.callers.stop_listening();
         self.peers.close();
         context.pause(LAST_ANSWERS);
-        let is_busy = || context.releases.in_flight() + self.callers.in_flight() > 0;
+        let is_busy = || context.releases.in_flight() + self.callers.connections() > 0;
         while boot_clock::now() < until && is_busy() && context.pause(STOP_STEP) {}
         self.callers.close();
         context.end();
