Pack the steps of a record, and leave out what only owners need

Cause: 2,048 shards made a record of 12 KB, sent whole to every router whenever more than 200 shards changed hands, and a step named its owner in every shard.

--- a/crates/anvilrack-node/src/node_shared.rs
+++ b/crates/anvilrack-node/src/node_shared.rs
@@ -17,7 +17,8 @@
 use crate::guard::{LifeState, TargetDoor, TargetLife};
 use crate::observe::NodeMetrics;
 use crate::ownership::{
-    GrantKeeper, PackedCell, RefreshTimes, SHARD_COUNT, lease_terms, refresh_cell, release_all,
+    GrantKeeper, PackedCell, PackedStep, RefreshTimes, SHARD_COUNT, lease_terms, refresh_cell,
+    release_all,
 };
 use crate::peers::{CellUpdate, PeerCall, PeerLinks, PeerPlace, RecordMark, TargetPlace};
 use crate::{KEY_SPACE, KeyNumber, NodeSettings, PlatformDialect, tell};
@@ -31,7 +32,7 @@
 const RETRY_SHARE: u32 = 140;
 
 /// With more shards than this a step is no smaller than the packed record.
-const STEP_LIMIT: usize = 200;
+const STEP_LIMIT: usize = 600;
 
 /// The store counts as reached for this long after an answer; the entry's lease is renewed more often.
 const STORE_REACHED: std::time::Duration = std::time::Duration::from_millis(1_600);
@@ -430,7 +431,7 @@
     pub fn take_update(self: &Arc<Self>, update: CellUpdate) {
         let step = match update {
             CellUpdate::Full(packed) => return self.take_cell(packed.unpack()),
-            CellUpdate::Step(step) => step,
+            CellUpdate::Step(step) => step.unpack(),
         };
         let known = self.cell(&step.service);
         let newest = known.as_ref().map(|known| RecordMark::new(known));
@@ -458,7 +459,7 @@
                 && (step.base.epoch, step.base.version) == (known.epoch, known.version)
         };
         match step.as_ref().filter(fits) {
-            Some(step) => CellUpdate::Step(Box::new(step.clone())),
+            Some(step) => CellUpdate::Step(Box::new(PackedStep::new(step))),
             None => CellUpdate::Full(PackedCell::new(record)),
         }
     }
@@ -470,8 +471,9 @@
             *lock(&self.last_step) = None;
             return CellUpdate::Full(PackedCell::new(new));
         }
-        *lock(&self.last_step) = Some(step.clone());
-        CellUpdate::Step(Box::new(step))
+        let packed = PackedStep::new(&step);
+        *lock(&self.last_step) = Some(step);
+        CellUpdate::Step(Box::new(packed))
     }
 
     /// The store has answered a call of this router.
--- a/crates/anvilrack-node/src/ownership/coordinator_role.rs
+++ b/crates/anvilrack-node/src/ownership/coordinator_role.rs
@@ -35,7 +35,7 @@
 const PLAN_CONTACT: Duration = Duration::from_millis(1_000);
 
 /// Time between two plans; a plan looks at every shard.
-const PLAN_EVERY: Duration = Duration::from_millis(40);
+const PLAN_EVERY: Duration = Duration::from_millis(80);
 
 /// Time between two rounds of promises.
 const PROMISE_EVERY: Duration = Duration::from_millis(350);
@@ -118,9 +118,15 @@
 
 /// Tells every router about a newer record.
 async fn push_cell<D: PlatformDialect>(node: &Arc<NodeShared<D>>, update: CellUpdate) {
-    let call = PeerCall::Cell(update);
-    let addresses = node.peer_addresses();
-    node.links.call_all(addresses, &call, CALL_LIMIT).await;
+    let members = node.service_addresses(&node.settings.service);
+    let mut others = node.peer_addresses();
+    others.retain(|address| !members.contains(address));
+    let for_owners = PeerCall::Cell(update.clone());
+    let for_others = PeerCall::Cell(update.without_handovers());
+    tokio::join!(
+        node.links.call_all(members, &for_owners, CALL_LIMIT),
+        node.links.call_all(others, &for_others, CALL_LIMIT),
+    );
 }
 
 fn current_record<D: PlatformDialect>(node: &NodeShared<D>, epoch: Epoch) -> Option<CellRecord> {
--- a/crates/anvilrack-node/src/ownership/mod.rs
+++ b/crates/anvilrack-node/src/ownership/mod.rs
@@ -16,7 +16,7 @@
 pub use coordinator_role::resign;
 pub use grant_keeper::{GrantKeeper, keep_grants, release_all};
 pub use member_role::run_member;
-pub use packed_cell::PackedCell;
+pub use packed_cell::{PackedCell, PackedStep};
 
 use std::time::Duration;
 
@@ -26,7 +26,7 @@
 ///
 /// Busy keys are neighbours, some hundred of them at a time, and shards are given out round-robin. So
 /// narrow shards spread a busy stretch over several targets before anybody has to move.
-pub const SHARD_COUNT: u32 = 2_048;
+pub const SHARD_COUNT: u32 = 1_024;
 
 /// The times that ownership hangs on.
 ///
--- a/crates/anvilrack-node/src/peers/peer_message.rs
+++ b/crates/anvilrack-node/src/peers/peer_message.rs
@@ -4,14 +4,13 @@
 use std::time::Duration;
 
 use anvilrack_core::{
-    CellRecord, DomainName, Epoch, Incarnation, MemberReport, NodeId, RecordDelta, RefusalReason,
-    RegionName, RenewalAnswer, RequestClass, ServiceName, TableVersion, TargetLoad,
-    UncertainReason,
+    CellRecord, DomainName, Epoch, Incarnation, MemberReport, NodeId, RefusalReason, RegionName,
+    RenewalAnswer, RequestClass, ServiceName, TableVersion, TargetLoad, UncertainReason,
 };
 use serde::{Deserialize, Serialize};
 
 use crate::directory::DirectoryEntry;
-use crate::ownership::PackedCell;
+use crate::ownership::{PackedCell, PackedStep};
 use crate::{KeyNumber, RequestId};
 
 /// What one router asks of another; a request's body follows the message.
@@ -134,7 +133,18 @@
     /// The record in full.
     Full(PackedCell),
     /// The step from the record before.
-    Step(Box<RecordDelta>),
+    Step(Box<PackedStep>),
+}
+
+impl CellUpdate {
+    /// The same update for routers that only route.
+    #[must_use]
+    pub fn without_handovers(self) -> Self {
+        match self {
+            Self::Full(cell) => Self::Full(cell.without_handovers()),
+            Self::Step(step) => Self::Step(Box::new(step.without_handovers())),
+        }
+    }
 }
 
 /// Which record of a cell somebody has.
--- a/crates/anvilrack-node/tests/packed_cell.rs
+++ b/crates/anvilrack-node/tests/packed_cell.rs
@@ -1,7 +1,7 @@
 //! A record comes out of its packed form as it went in, and in fewer bytes.
 
-use anvilrack_core::{CellMember, CellRecord, ShardOwner};
-use anvilrack_node::ownership::PackedCell;
+use anvilrack_core::{CellMember, CellRecord, RecordDelta, ShardOwner};
+use anvilrack_node::ownership::{PackedCell, PackedStep};
 use anvilrack_wire::{decode, encode};
 
 const MEMBERS: u64 = 6;
@@ -63,3 +63,30 @@
         plain.len()
     );
 }
+
+#[test]
+fn packed_step_leads_to_the_same_record() {
+    let old = record();
+    let mut new = old.clone();
+    new.version += 1;
+    for owner in new.shards.iter_mut().take(20).flatten() {
+        owner.token += SHARDS;
+        owner.handover = Some("7d1f".into());
+    }
+    let step = PackedStep::new(&RecordDelta::new(&old, &new));
+    let bytes = encode(&step).expect("a step can be coded");
+    let step: PackedStep = decode(&bytes).expect("what was coded can be read");
+    let mut reached = old.clone();
+    assert!(step.unpack().apply_to(&mut reached));
+    assert_eq!(reached, new);
+    // Routers that only route need the owners and nothing that they hand over.
+    let mut routed = old;
+    assert!(step.without_handovers().unpack().apply_to(&mut routed));
+    let owners = |record: &CellRecord| -> Vec<_> {
+        let shards = record.shards.iter().flatten();
+        shards
+            .map(|owner| (owner.node.clone(), owner.token))
+            .collect()
+    };
+    assert_eq!(owners(&routed), owners(&new));
+}
