Serve again what was released into an outage, and learn from routers what the store does not tell

A standby now asks the store first. 2. A router that restarts in an outage knew nobody; it asks those that call it, and the coordinator calls silent members. 4. Keys were released on SIGTERM in an outage, for nobody to take. Also: slow targets get fewer shards, by the time that requests take there.

--- a/crates/anvilrack-bench/src/sample_cell.rs
+++ b/crates/anvilrack-bench/src/sample_cell.rs
@@ -81,6 +81,7 @@
         released: Vec::new(),
         sick: false,
         loads: Vec::new(),
+        pace_us: 0,
     }
 }
 
--- a/crates/anvilrack-core/src/coordinator_state.rs
+++ b/crates/anvilrack-core/src/coordinator_state.rs
@@ -72,6 +72,9 @@
     /// The load of its busiest shards; empty where there is nothing new to tell.
     #[serde(default)]
     pub loads: Vec<ShardLoad>,
+    /// How long its target takes for a request, in microseconds; zero where that is not known.
+    #[serde(default)]
+    pub pace_us: u32,
 }
 
 /// A shard given back by its owner.
@@ -188,6 +191,7 @@
         let owned = &self.record;
         if current {
             self.loads.take(owned, &report.member.node, &report.loads);
+            self.loads.set_pace(&report.member.node, report.pace_us);
         }
         if renewed {
             view.lease_until = view.lease_until.max(now + lease);
@@ -577,6 +581,36 @@
         self.superseded
     }
 
+    /// Forgets what a member gave back, and the moves that it did so for, while no write is under way.
+    ///
+    /// The member may be told then to serve those shards again: nothing that it reported before leads
+    /// to a new owner any more. Returns false where a write may still give them away.
+    pub fn forget_releases(&mut self, node: &NodeId) -> bool {
+        if self.pending.is_some() {
+            return false;
+        }
+        let Some(view) = self.members.get_mut(node) else {
+            return false;
+        };
+        for shard in std::mem::take(&mut view.released).into_keys() {
+            self.moves.remove(&shard);
+        }
+        true
+    }
+
+    /// Members of the record that have not been heard from for `silence`, without the coordinator.
+    pub fn silent_members(
+        &self,
+        silence: BootTime,
+        now: BootTime,
+    ) -> impl Iterator<Item = &CellMember> {
+        let members = self.record.members.iter();
+        members.filter(move |member| {
+            let heard = self.members.get(&member.node).map(|view| view.last_heard);
+            member.node != self.node && now >= heard.unwrap_or_default() + silence
+        })
+    }
+
     /// Planned moves under way: the shard and its next owner.
     #[must_use]
     pub fn moves(&self) -> &BTreeMap<ShardId, NodeId> {
--- a/crates/anvilrack-core/src/lib.rs
+++ b/crates/anvilrack-core/src/lib.rs
@@ -42,6 +42,7 @@
 mod standby_state;
 mod target_choice;
 mod target_health;
+mod target_pace;
 
 pub use admission_queue::{AdmissionQueue, AdmissionRequest, AdmissionStep, TicketId};
 pub use cell_record::{CellMember, CellRecord, ShardOwner, WriterStamp};
@@ -82,3 +83,4 @@
 pub use standby_state::{StandbyState, TakeoverStep};
 pub use target_choice::{ChoiceDraws, TargetChoice, TargetDistance, TargetLoad};
 pub use target_health::{HealthOutcome, TargetHealth};
+pub use target_pace::TargetPace;
--- a/crates/anvilrack-core/src/load_view.rs
+++ b/crates/anvilrack-core/src/load_view.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::{BootTime, CellRecord, ShardId, ShardLoad};
+use crate::{BootTime, CellRecord, NodeId, ShardId, ShardLoad};
 
 /// A shard that was moved for its load stays where it is for this long.
 const MOVE_REST: Duration = Duration::from_mins(1);
@@ -16,6 +16,7 @@
 pub struct LoadView {
     rates: BTreeMap<ShardId, u32>,
     moved_at: BTreeMap<ShardId, BootTime>,
+    paces: BTreeMap<NodeId, u32>,
 }
 
 impl LoadView {
@@ -35,6 +36,36 @@
         self.rates.get(&shard).copied().unwrap_or(0)
     }
 
+    /// Takes how long a member's target takes for a request, in microseconds; zero where it is not known.
+    pub fn set_pace(&mut self, node: &NodeId, pace_us: u32) {
+        if pace_us == 0 {
+            self.paces.remove(node);
+        } else {
+            self.paces.insert(node.clone(), pace_us);
+        }
+    }
+
+    /// True where the pace of some member is known.
+    #[must_use]
+    pub fn has_paces(&self) -> bool {
+        !self.paces.is_empty()
+    }
+
+    /// What a burden amounts to at a member: more at a slow target, less at a fast one.
+    ///
+    /// A member whose pace is not known counts as one of the mean.
+    #[must_use]
+    pub fn at_pace(&self, node: &str, burden: u64) -> u64 {
+        let Some(pace) = self.paces.get(node) else {
+            return burden;
+        };
+        let sum: u64 = self.paces.values().map(|pace| u64::from(*pace)).sum();
+        let mean = sum / self.paces.len() as u64;
+        (burden * u64::from(*pace))
+            .checked_div(mean)
+            .unwrap_or(burden)
+    }
+
     /// True where no load was reported.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/crates/anvilrack-core/src/owner_state.rs
+++ b/crates/anvilrack-core/src/owner_state.rs
@@ -146,6 +146,17 @@
         Some(grant.token)
     }
 
+    /// Serves a shard again that was given back under `token`, where its coordinator cannot give it to
+    /// anyone else.
+    pub fn take_back(&mut self, shard: ShardId, token: FencingToken) -> bool {
+        let grant = self.grants.get_mut(&shard);
+        let Some(grant) = grant.filter(|grant| grant.token == token && grant.released) else {
+            return false;
+        };
+        grant.released = false;
+        true
+    }
+
     /// Gives up the lease at once, for a shutdown.
     pub fn end_lease(&mut self) {
         self.lease_until = BootTime::ZERO;
--- a/crates/anvilrack-core/src/placement_policy.rs
+++ b/crates/anvilrack-core/src/placement_policy.rs
@@ -4,9 +4,12 @@
 
 use crate::{BootTime, CellRecord, LoadView, NodeId, PlacementWeights, ShardId};
 
-/// Most planned moves that run side by side in a cell.
+/// Planned moves that run side by side in a cell of any size.
 const MOVES_AT_ONCE: usize = 4;
 
+/// Of so many shards, one may move at a time; many narrow shards move as fast as few wide ones.
+const MOVING_PART: usize = 64;
+
 /// What a shard without any load counts for, in requests in ten seconds.
 ///
 /// So shards of which nothing is known are spread by their number.
@@ -67,7 +70,7 @@
         order
             .into_iter()
             .filter_map(|shard| {
-                let node = least_burdened(&burdens)?;
+                let node = least_burdened(&burdens, loads)?;
                 *burdens.entry(node.clone()).or_default() += burden(loads, shard);
                 Some((shard, node))
             })
@@ -82,7 +85,8 @@
         eligible: &[NodeId],
         view: &PlacementView<'_>,
     ) -> Vec<(ShardId, NodeId)> {
-        let room = MOVES_AT_ONCE.saturating_sub(view.moving.len());
+        let most = MOVES_AT_ONCE.max(record.shards.len() / MOVING_PART);
+        let room = most.saturating_sub(view.moving.len());
         let mut owners = owners_after(record, view.moving);
         let mut burdens = burdens_of_owners(&owners, eligible, view.loads);
         owners.retain(|shard, _| !view.moving.contains_key(shard));
@@ -90,7 +94,8 @@
         while picked.len() < room {
             let away = leaving_shard(&owners, eligible);
             let next = away.or_else(|| self.evening_shard(&owners, &burdens, view));
-            let Some((shard, least)) = next.and_then(|s| Some((s, least_burdened(&burdens)?)))
+            let Some((shard, least)) =
+                next.and_then(|s| Some((s, least_burdened(&burdens, view.loads)?)))
             else {
                 break;
             };
@@ -111,16 +116,25 @@
         burdens: &BTreeMap<NodeId, u64>,
         view: &PlacementView<'_>,
     ) -> Option<ShardId> {
-        let (fullest, most) = burdens.iter().max_by_key(|(_, burden)| **burden)?;
-        let least = burdens.values().min()?;
+        let weighed = burdens.iter();
+        let weighed = weighed.map(|(node, burden)| (view.loads.at_pace(node, *burden), node));
+        let (most, fullest) = weighed.clone().max_by_key(|(burden, _)| *burden)?;
+        let (least, _) = weighed.clone().min_by_key(|(burden, _)| *burden)?;
         let gap = most - least;
-        if self.weights.imbalance == 0 || gap <= self.band(owners, burdens.len(), view.loads) {
+        let mut band = self.band(owners, burdens.len(), view.loads);
+        if view.loads.has_paces() {
+            // What a target brings by its pace counts for every shard, also for those without load.
+            let mean = weighed.map(|(burden, _)| burden).sum::<u64>() / burdens.len() as u64;
+            band = band.max(mean * self.band_percent() / 100);
+        }
+        if self.weights.imbalance == 0 || gap <= band {
             return None;
         }
         let movable = owners
             .iter()
             .filter(|(shard, node)| *node == fullest && !view.loads.rests(**shard, view.now));
-        let weighed = movable.map(|(shard, _)| (*shard, burden(view.loads, *shard)));
+        let weighed = movable
+            .map(|(shard, node)| (*shard, view.loads.at_pace(node, burden(view.loads, *shard))));
         // Less than the gap, or the move would only swap who is burdened most.
         let improving = weighed.filter(|(_, burden)| *burden < gap);
         let best = improving.min_by_key(|(_, burden)| (2 * burden).abs_diff(gap));
@@ -134,10 +148,17 @@
             .map(|shard| u64::from(loads.rate(*shard)))
             .sum();
         let mean = total / u64::try_from(members).unwrap_or(1).max(1);
+        (mean * self.band_percent() / 100).max(CHANCE_FACTOR * mean.isqrt())
+    }
+
+    /// The band in percent of a mean; the widest where imbalance has no weight.
+    fn band_percent(&self) -> u64 {
         let against = u64::from(self.weights.churn) + u64::from(self.weights.unavailable);
-        let percent = EQUAL_BAND_PERCENT * against / (2 * u64::from(self.weights.imbalance));
-        let percent = percent.clamp(BAND_LIMITS.0, BAND_LIMITS.1);
-        (mean * percent / 100).max(CHANCE_FACTOR * mean.isqrt())
+        let percent =
+            (EQUAL_BAND_PERCENT * against).checked_div(2 * u64::from(self.weights.imbalance));
+        percent.map_or(BAND_LIMITS.1, |percent| {
+            percent.clamp(BAND_LIMITS.0, BAND_LIMITS.1)
+        })
     }
 }
 
@@ -193,9 +214,9 @@
     u64::from(loads.rate(shard)) + SHARD_BURDEN
 }
 
-fn least_burdened(burdens: &BTreeMap<NodeId, u64>) -> Option<NodeId> {
+fn least_burdened(burdens: &BTreeMap<NodeId, u64>, loads: &LoadView) -> Option<NodeId> {
     burdens
         .iter()
-        .min_by_key(|(_, burden)| **burden)
+        .min_by_key(|(node, burden)| loads.at_pace(node, **burden))
         .map(|(node, _)| node.clone())
 }
--- a/crates/anvilrack-core/tests/coordinator_state.rs
+++ b/crates/anvilrack-core/tests/coordinator_state.rs
@@ -34,6 +34,7 @@
         released: Vec::new(),
         sick: false,
         loads: Vec::new(),
+        pace_us: 0,
     }
 }
 
--- a/crates/anvilrack-core/tests/member_reach.rs
+++ b/crates/anvilrack-core/tests/member_reach.rs
@@ -76,5 +76,6 @@
         released: Vec::new(),
         sick: false,
         loads: Vec::new(),
+        pace_us: 0,
     }
 }
--- a/crates/anvilrack-core/tests/placement_load.rs
+++ b/crates/anvilrack-core/tests/placement_load.rs
@@ -180,6 +180,7 @@
             released: Vec::new(),
             sick: index < sick,
             loads: Vec::new(),
+            pace_us: 0,
         };
         state.on_heartbeat(&report, now);
     }
@@ -207,3 +208,56 @@
     shards_leave_one_sick_target: 1 sick => 4 moves;
     too_many_sick_ones_are_not_believed: 3 sick => 0 moves;
 }
+
+/// Pattern: the targets of one service differ in speed by three, and each got as many keys.
+#[test]
+fn shards_leave_a_slow_target_for_fast_ones_and_then_stay() {
+    let nodes: Vec<anvilrack_core::NodeId> = ["a", "b", "c"].map(Into::into).to_vec();
+    let owner = |shard: u32| ShardOwner {
+        node: nodes[shard as usize % nodes.len()].clone(),
+        incarnation: 1,
+        token: 1,
+        record_lost: false,
+        handover: None,
+    };
+    let mut record = CellRecord {
+        shards: (0..600).map(|shard| Some(owner(shard))).collect(),
+        ..CellRecord::default()
+    };
+    let mut loads = LoadView::default();
+    for (node, pace_us) in nodes.iter().zip([180_000, 90_000, 60_000]) {
+        loads.set_pace(node, pace_us);
+    }
+    let policy = PlacementPolicy::default();
+    let mut rounds = 0;
+    loop {
+        let view = PlacementView {
+            loads: &loads,
+            moving: &BTreeMap::new(),
+            now: BootTime::from_secs(100),
+        };
+        let moves = policy.moves(&record, &nodes, &view);
+        if moves.is_empty() {
+            break;
+        }
+        rounds += 1;
+        assert!(rounds < 100, "shards go to and fro");
+        for (shard, node) in moves {
+            if let Some(owner) = record.shards[shard as usize].as_mut() {
+                owner.node = node;
+            }
+        }
+    }
+    let held = |node: &str| {
+        record
+            .shards
+            .iter()
+            .flatten()
+            .filter(|o| &*o.node == node)
+            .count()
+    };
+    let (slow, usual, fast) = (held("a"), held("b"), held("c"));
+    assert!(slow < usual && usual < fast, "{slow} {usual} {fast}");
+    // Even load would be 109, 218 and 273; the band leaves a fifth.
+    assert!(slow <= 135, "{slow} {usual} {fast}");
+}
--- a/crates/anvilrack-model/src/router_model.rs
+++ b/crates/anvilrack-model/src/router_model.rs
@@ -101,6 +101,7 @@
             epoch: self.owner.epoch(),
             sick: false,
             loads: Vec::new(),
+            pace_us: 0,
             ready: self.ready,
             released: self.released.clone(),
         }
--- a/crates/anvilrack-node/src/directory/mod.rs
+++ b/crates/anvilrack-node/src/directory/mod.rs
@@ -3,6 +3,7 @@
 mod directory_view;
 mod entry_keeper;
 mod metadata_store;
+mod peer_catch_up;
 mod store_watch;
 
 pub use directory_view::{DirectoryEntry, DirectoryView};
@@ -11,6 +12,7 @@
     LeaseId, MetadataStore, StoreChange, StoreFault, StoreItem, StoreList, StoreRevision,
     StoreWrite, WatchNews, WriteResult,
 };
+pub use peer_catch_up::known_view;
 pub use store_watch::{watch_entries, watch_site};
 
 /// Where the routers' entries stand.
--- a/crates/anvilrack-node/src/directory/store_watch.rs
+++ b/crates/anvilrack-node/src/directory/store_watch.rs
@@ -3,17 +3,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anvilrack_core::events;
 use anvilrack_router::boot_clock;
 use anvilrack_wire::decode;
-use bytes::Bytes;
 use rand::Rng;
 use tokio::time::sleep;
 
+use crate::directory::peer_catch_up::{catch_up, take_site};
 use crate::directory::{
     DirectoryEntry, ENTRY_PREFIX, MetadataStore, StoreChange, StoreFault, StoreRevision, WatchNews,
 };
-use crate::{NodeShared, PlatformDialect, tell};
+use crate::{NodeShared, PlatformDialect};
 
 /// Longest wait of one watch.
 const WATCH_WAIT: Duration = Duration::from_secs(20);
@@ -40,6 +39,7 @@
     loop {
         if let Err(fault) = follow_site(&node, &mut after).await {
             log::debug!("the document of routes cannot be followed: {fault}");
+            catch_up(&node).await;
         }
         pause().await;
     }
@@ -124,10 +124,3 @@
         }
     }
 }
-
-fn take_site<D: PlatformDialect>(node: &Arc<NodeShared<D>>, document: &Bytes) {
-    match node.dialect.read_site(document) {
-        Ok(site) => node.take_site(site),
-        Err(fault) => tell!(Warn, events::SITE_REFUSED, fault = fault.to_string()),
-    }
-}
--- a/crates/anvilrack-node/src/guard/target_door.rs
+++ b/crates/anvilrack-node/src/guard/target_door.rs
@@ -6,7 +6,7 @@
 
 use anvilrack_core::{
     AdmissionQueue, AdmissionRequest, AdmissionStep, LatencyLimit, RefusalReason, ShardId,
-    ShardMeter, TargetLoad, TicketId, UncertainReason, events,
+    ShardMeter, TargetLoad, TargetPace, TicketId, UncertainReason, events,
 };
 use anvilrack_router::boot_clock;
 use bytes::Bytes;
@@ -51,6 +51,7 @@
     waiters: Mutex<HashMap<TicketId, Arc<Notify>>>,
     begun: Mutex<BegunRequests>,
     meter: Mutex<ShardMeter>,
+    pace: Mutex<TargetPace>,
 }
 
 /// A place in the queue or at the target; dropping it gives it back.
@@ -85,6 +86,7 @@
             waiters: Mutex::default(),
             begun: Mutex::default(),
             meter: Mutex::default(),
+            pace: Mutex::default(),
         }
     }
 
@@ -149,6 +151,7 @@
         }
         if effect == NoticeEffect::NewLife {
             self.pool.clear();
+            *lock(&self.pace) = TargetPace::default();
         }
         effect
     }
@@ -176,6 +179,12 @@
         lock(&self.meter).loads(boot_clock::now())
     }
 
+    /// How long the target takes for a request, in microseconds; zero while that is not known.
+    #[must_use]
+    pub fn pace_us(&self) -> u32 {
+        lock(&self.pace).pace_us()
+    }
+
     /// Calls to the target that are no requests: grants and releases.
     #[must_use]
     pub fn pool(&self) -> &HttpPool {
@@ -291,6 +300,10 @@
         };
         let sent = self.pool.send(request, age, time_left).await;
         slot.measured = true;
+        if sent.is_ok() {
+            let took = boot_clock::now().saturating_sub(now);
+            lock(&self.pace).record(took);
+        }
         match sent {
             Ok(answer) => self.read_answer(node, &call, answer, shard),
             Err(fault) => self.read_fault(node, &call, life, &fault),
--- a/crates/anvilrack-node/src/node_shared.rs
+++ b/crates/anvilrack-node/src/node_shared.rs
@@ -1,7 +1,7 @@
 //! What the parts of a router share.
 
-use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::collections::{BTreeSet, HashMap};
+use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicBool, AtomicIsize, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -11,6 +11,7 @@
     TargetChoice, events,
 };
 use anvilrack_router::boot_clock;
+use bytes::Bytes;
 use tokio::sync::{Notify, watch};
 
 use crate::directory::{DirectoryEntry, DirectoryView};
@@ -37,6 +38,9 @@
 /// The store counts as reached for this long after an answer; the entry's lease is renewed more often.
 const STORE_REACHED: std::time::Duration = std::time::Duration::from_millis(1_600);
 
+/// Addresses of callers among routers that are remembered at most.
+const MET_LIMIT: usize = 64;
+
 /// Time for a word to another router that nobody waits for.
 const TELL_LIMIT: std::time::Duration = std::time::Duration::from_millis(400);
 
@@ -78,9 +82,14 @@
     entry_version: AtomicU64,
     own_entry: Mutex<Option<DirectoryEntry>>,
     site: Mutex<Option<Arc<SiteRoutes>>>,
+    document: Mutex<Option<Bytes>>,
+    /// Routers that have opened a link to this one.
+    met: Mutex<BTreeSet<IpAddr>>,
     directory: Mutex<DirectoryView>,
     cells: Mutex<HashMap<ServiceName, Arc<CellRecord>>>,
     last_step: Mutex<Option<RecordDelta>>,
+    beat_count: AtomicU64,
+    newest_beats: Mutex<HashMap<NodeId, (u64, u64)>>,
     store_seen_at: Mutex<BootTime>,
     choices: Mutex<HashMap<ServiceName, TargetChoice>>,
     budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
@@ -118,9 +127,13 @@
             entry_version: AtomicU64::new(0),
             own_entry: Mutex::default(),
             site: Mutex::default(),
+            document: Mutex::default(),
+            met: Mutex::default(),
             directory: Mutex::default(),
             cells: Mutex::default(),
             last_step: Mutex::default(),
+            beat_count: AtomicU64::new(0),
+            newest_beats: Mutex::default(),
             store_seen_at: Mutex::default(),
             choices: Mutex::default(),
             budgets: Mutex::default(),
@@ -204,7 +217,11 @@
     pub fn begin_stop(self: &Arc<Self>) {
         self.stopping.store(true, Ordering::Relaxed);
         self.publish_entry();
-        release_all(self);
+        // While the store is away nobody could be given what is released. The target goes on holding
+        // its keys, and the next run of this router serves them again.
+        if self.reaches_store() {
+            release_all(self);
+        }
         self.member_news.notify_one();
     }
 
@@ -229,7 +246,7 @@
     }
 
     /// Takes a document; an older one changes nothing.
-    pub fn take_site(&self, site: SiteRoutes) {
+    pub fn take_site(&self, site: SiteRoutes, document: Bytes) {
         let mut known = lock(&self.site);
         let version = site.version;
         if known.as_ref().is_some_and(|known| known.version >= version) {
@@ -244,9 +261,16 @@
         );
         *known = Some(Arc::new(site));
         drop(known);
+        *lock(&self.document) = Some(document);
         self.member_news.notify_one();
     }
 
+    /// The document in force as it stood in the store, for routers that do not reach it.
+    #[must_use]
+    pub fn site_document(&self) -> Option<Bytes> {
+        lock(&self.document).clone()
+    }
+
     /// True where each key of a service is held by one target.
     #[must_use]
     pub fn is_divided(&self, service: &str) -> bool {
@@ -326,6 +350,30 @@
             .count()
     }
 
+    /// A router at that address has opened a link.
+    pub fn meet(&self, ip: IpAddr) {
+        let mut met = lock(&self.met);
+        if met.len() < MET_LIMIT {
+            met.insert(ip);
+        }
+    }
+
+    /// Routers that may be asked: those of the directory and those that have called.
+    ///
+    /// All routers of a deployment listen for each other at the same port.
+    #[must_use]
+    pub fn met_peers(&self) -> Vec<SocketAddr> {
+        let port = self.settings.listen.peers.port();
+        let met = lock(&self.met);
+        let met = met.iter().map(|ip| SocketAddr::new(*ip, port));
+        let mut peers = self.peer_addresses();
+        peers.extend(met);
+        peers.sort_unstable();
+        peers.dedup();
+        peers.retain(|peer| *peer != self.settings.listen.peers);
+        peers
+    }
+
     /// Where the routers beside a service's targets are reached, less this one.
     #[must_use]
     pub fn service_addresses(&self, service: &str) -> Vec<SocketAddr> {
@@ -506,9 +554,28 @@
             released: self.grants.released(),
             sick: false,
             loads: self.door.shard_loads(),
+            pace_us: self.door.pace_us(),
         })
     }
 
+    /// Numbers this router's next heartbeat.
+    pub fn next_beat(&self) -> (u64, u64) {
+        (self.run, self.beat_count.fetch_add(1, Ordering::Relaxed))
+    }
+
+    /// True where no later heartbeat of that member has come; a late one speaks of what may have
+    /// changed since.
+    pub fn is_newest_beat(&self, node: &NodeId, sequence: (u64, u64)) -> bool {
+        let mut newest = lock(&self.newest_beats);
+        let last = newest.entry(node.clone()).or_default();
+        // Another run counts whatever its number is: the time of day may have been put back.
+        let late = sequence.0 == last.0 && sequence.1 < last.1;
+        if !late {
+            *last = sequence;
+        }
+        !late
+    }
+
     /// What the previous owner of a shard handed over.
     #[must_use]
     pub fn handover_of(&self, shard: ShardId) -> Option<Arc<str>> {
--- a/crates/anvilrack-node/src/ownership/cell_calls.rs
+++ b/crates/anvilrack-node/src/ownership/cell_calls.rs
@@ -1,14 +1,22 @@
 //! Answers to other routers about cells.
 
 use std::sync::Arc;
+use std::time::Duration;
 
-use anvilrack_core::{BootTime, Epoch, MemberReport, events};
+use anvilrack_core::{BootTime, Epoch, MemberReport, ServiceName, events};
 use anvilrack_router::boot_clock;
 
-use crate::ownership::PackedCell;
+use crate::http_pool::within;
+use crate::ownership::{PackedCell, read_cell};
 use crate::peers::{BeatReply, MemberBeat, PeerCall, PeerReply, RecordMark};
 use crate::{NodeShared, PlatformDialect, tell};
 
+/// Time for the store to show that it answers; well below the time for a call between routers.
+const STORE_PROBE: Duration = Duration::from_millis(250);
+
+/// A store that has not answered for so long is away: the record is read more often than that.
+const STORE_AWAY: Duration = Duration::from_millis(900);
+
 /// Answers a call about a cell.
 pub fn answer<D: PlatformDialect>(node: &Arc<NodeShared<D>>, call: PeerCall) -> PeerReply {
     let now = boot_clock::now();
@@ -25,13 +33,14 @@
             node.take_update(update);
             PeerReply::Done
         }
-        PeerCall::Resign(service, epoch) => {
-            PeerReply::Resigned(accept_office(node, &service, epoch))
-        }
         PeerCall::PullCell(service) => {
             PeerReply::Cell(node.cell(&service).map(|cell| PackedCell::new(&cell)))
         }
-        PeerCall::Run(_) | PeerCall::Bar(_) | PeerCall::Entry(_) => PeerReply::Done,
+        PeerCall::Run(_)
+        | PeerCall::Bar(_)
+        | PeerCall::Entry(_)
+        | PeerCall::Resign(..)
+        | PeerCall::PullView { .. } => PeerReply::Done,
     }
 }
 
@@ -46,7 +55,15 @@
     if state.record().service != beat.service || state.is_superseded() {
         return None;
     }
-    let answer = state.on_heartbeat(&beat.report, now);
+    if !node.is_newest_beat(&beat.report.member.node, beat.sequence) {
+        return None;
+    }
+    let mut answer = state.on_heartbeat(&beat.report, now);
+    let store_away = now > state.last_store_contact() + STORE_AWAY;
+    let keep = store_away && beat.report.ready && state.forget_releases(&beat.report.member.node);
+    if store_away {
+        answer.release.clear();
+    }
     let record = state.record();
     let update =
         (beat.known < RecordMark::new(record)).then(|| node.update_from(beat.known, record));
@@ -54,19 +71,30 @@
     if !beat.report.released.is_empty() {
         node.coordinator_news.notify_one();
     }
-    Some(Box::new(BeatReply { answer, update }))
+    Some(Box::new(BeatReply {
+        answer,
+        keep,
+        update,
+    }))
 }
 
-/// Takes the office over if this router is a standby and reaches the store.
-fn accept_office<D: PlatformDialect>(
+/// Takes the office over if this router is a standby and reaches the store right now.
+///
+/// A coordinator that the store does not answer asks this. In an outage for all, nobody could take the
+/// office over, and the cell would be without a coordinator until the store is back.
+pub async fn accept_office<D: PlatformDialect>(
     node: &Arc<NodeShared<D>>,
-    service: &str,
+    service: &ServiceName,
     epoch: Epoch,
 ) -> bool {
-    let Some(cell) = node.cell(service).filter(|_| node.reaches_store()) else {
+    let Some(cell) = node.cell(service) else {
         return false;
     };
-    let accepted = !node.is_stopping() && node.standby().on_resignation(&cell, epoch);
+    let stored = within(STORE_PROBE, read_cell(&node.store, service)).await;
+    if !matches!(stored, Some(Ok(_))) || node.is_stopping() {
+        return false;
+    }
+    let accepted = node.standby().on_resignation(&cell, epoch);
     if accepted {
         node.member_news.notify_one();
     }
--- a/crates/anvilrack-node/src/ownership/coordinator_role.rs
+++ b/crates/anvilrack-node/src/ownership/coordinator_role.rs
@@ -31,8 +31,11 @@
 /// A coordinator that the store does not answer for so long offers its office to a standby.
 const RESIGN_AFTER: Duration = Duration::from_millis(1_000);
 
+/// A member that is not heard from for so long is sent the record.
+const MEMBER_SILENCE: Duration = Duration::from_millis(900);
+
 /// Moves are planned only where the store has answered within this time.
-const PLAN_CONTACT: Duration = Duration::from_millis(1_000);
+const PLAN_CONTACT: Duration = Duration::from_millis(300);
 
 /// Time between two plans; a plan looks at every shard.
 const PLAN_EVERY: Duration = Duration::from_millis(80);
@@ -57,7 +60,10 @@
     call_members(&node).await;
     let mut writer = RecordWriter::new(boot_clock::now());
     loop {
-        within(STEP, node.coordinator_news.notified()).await;
+        let news = within(STEP, node.coordinator_news.notified()).await;
+        if news.is_some() {
+            writer.hurry();
+        }
         if current_record(&node, epoch).is_none() {
             break;
         }
@@ -212,6 +218,7 @@
     /// When the store was last known to answer.
     answered_at: BootTime,
     next_plan: BootTime,
+    next_call: BootTime,
 }
 
 impl RecordWriter {
@@ -226,6 +233,14 @@
             outage: false,
             answered_at: now,
             next_plan: now,
+            next_call: now + MEMBER_SILENCE,
+        }
+    }
+
+    /// There is something to decide, which takes a store that has answered a moment ago.
+    fn hurry(&mut self) {
+        if !self.outage && boot_clock::now() > self.answered_at + PLAN_CONTACT / 2 {
+            self.next_touch = boot_clock::now();
         }
     }
 
@@ -239,6 +254,7 @@
         if let Some(base) = self.revision {
             self.write_plan(node, base).await;
         }
+        self.call_silent(node);
         true
     }
 
@@ -280,6 +296,34 @@
         true
     }
 
+    /// Sends the record to members that stay silent.
+    ///
+    /// One that started anew while the store is away knows no router, and so no coordinator.
+    fn call_silent<D: PlatformDialect>(&mut self, node: &Arc<NodeShared<D>>) {
+        let now = boot_clock::now();
+        if now < self.next_call {
+            return;
+        }
+        self.next_call = now + MEMBER_SILENCE;
+        let (addresses, update) = {
+            let coordinator = node.coordinator();
+            let Some(state) = coordinator.as_ref() else {
+                return;
+            };
+            let silent = state.silent_members(MEMBER_SILENCE, now);
+            let addresses: Vec<_> = silent.map(|member| member.peer_address).collect();
+            (addresses, CellUpdate::Full(PackedCell::new(state.record())))
+        };
+        if addresses.is_empty() {
+            return;
+        }
+        let node = node.clone();
+        tokio::spawn(async move {
+            let call = PeerCall::Cell(update);
+            node.links.call_all(addresses, &call, CALL_LIMIT).await;
+        });
+    }
+
     /// Finds out which record the store holds; where it is the known one, few bytes travel.
     async fn read<D: PlatformDialect>(
         &self,
@@ -326,6 +370,7 @@
         self.revision = None;
         match outcome {
             Ok(WriteResult::Written(revision)) => {
+                self.answered_at = sent_at;
                 self.unresolved = None;
                 self.revision = Some(revision);
                 if let Some(state) = node.coordinator().as_mut() {
--- a/crates/anvilrack-node/src/ownership/grant_keeper.rs
+++ b/crates/anvilrack-node/src/ownership/grant_keeper.rs
@@ -117,6 +117,12 @@
         lock(&self.released).insert(shard, report);
     }
 
+    /// A shard that was given back is served again; the target does not hold it, and has to be told.
+    pub fn withdraw(&self, shard: ShardId) {
+        lock(&self.released).remove(&shard);
+        self.forget(shard);
+    }
+
     /// Marks the shards that need a call now as being called for.
     fn take_due(
         &self,
@@ -260,6 +266,7 @@
         token = token,
         handed_over = handover.is_some()
     );
+    node.grants.forget(shard);
     node.grants.report(shard, token, handover);
     node.member_news.notify_one();
 }
--- a/crates/anvilrack-node/src/ownership/member_role.rs
+++ b/crates/anvilrack-node/src/ownership/member_role.rs
@@ -3,9 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anvilrack_core::{CellRecord, TakeoverStep, events};
+use anvilrack_core::{CellRecord, Epoch, TakeoverStep, events};
 use anvilrack_router::boot_clock;
 
+use crate::guard::LifeState;
 use crate::http_pool::within;
 use crate::ownership::{cell_calls, cell_takeover, grant_keeper};
 use crate::peers::{BeatReply, MemberBeat, PeerCall, PeerReply, RecordMark};
@@ -54,6 +55,7 @@
     };
     let beat = MemberBeat {
         service: cell.service.clone(),
+        sequence: node.next_beat(),
         report,
         known: RecordMark::new(cell),
     };
@@ -72,6 +74,9 @@
         node.grant_news.notify_one();
     }
     node.grants.forget_taken(&node.owner());
+    if reply.keep {
+        serve_again(node, answer.epoch);
+    }
     for order in answer.release {
         let held = node.owner().held().any(|(shard, _)| shard == order.shard);
         if held {
@@ -81,6 +86,25 @@
     true
 }
 
+/// Serves what was given back again, unless another coordinator has taken over since.
+fn serve_again<D: PlatformDialect>(node: &Arc<NodeShared<D>>, epoch: Epoch) {
+    let serving = node
+        .door
+        .life()
+        .is_some_and(|l| l.state == LifeState::Serving);
+    let mut owner = node.owner();
+    if owner.epoch() != epoch || node.is_stopping() || !serving {
+        return;
+    }
+    for report in node.grants.released() {
+        if owner.take_back(report.shard, report.token) {
+            node.grants.withdraw(report.shard);
+        }
+    }
+    drop(owner);
+    node.grant_news.notify_one();
+}
+
 async fn ask_coordinator<D: PlatformDialect>(
     node: &Arc<NodeShared<D>>,
     cell: &CellRecord,
--- a/crates/anvilrack-node/src/peers/peer_message.rs
+++ b/crates/anvilrack-node/src/peers/peer_message.rs
@@ -5,7 +5,8 @@
 
 use anvilrack_core::{
     CellRecord, DomainName, Epoch, Incarnation, MemberReport, NodeId, RefusalReason, RegionName,
-    RenewalAnswer, RequestClass, ServiceName, TableVersion, TargetLoad, UncertainReason,
+    RenewalAnswer, RequestClass, ServiceName, SiteVersion, TableVersion, TargetLoad,
+    UncertainReason,
 };
 use serde::{Deserialize, Serialize};
 
@@ -32,6 +33,13 @@
     Resign(ServiceName, Epoch),
     /// Which record of that cell do you have?
     PullCell(ServiceName),
+    /// What do you know of the operators' document, if it is newer than this, and of the routers?
+    PullView {
+        /// Version of the document that the sender has.
+        site: Option<SiteVersion>,
+        /// True where the sender knows no other router.
+        entries: bool,
+    },
     /// The sender's own directory entry has changed.
     Entry(DirectoryEntry),
 }
@@ -53,6 +61,8 @@
     Promised(bool),
     /// Whether the standby takes the coordinator's place.
     Resigned(bool),
+    /// What was asked for.
+    View(Box<KnownView>),
     /// The record that was asked for.
     Cell(Option<PackedCell>),
     /// Nothing to say.
@@ -112,6 +122,8 @@
 pub struct MemberBeat {
     /// The cell.
     pub service: ServiceName,
+    /// Which run of the router, and which of its heartbeats; a late one counts no more.
+    pub sequence: (u64, u64),
     /// What the member says of itself.
     pub report: MemberReport,
     /// The record that it has.
@@ -123,10 +135,22 @@
 pub struct BeatReply {
     /// About the lease, and what to release.
     pub answer: RenewalAnswer,
+    /// True where the member should serve again what it gave back: the store is away, and nobody else
+    /// can be given it.
+    pub keep: bool,
     /// A newer record than the member's.
     pub update: Option<CellUpdate>,
 }
 
+/// What one router can tell another that does not reach the store.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct KnownView {
+    /// The operators' document as it stood in the store.
+    pub document: Option<Vec<u8>>,
+    /// The routers.
+    pub entries: Vec<DirectoryEntry>,
+}
+
 /// A newer record of a cell.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum CellUpdate {
--- a/crates/anvilrack-node/src/peers/peer_server.rs
+++ b/crates/anvilrack-node/src/peers/peer_server.rs
@@ -13,6 +13,7 @@
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::directory::known_view;
 use crate::ownership::cell_calls;
 use crate::peers::{PeerCall, PeerReply, pack, unpack};
 use crate::{NodeShared, PlatformDialect, accept_loop, socket_options};
@@ -42,6 +43,9 @@
 
 async fn serve_link<D: PlatformDialect>(stream: TcpStream, node: Arc<NodeShared<D>>) {
     socket_options::set(&stream);
+    if let Ok(address) = stream.peer_addr() {
+        node.meet(address.ip());
+    }
     let service = service_fn(move |request| answer(request, node.clone()));
     let connection = http2::Builder::new(TokioExecutor::new())
         .timer(TokioTimer::new())
@@ -94,6 +98,12 @@
             node.take_entry(entry);
             PeerReply::Done
         }
+        PeerCall::Resign(service, epoch) => {
+            PeerReply::Resigned(cell_calls::accept_office(node, &service, epoch).await)
+        }
+        PeerCall::PullView { site, entries } => {
+            PeerReply::View(Box::new(known_view(node, site, entries)))
+        }
         call => cell_calls::answer(node, call),
     };
     (reply, Bytes::new())
--- a/crates/anvilrack-router/src/router_context.rs
+++ b/crates/anvilrack-router/src/router_context.rs
@@ -283,6 +283,7 @@
             released: self.releases.reports(),
             sick: self.admission.is_sick(),
             loads: self.meter.report(boot_clock::now()),
+            pace_us: 0,
         }
     }
 
