--- a/crates/anvilrack-core/tests/coordinator_state.rs
+++ b/crates/anvilrack-core/tests/coordinator_state.rs
@@ -1,9 +1,11 @@
 //! The coordinator's leases, promises and office.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use anvilrack_core::{
-    BootTime, CellRecord, CoordinatorState, Incarnation, MemberReport, WriterStamp,
+    BootTime, CellRecord, CoordinatorState, Incarnation, MemberReport, ReleaseReport, RequestClass,
+    ServiceRules, ShardOwner, WriterStamp,
 };
 
 mod common;
@@ -62,7 +64,75 @@
     office
 }
 
+/// In office over one shard that `b` owns under token 1.
+fn owned_by_b() -> CoordinatorState {
+    let mut record = record("a");
+    record.last_token = 1;
+    record.shards = vec![Some(ShardOwner {
+        node: "b".into(),
+        incarnation: 1,
+        token: 1,
+        record_lost: false,
+        handover: None,
+    })];
+    let mut office = CoordinatorState::new(record, terms(), ms(0), ms(0), ms(0));
+    office.on_heartbeat(&report("a", 1), ms(900));
+    office
+}
+
+fn released_by_b() -> MemberReport {
+    let mut report = report("b", 1);
+    report.released = vec![ReleaseReport {
+        shard: 0,
+        token: 1,
+        record_at: None,
+        handover: Some("5c0e".into()),
+    }];
+    report
+}
+
+fn rules() -> ServiceRules {
+    ServiceRules {
+        divided_by_key: true,
+        shards: 1,
+        slots: 1,
+        connections: 1,
+        checks_fence: true,
+        max_timeout_ms: 0,
+        class: RequestClass::Read,
+        regions: Vec::new(),
+        pinned_keys: BTreeMap::new(),
+    }
+}
+
 coordinator_cases! {
+    forgotten_release_gives_nothing_away => {
+        let mut office = owned_by_b();
+        office.on_heartbeat(&released_by_b(), ms(1_000));
+        assert!(office.forget_releases(&"b".into()));
+        let planned = office.plan(&rules(), 0, ms(1_050));
+        let owner = planned.as_ref().unwrap_or(office.record()).owner(0).cloned();
+        assert_eq!(owner.map(|owner| (owner.node, owner.token)), Some(("b".into(), 1)));
+    }
+
+    release_under_a_write_is_not_forgotten => {
+        let mut office = owned_by_b();
+        office.on_heartbeat(&released_by_b(), ms(1_000));
+        let planned = office.plan(&rules(), 0, ms(1_050)).expect("the shard is given away");
+        assert_eq!(planned.owner(0).map(|owner| owner.token), Some(2));
+        // The write may take effect yet, so its old owner must not serve again.
+        assert!(!office.forget_releases(&"b".into()));
+    }
+
+    member_is_silent_until_it_is_heard => {
+        let mut office = office();
+        let silent = |office: &CoordinatorState, now| office.silent_members(ms(900), now).count();
+        assert_eq!(silent(&office, ms(1_800)), 0);
+        assert_eq!(silent(&office, ms(1_900)), 1);
+        office.on_heartbeat(&report("b", 1), ms(1_950));
+        assert_eq!(silent(&office, ms(2_000)), 0);
+    }
+
     promise_outlasts_authority => {
         let mut office = office();
         office.on_promise(&"b".into(), ms(1_100));
