One router of a failure domain watches the store for all of it

Now the first router by name of a failure domain watches and passes on; it says every 0.6 s that it lives and what it knows; who hears nothing for 1.5 s watches by itself.

--- /dev/null
+++ b/crates/anvilrack-node/src/directory/domain_reader.rs
@@ -0,0 +1,107 @@
+//! Which router of a failure domain watches the store for all of it.
+//!
+//! A watch that wakes is a call to the store, so if every router watched, a change would cost as many
+//! calls as there are routers. Words inside a failure domain cost next to nothing.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::time::Duration;
+
+use anvilrack_core::{BootTime, SiteVersion};
+use serde::{Deserialize, Serialize};
+
+use crate::directory::DirectoryEntry;
+
+/// Time between two signs of life of a reader.
+pub const READER_BEAT: Duration = Duration::from_millis(600);
+
+/// A reader that is silent for so long is not waited for: each router watches by itself then.
+const READER_SILENCE: Duration = Duration::from_millis(1_500);
+
+/// Unlike digests one after another that mean that news was lost, and not that it is on its way.
+const UNLIKE_LIMIT: u32 = 2;
+
+/// What a reader tells with each sign of life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReaderBeat {
+    /// The operators' document that it has.
+    pub site: Option<SiteVersion>,
+    /// Tells its view of the routers from another one.
+    pub digest: u64,
+}
+
+/// What a router makes of its domain's reader.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReaderWatch {
+    heard_at: BootTime,
+    unlike: u32,
+}
+
+/// What a sign of life calls for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BeatEffect {
+    /// Nothing: this router knows what its reader knows.
+    Same,
+    /// The reader has a newer document.
+    SiteMissing,
+    /// The views of the routers stay unlike.
+    EntriesMissing,
+}
+
+impl ReaderWatch {
+    /// A router that starts gives a reader some time to be heard.
+    #[must_use]
+    pub fn new(now: BootTime) -> Self {
+        Self {
+            heard_at: now,
+            unlike: 0,
+        }
+    }
+
+    /// Takes a sign of life; `own` is what this router would tell.
+    pub fn take(&mut self, beat: ReaderBeat, own: ReaderBeat, now: BootTime) -> BeatEffect {
+        self.heard_at = now;
+        self.unlike = if beat.digest == own.digest {
+            0
+        } else {
+            self.unlike + 1
+        };
+        if beat.site > own.site {
+            BeatEffect::SiteMissing
+        } else if self.unlike >= UNLIKE_LIMIT {
+            self.unlike = 0;
+            BeatEffect::EntriesMissing
+        } else {
+            BeatEffect::Same
+        }
+    }
+
+    /// True while a reader can be relied on.
+    #[must_use]
+    pub fn is_heard(&self, now: BootTime) -> bool {
+        now < self.heard_at + READER_SILENCE
+    }
+}
+
+/// The router that watches for a failure domain: the first by name of those that are not stopping.
+#[must_use]
+pub fn reader_of<'a>(
+    domain: &str,
+    entries: impl Iterator<Item = &'a DirectoryEntry>,
+) -> Option<&'a str> {
+    entries
+        .filter(|entry| *entry.place.failure_domain == *domain && !entry.stopping)
+        .map(|entry| &*entry.place.node)
+        .min()
+}
+
+/// Tells one view of the routers from another, whatever the order.
+#[must_use]
+pub fn digest_of<'a>(entries: impl Iterator<Item = &'a DirectoryEntry>) -> u64 {
+    entries
+        .map(|entry| {
+            let mut hasher = DefaultHasher::new();
+            (&entry.place.node, entry.run, entry.version).hash(&mut hasher);
+            hasher.finish()
+        })
+        .fold(0, u64::wrapping_add)
+}
--- a/crates/anvilrack-node/src/directory/peer_catch_up.rs
+++ b/crates/anvilrack-node/src/directory/peer_catch_up.rs
@@ -1,9 +1,11 @@
 //! Learning from other routers what the store does not tell just now.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use anvilrack_core::events;
+use anvilrack_router::boot_clock;
 use bytes::Bytes;
 use rand::seq::IndexedRandom;
 
@@ -21,17 +23,22 @@
 /// A router that started anew while the store is away knows nobody but those that have called it.
 pub async fn catch_up<D: PlatformDialect>(node: &Arc<NodeShared<D>>) {
     let known = node.met_peers();
-    let asked: Vec<_> = known
-        .choose_multiple(&mut rand::rng(), ASKED)
-        .copied()
-        .collect();
-    let call = PeerCall::PullView {
-        site: node.site().map(|site| site.version),
-        entries: node.peer_addresses().is_empty(),
-    };
+    let asked = known.choose_multiple(&mut rand::rng(), ASKED);
+    let entries = node.peer_addresses().is_empty();
+    pull_view(node, asked.copied().collect(), entries).await;
+}
+
+/// Asks these routers for a newer document, and for their entries where `entries` says so.
+pub async fn pull_view<D: PlatformDialect>(
+    node: &Arc<NodeShared<D>>,
+    asked: Vec<SocketAddr>,
+    entries: bool,
+) {
+    let site = node.site().map(|site| site.version);
+    let call = PeerCall::PullView { site, entries };
     for answer in node.links.call_all(asked, &call, ASK_LIMIT).await {
         if let Ok(PeerReply::View(view)) = answer {
-            take_view(node, *view);
+            take_view(node, *view, entries);
         }
     }
 }
@@ -55,7 +62,12 @@
     }
 }
 
-fn take_view<D: PlatformDialect>(node: &Arc<NodeShared<D>>, view: KnownView) {
+/// Takes a view; where it lists all routers, those that are not in it have lapsed.
+fn take_view<D: PlatformDialect>(node: &Arc<NodeShared<D>>, view: KnownView, lists_all: bool) {
+    if lists_all {
+        let names: Vec<_> = view.entries.iter().map(|e| e.place.node.clone()).collect();
+        node.directory().retain_listed(&names, boot_clock::now());
+    }
     for entry in view.entries {
         node.take_entry(entry);
     }
--- a/crates/anvilrack-node/src/directory/store_watch.rs
+++ b/crates/anvilrack-node/src/directory/store_watch.rs
@@ -8,10 +8,12 @@
 use rand::Rng;
 use tokio::time::sleep;
 
+use crate::directory::READER_BEAT;
 use crate::directory::peer_catch_up::{catch_up, take_site};
 use crate::directory::{
     DirectoryEntry, ENTRY_PREFIX, MetadataStore, StoreChange, StoreFault, StoreRevision, WatchNews,
 };
+use crate::peers::{PeerCall, ReaderNews};
 use crate::{NodeShared, PlatformDialect};
 
 /// Longest wait of one watch.
@@ -20,28 +22,51 @@
 /// Time between two tries while the store does not answer.
 const RETRY_EVERY: Duration = Duration::from_millis(300);
 
+/// Time after the start of the process before the entries are read.
+const START_PAUSE: Duration = Duration::from_millis(450);
+
+/// Time between two looks whether this router has to watch the store.
+const ROLE_STEP: Duration = Duration::from_millis(200);
+
+/// Time for a word to another router that nobody waits for.
+const TELL_LIMIT: Duration = Duration::from_millis(400);
+
 /// Time before a watch goes on after news, so that changes that come together wake it once.
 const GATHER: Duration = Duration::from_millis(120);
 
-/// Follows the routers' entries until the process ends.
+/// Keeps the view of the routers until the process ends.
 pub async fn watch_entries<D: PlatformDialect>(node: Arc<NodeShared<D>>) {
+    // Routers start together, so their entries are there a moment later.
+    sleep(START_PAUSE.mul_f64(rand::random_range(0.7..1.3))).await;
+    let mut listed = false;
     loop {
-        if let Err(fault) = follow_entries(&node).await {
-            log::debug!("entries cannot be followed: {fault}");
+        if listed && !node.watches_store() {
+            sleep(ROLE_STEP).await;
+            continue;
+        }
+        match follow_entries(&node, &mut listed).await {
+            Ok(()) => {}
+            Err(fault) => {
+                log::debug!("entries cannot be followed: {fault}");
+                pause().await;
+            }
         }
-        pause().await;
     }
 }
 
-/// Follows the operators' document until the process ends.
+/// Keeps the operators' document until the process ends.
 pub async fn watch_site<D: PlatformDialect>(node: Arc<NodeShared<D>>) {
     let mut after = 0;
     loop {
+        if node.site().is_some() && !node.watches_store() {
+            sleep(ROLE_STEP).await;
+            continue;
+        }
         if let Err(fault) = follow_site(&node, &mut after).await {
             log::debug!("the document of routes cannot be followed: {fault}");
             catch_up(&node).await;
+            pause().await;
         }
-        pause().await;
     }
 }
 
@@ -50,8 +75,12 @@
     sleep(RETRY_EVERY.mul_f64(jitter)).await;
 }
 
-/// Reads all entries, then follows their changes; ends where the history is gone.
-async fn follow_entries<D: PlatformDialect>(node: &Arc<NodeShared<D>>) -> Result<(), StoreFault> {
+/// Reads all entries, then follows their changes for as long as this router watches the store, and the
+/// history goes back far enough.
+async fn follow_entries<D: PlatformDialect>(
+    node: &Arc<NodeShared<D>>,
+    listed: &mut bool,
+) -> Result<(), StoreFault> {
     let list = node.store.list(ENTRY_PREFIX).await?;
     let names: Vec<_> = list
         .items
@@ -63,41 +92,61 @@
         take_entry(node, &item.key, &item.value);
     }
     node.directory().retain_listed(&names, boot_clock::now());
+    *listed = true;
     let mut after = list.revision;
-    loop {
+    while node.watches_store() {
         let news = node.store.watch(ENTRY_PREFIX, after, WATCH_WAIT).await?;
         let WatchNews::Changes(changes, revision) = news else {
             return Ok(());
         };
         after = revision.max(after);
-        let any = !changes.is_empty();
+        if changes.is_empty() {
+            continue;
+        }
+        let mut news = ReaderNews::default();
         for change in changes {
             match change {
-                StoreChange::Written(item) => take_entry(node, &item.key, &item.value),
+                StoreChange::Written(item) => {
+                    news.entries
+                        .extend(take_entry(node, &item.key, &item.value));
+                }
                 StoreChange::Removed(key) => {
                     if let Some(name) = key.strip_prefix(ENTRY_PREFIX) {
                         node.directory().lapse(name, boot_clock::now());
+                        news.lapsed.push(name.into());
                     }
                 }
             }
         }
-        if any {
-            sleep(GATHER).await;
-        }
+        node.tell_domain(news);
+        sleep(GATHER).await;
     }
+    Ok(())
 }
 
-fn take_entry<D: PlatformDialect>(node: &Arc<NodeShared<D>>, key: &str, value: &[u8]) {
+/// Takes an entry as it stands in the store; one that cannot be read names no router.
+fn take_entry<D: PlatformDialect>(
+    node: &Arc<NodeShared<D>>,
+    key: &str,
+    value: &[u8],
+) -> Option<DirectoryEntry> {
     match decode::<DirectoryEntry>(value) {
         Ok(entry) if key.strip_prefix(ENTRY_PREFIX) == Some(&*entry.place.node) => {
-            node.take_entry(entry);
+            node.take_entry(entry.clone());
+            Some(entry)
+        }
+        Ok(_) => {
+            log::warn!("the entry at {key} names another router");
+            None
+        }
+        Err(error) => {
+            log::warn!("the entry at {key} cannot be read: {error}");
+            None
         }
-        Ok(_) => log::warn!("the entry at {key} names another router"),
-        Err(error) => log::warn!("the entry at {key} cannot be read: {error}"),
     }
 }
 
-/// Reads the document, then follows its changes.
+/// Reads the document, then follows its changes for as long as this router watches the store.
 async fn follow_site<D: PlatformDialect>(
     node: &Arc<NodeShared<D>>,
     after: &mut StoreRevision,
@@ -107,7 +156,7 @@
         *after = item.revision.max(*after);
         take_site(node, &item.value);
     }
-    loop {
+    while node.site().is_none() || node.watches_store() {
         match node.store.watch(key, *after, WATCH_WAIT).await? {
             WatchNews::HistoryGone => return Ok(()),
             WatchNews::Changes(changes, revision) => {
@@ -116,6 +165,10 @@
                     match change {
                         StoreChange::Written(item) if *item.key == *key => {
                             take_site(node, &item.value);
+                            node.tell_domain(ReaderNews {
+                                document: Some(item.value.to_vec()),
+                                ..ReaderNews::default()
+                            });
                         }
                         _ => {}
                     }
@@ -123,4 +176,18 @@
             }
         }
     }
+    Ok(())
+}
+
+/// Tells the routers of the failure domain what this router's view is, while it reads for them.
+pub async fn send_reader_beats<D: PlatformDialect>(node: Arc<NodeShared<D>>) {
+    loop {
+        sleep(READER_BEAT).await;
+        // A reader that the store does not answer is none: the others look for themselves.
+        if node.reads_for_domain() && node.reaches_store() {
+            let call = PeerCall::ReaderBeat(node.reader_beat());
+            let links = &node.links;
+            links.call_all(node.domain_peers(), &call, TELL_LIMIT).await;
+        }
+    }
 }
--- a/crates/anvilrack-node/src/node_shared.rs
+++ b/crates/anvilrack-node/src/node_shared.rs
@@ -14,14 +14,19 @@
 use bytes::Bytes;
 use tokio::sync::{Notify, watch};
 
-use crate::directory::{DirectoryEntry, DirectoryView};
+use crate::directory::{
+    BeatEffect, DirectoryEntry, DirectoryView, ReaderBeat, ReaderWatch, digest_of, pull_view,
+    reader_of, take_site,
+};
 use crate::guard::{LifeState, TargetDoor, TargetLife};
 use crate::observe::NodeMetrics;
 use crate::ownership::{
     GrantKeeper, PackedCell, PackedStep, RefreshTimes, SHARD_COUNT, lease_terms, refresh_cell,
     release_all,
 };
-use crate::peers::{CellUpdate, PeerCall, PeerLinks, PeerPlace, RecordMark, TargetPlace};
+use crate::peers::{
+    CellUpdate, PeerCall, PeerLinks, PeerPlace, ReaderNews, RecordMark, TargetPlace,
+};
 use crate::{KEY_SPACE, KeyNumber, NodeSettings, PlatformDialect, tell};
 
 /// Retries that one router saves up at most, for the limit is shared by the fleet.
@@ -85,6 +90,7 @@
     document: Mutex<Option<Bytes>>,
     /// Routers that have opened a link to this one.
     met: Mutex<BTreeSet<IpAddr>>,
+    reader: Mutex<ReaderWatch>,
     directory: Mutex<DirectoryView>,
     cells: Mutex<HashMap<ServiceName, Arc<CellRecord>>>,
     last_step: Mutex<Option<RecordDelta>>,
@@ -129,6 +135,7 @@
             site: Mutex::default(),
             document: Mutex::default(),
             met: Mutex::default(),
+            reader: Mutex::new(ReaderWatch::new(now)),
             directory: Mutex::default(),
             cells: Mutex::default(),
             last_step: Mutex::default(),
@@ -382,6 +389,82 @@
         entries.map(|entry| entry.place.address).collect()
     }
 
+    /// True where this router watches the store for its failure domain.
+    #[must_use]
+    pub fn reads_for_domain(&self) -> bool {
+        let own = self.own_entry();
+        let directory = self.directory();
+        let entries = directory.entries().chain([&own]);
+        reader_of(&self.settings.failure_domain, entries) == Some(&*self.settings.node)
+    }
+
+    /// True where this router has to watch the store: for its failure domain, or because nobody does.
+    #[must_use]
+    pub fn watches_store(&self) -> bool {
+        self.reads_for_domain() || !lock(&self.reader).is_heard(boot_clock::now())
+    }
+
+    /// What this router tells its failure domain while it reads for it.
+    #[must_use]
+    pub fn reader_beat(&self) -> ReaderBeat {
+        let own = self.own_entry();
+        let directory = self.directory();
+        ReaderBeat {
+            site: self.site().map(|site| site.version),
+            digest: digest_of(directory.entries().chain([&own])),
+        }
+    }
+
+    /// The other routers of the failure domain.
+    #[must_use]
+    pub fn domain_peers(&self) -> Vec<SocketAddr> {
+        let directory = self.directory();
+        let domain = &self.settings.failure_domain;
+        let near = directory
+            .entries()
+            .filter(|e| e.place.failure_domain == *domain);
+        near.map(|entry| entry.place.address).collect()
+    }
+
+    /// Passes on what was read from the store, where this router reads for its failure domain.
+    pub fn tell_domain(self: &Arc<Self>, news: ReaderNews) {
+        if !self.reads_for_domain() {
+            return;
+        }
+        let node = self.clone();
+        tokio::spawn(async move {
+            let call = PeerCall::ReaderNews(news);
+            node.links
+                .call_all(node.domain_peers(), &call, TELL_LIMIT)
+                .await;
+        });
+    }
+
+    /// The reader of the failure domain lives; what it knows and this router does not is asked for.
+    pub fn take_reader_beat(self: &Arc<Self>, beat: ReaderBeat, from: IpAddr) {
+        let own = self.reader_beat();
+        let effect = lock(&self.reader).take(beat, own, boot_clock::now());
+        if effect == BeatEffect::Same {
+            return;
+        }
+        let (node, entries) = (self.clone(), effect == BeatEffect::EntriesMissing);
+        let reader = SocketAddr::new(from, self.settings.listen.peers.port());
+        tokio::spawn(async move { pull_view(&node, vec![reader], entries).await });
+    }
+
+    /// Takes what the reader of the failure domain has read.
+    pub fn take_reader_news(self: &Arc<Self>, news: ReaderNews) {
+        for entry in news.entries {
+            self.take_entry(entry);
+        }
+        for node in news.lapsed {
+            self.directory().lapse(&node, boot_clock::now());
+        }
+        if let Some(document) = news.document {
+            take_site(self, &Bytes::from(document));
+        }
+    }
+
     /// Where the other routers are reached.
     #[must_use]
     pub fn peer_addresses(&self) -> Vec<SocketAddr> {
--- a/crates/anvilrack-node/src/ownership/cell_calls.rs
+++ b/crates/anvilrack-node/src/ownership/cell_calls.rs
@@ -40,7 +40,9 @@
         | PeerCall::Bar(_)
         | PeerCall::Entry(_)
         | PeerCall::Resign(..)
-        | PeerCall::PullView { .. } => PeerReply::Done,
+        | PeerCall::PullView { .. }
+        | PeerCall::ReaderBeat(_)
+        | PeerCall::ReaderNews(_) => PeerReply::Done,
     }
 }
 
--- a/crates/anvilrack-node/src/peers/mod.rs
+++ b/crates/anvilrack-node/src/peers/mod.rs
@@ -8,7 +8,7 @@
 pub use peer_frame::{FrameFault, pack, unpack};
 pub use peer_links::{PeerFault, PeerLinks};
 pub use peer_message::{
-    BeatReply, CellUpdate, KnownView, MemberBeat, PeerCall, PeerPlace, PeerReply, RecordMark,
-    RunCall, RunReply, TargetPlace,
+    BeatReply, CellUpdate, KnownView, MemberBeat, PeerCall, PeerPlace, PeerReply, ReaderNews,
+    RecordMark, RunCall, RunReply, TargetPlace,
 };
 pub use peer_server::serve_peers;
--- a/crates/anvilrack-node/src/peers/peer_message.rs
+++ b/crates/anvilrack-node/src/peers/peer_message.rs
@@ -10,7 +10,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-use crate::directory::DirectoryEntry;
+use crate::directory::{DirectoryEntry, ReaderBeat};
 use crate::ownership::{PackedCell, PackedStep};
 use crate::{KeyNumber, RequestId};
 
@@ -40,6 +40,10 @@
         /// True where the sender knows no other router.
         entries: bool,
     },
+    /// The router that watches the store for the receiver's failure domain lives.
+    ReaderBeat(ReaderBeat),
+    /// What it has read.
+    ReaderNews(ReaderNews),
     /// The sender's own directory entry has changed.
     Entry(DirectoryEntry),
 }
@@ -151,6 +155,17 @@
     pub entries: Vec<DirectoryEntry>,
 }
 
+/// What the reader of a failure domain passes on.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct ReaderNews {
+    /// Entries that were written.
+    pub entries: Vec<DirectoryEntry>,
+    /// Routers whose entries are gone.
+    pub lapsed: Vec<NodeId>,
+    /// The operators' document as it stands in the store.
+    pub document: Option<Vec<u8>>,
+}
+
 /// A newer record of a cell.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum CellUpdate {
--- a/crates/anvilrack-node/src/peers/peer_server.rs
+++ b/crates/anvilrack-node/src/peers/peer_server.rs
@@ -1,6 +1,7 @@
 //! Answers other routers.
 
 use std::convert::Infallible;
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -43,10 +44,15 @@
 
 async fn serve_link<D: PlatformDialect>(stream: TcpStream, node: Arc<NodeShared<D>>) {
     socket_options::set(&stream);
-    if let Ok(address) = stream.peer_addr() {
-        node.meet(address.ip());
-    }
-    let service = service_fn(move |request| answer(request, node.clone()));
+    let from = match stream.peer_addr() {
+        Ok(address) => address.ip(),
+        Err(error) => {
+            log::debug!("link from a router ended at once: {error}");
+            return;
+        }
+    };
+    node.meet(from);
+    let service = service_fn(move |request| answer(request, from, node.clone()));
     let connection = http2::Builder::new(TokioExecutor::new())
         .timer(TokioTimer::new())
         .keep_alive_interval(PING_EVERY)
@@ -63,6 +69,7 @@
 
 async fn answer<D: PlatformDialect>(
     request: Request<Incoming>,
+    from: IpAddr,
     node: Arc<NodeShared<D>>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     let frame = match Limited::new(request.into_body(), CALL_LIMIT)
@@ -76,7 +83,7 @@
         Ok(call) => call,
         Err(error) => return Ok(refuse(StatusCode::BAD_REQUEST, &error.to_string())),
     };
-    let (reply, body) = dispatch(call, body, &node).await;
+    let (reply, body) = dispatch(call, body, from, &node).await;
     Ok(match pack(&reply, &body) {
         Ok(frame) => Response::new(Full::new(frame)),
         Err(error) => refuse(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string()),
@@ -86,6 +93,7 @@
 async fn dispatch<D: PlatformDialect>(
     call: PeerCall,
     body: Bytes,
+    from: IpAddr,
     node: &Arc<NodeShared<D>>,
 ) -> (PeerReply, Bytes) {
     let reply = match call {
@@ -101,6 +109,14 @@
         PeerCall::Resign(service, epoch) => {
             PeerReply::Resigned(cell_calls::accept_office(node, &service, epoch).await)
         }
+        PeerCall::ReaderBeat(beat) => {
+            node.take_reader_beat(beat, from);
+            PeerReply::Done
+        }
+        PeerCall::ReaderNews(news) => {
+            node.take_reader_news(news);
+            PeerReply::Done
+        }
         PeerCall::PullView { site, entries } => {
             PeerReply::View(Box::new(known_view(node, site, entries)))
         }
