Begin nothing at the target once a stop closes, and hand over again when the store is back

Now the door refuses once connections close, the keys are handed over as soon as the store answers, and a router without anything to hand over ends earlier. Ruled out: the caller's side; its connections were all finished (open 0 at the end). Also: errors of the operators' command carry no backtrace.

--- a/crates/anvilrack-cli/src/main.rs
+++ b/crates/anvilrack-cli/src/main.rs
@@ -1,5 +1,6 @@
 //! `anvilrack`: the operators' command.
 
+use std::process::ExitCode;
 use std::{fs, io};
 
 use anvilrack_cli::report_text::{explanation_text, status_text};
@@ -15,8 +16,18 @@
 
 mod command_flags;
 
-fn main() -> eyre::Result<()> {
+fn main() -> ExitCode {
     env_logger::init();
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("anvilrack: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run() -> eyre::Result<()> {
     match Anvilrack::from_env_or_exit().subcommand {
         AnvilrackCmd::Check(check) => {
             let document = read_config(&check.file)?;
--- a/crates/anvilrack-cli/src/request_story.rs
+++ b/crates/anvilrack-cli/src/request_story.rs
@@ -99,7 +99,7 @@
     fn end(&self) -> Option<&StoryLine> {
         let ends = ["request.answered", "request.left", "request.refused"];
         let mut lines = self.lines.iter().rev();
-        lines.find(|line| ends.contains(&&*line.word("name")))
+        lines.find(|line| ends.contains(&line.word("name")))
     }
 }
 
--- a/crates/anvilrack-node/src/callers/caller_request.rs
+++ b/crates/anvilrack-node/src/callers/caller_request.rs
@@ -15,7 +15,7 @@
 use crate::message_headers;
 use crate::peers::RunReply;
 use crate::routing::{CallerRequest, ForwardOutcome, forward};
-use crate::{CallerHead, NodeShared, PlatformDialect, RequestId, tell};
+use crate::{CallerHead, NodeShared, PlatformDialect, RequestId, observe, tell};
 
 /// When a caller may come back before this router knows any routes.
 const NO_SITE_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -229,7 +229,7 @@
         why = why,
         places = outcome.places,
         place = outcome.last_place.as_deref(),
-        took_ms = took.as_millis() as u64,
+        took_ms = observe::millis(took),
         routes_version = node.site().map(|site| site.version),
         cell_version = node.cell(service).map(|cell| cell.version)
     );
@@ -271,7 +271,7 @@
                 Info,
                 events::REQUEST_LEFT,
                 request = self.request.as_deref(),
-                waited_ms = waited.as_millis() as u64
+                waited_ms = observe::millis(waited)
             );
         }
     }
--- a/crates/anvilrack-node/src/directory/entry_keeper.rs
+++ b/crates/anvilrack-node/src/directory/entry_keeper.rs
@@ -13,7 +13,7 @@
     DirectoryEntry, ENTRY_PREFIX, LeaseId, MetadataStore, StoreFault, StoreWrite, WriteResult,
 };
 use crate::http_pool::within;
-use crate::{NodeShared, PlatformDialect, tell};
+use crate::{NodeShared, PlatformDialect, observe, tell};
 
 /// Time to live of the entry's lease.
 const TIME_TO_LIVE: Duration = Duration::from_millis(4_500);
@@ -73,16 +73,15 @@
                 self.lease = None;
             }
         }
-        let lease = match self.lease {
-            Some(lease) => lease,
-            None => {
-                let time_to_live = TIME_TO_LIVE.max(node.settings.terms.shortest_lease);
-                let (lease, _) = node.store.open_lease(time_to_live).await?;
-                self.lease = Some(lease);
-                self.written = None;
-                self.next_keep = now + KEEP_EVERY;
-                lease
-            }
+        let lease = if let Some(lease) = self.lease {
+            lease
+        } else {
+            let time_to_live = TIME_TO_LIVE.max(node.settings.terms.shortest_lease);
+            let (lease, _) = node.store.open_lease(time_to_live).await?;
+            self.lease = Some(lease);
+            self.written = None;
+            self.next_keep = now + KEEP_EVERY;
+            lease
         };
         let entry = node.own_entry();
         if self.written.as_ref() == Some(&entry) {
@@ -122,11 +121,7 @@
     fn tell_back(&mut self) {
         if let Some(lost_at) = self.lost_at.take() {
             let after = boot_clock::now().saturating_sub(lost_at);
-            tell!(
-                Info,
-                events::STORE_BACK,
-                after_ms = after.as_millis() as u64
-            );
+            tell!(Info, events::STORE_BACK, after_ms = observe::millis(after));
         }
     }
 }
--- a/crates/anvilrack-node/src/directory/peer_catch_up.rs
+++ b/crates/anvilrack-node/src/directory/peer_catch_up.rs
@@ -52,9 +52,10 @@
 ) -> KnownView {
     let newer = node.site().map(|site| site.version) > site;
     let own = entries.then(|| node.own_entry());
-    let others: Vec<_> = match entries {
-        true => node.directory().entries().cloned().collect(),
-        false => Vec::new(),
+    let others: Vec<_> = if entries {
+        node.directory().entries().cloned().collect()
+    } else {
+        Vec::new()
     };
     KnownView {
         document: node.site_document().filter(|_| newer).map(|d| d.to_vec()),
--- a/crates/anvilrack-node/src/guard/target_door.rs
+++ b/crates/anvilrack-node/src/guard/target_door.rs
@@ -19,7 +19,7 @@
 use crate::http_pool::{ConnectionAge, HttpPool, SendFault, within};
 use crate::message_headers;
 use crate::peers::{RunCall, RunReply};
-use crate::{AnswerMark, NodeShared, PlatformDialect, RequestId, TargetMark, tell};
+use crate::{AnswerMark, NodeShared, PlatformDialect, RequestId, TargetMark, observe, tell};
 
 /// Longest time for a connection to the target, which stands on the same VM.
 const CONNECT_LIMIT: Duration = Duration::from_millis(300);
@@ -110,8 +110,8 @@
                     key = call.key,
                     running = running,
                     waiting = waiting,
-                    time_left_ms = call.time_left.as_millis() as u64,
-                    retry_after_ms = retry_after.as_millis() as u64
+                    time_left_ms = observe::millis(call.time_left),
+                    retry_after_ms = observe::millis(retry_after)
                 );
                 let retry_after = retry_after.max(LEAST_RETRY_AFTER);
                 not_run(reason, retry_after)
@@ -245,6 +245,10 @@
             .life()
             .filter(|_| *call.service == *node.settings.service)
             .ok_or((RefusalReason::TargetRefused, GONE_RETRY_AFTER))?;
+        // What begins now could be cut off by the end of the process.
+        if node.is_closing() {
+            return Err((RefusalReason::Stopping, GONE_RETRY_AFTER));
+        }
         let now = boot_clock::now();
         match life.state {
             LifeState::Serving => {}
--- a/crates/anvilrack-node/src/node_process.rs
+++ b/crates/anvilrack-node/src/node_process.rs
@@ -1,6 +1,7 @@
 //! The process: what it starts, and how it stops.
 
 use std::convert::Infallible;
+use std::fmt::Write;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -107,8 +108,8 @@
         if passed >= LEAST_STOP.min(longest * 3 / 5) {
             node.begin_close();
         }
-        let holds = node.owner().held().count() + node.grants.released().len();
-        let busy = node.open_count() > 0 || node.door.load().0 > 0 || holds > 0;
+        let hands_over = node.reaches_store() && node.hand_over();
+        let busy = node.open_count() > 0 || node.door.load().0 > 0 || hands_over;
         if passed >= longest || (passed >= LEAST_STOP.min(longest) && !busy) {
             break;
         }
@@ -198,7 +199,8 @@
         ("peers", node.peer_addresses().len() as u64),
     ];
     for (name, value) in gauges {
-        text.push_str(&format!("anvilrack_{name} {value}\n"));
+        // Writing to a string does not fail.
+        let _ = writeln!(text, "anvilrack_{name} {value}");
     }
     Response::new(Full::from(text))
 }
--- a/crates/anvilrack-node/src/node_shared.rs
+++ b/crates/anvilrack-node/src/node_shared.rs
@@ -227,16 +227,28 @@
         // While the store is away nobody could be given what is released. The target goes on holding
         // its keys, and the next run of this router serves them again.
         if self.reaches_store() {
-            release_all(self);
+            self.hand_over();
         }
         self.member_news.notify_one();
     }
 
+    /// Gives back all keys that are still held; true while some have no next owner.
+    pub fn hand_over(self: &Arc<Self>) -> bool {
+        release_all(self);
+        self.owner().held().next().is_some() || !self.grants.released().is_empty()
+    }
+
     /// No connection of a caller takes another request; those under way are finished.
     pub fn begin_close(&self) {
         self.closing.send_replace(true);
     }
 
+    /// True once [`Self::begin_close`] was called.
+    #[must_use]
+    pub fn is_closing(&self) -> bool {
+        *self.closing.borrow()
+    }
+
     /// Ends once [`Self::begin_close`] was called.
     pub async fn closed(&self) {
         let mut closing = self.closing.subscribe();
--- a/crates/anvilrack-node/src/observe/event_line.rs
+++ b/crates/anvilrack-node/src/observe/event_line.rs
@@ -93,6 +93,12 @@
     may
 }
 
+/// A time in whole milliseconds, as log lines have it.
+#[must_use]
+pub fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Builds the line of an event.
 #[must_use]
 pub fn line(level: log::Level, event: LogEvent, fields: Map<String, Value>) -> String {
--- a/crates/anvilrack-node/src/ownership/cell_calls.rs
+++ b/crates/anvilrack-node/src/ownership/cell_calls.rs
@@ -25,8 +25,8 @@
             .map_or_else(|| not_coordinator(node, &beat), PeerReply::Heartbeat),
         PeerCall::Takeover(packed) => PeerReply::TakeoverSeen(see_takeover(node, &packed)),
         PeerCall::Promise(service, epoch) => {
-            let cell = node.cell(&service);
-            let promised = cell.is_some_and(|cell| node.standby().promise(&cell, epoch, now));
+            let record = node.cell(&service);
+            let promised = record.is_some_and(|r| node.standby().promise(&r, epoch, now));
             PeerReply::Promised(promised)
         }
         PeerCall::Cell(update) => {
--- a/crates/anvilrack-node/src/ownership/cell_takeover.rs
+++ b/crates/anvilrack-node/src/ownership/cell_takeover.rs
@@ -151,8 +151,11 @@
         let sent_at = boot_clock::now();
         match write_cell(&node.store, record, base).await {
             Ok(WriteResult::Written(_)) => return Some(sent_at),
-            Ok(WriteResult::Conflict | WriteResult::LeaseEnded) if !is_retry => return None,
-            Err(StoreFault::Refused(_)) if !is_retry => return None,
+            Ok(WriteResult::Conflict | WriteResult::LeaseEnded) | Err(StoreFault::Refused(_))
+                if !is_retry =>
+            {
+                return None;
+            }
             Ok(_) | Err(_) => {}
         }
         // Its reply was lost, or an earlier try may have been the one that took effect.
--- a/crates/anvilrack-node/src/ownership/coordinator_role.rs
+++ b/crates/anvilrack-node/src/ownership/coordinator_role.rs
@@ -29,7 +29,7 @@
 const PROMISE_AFTER: Duration = Duration::from_millis(900);
 
 /// A coordinator that the store does not answer for so long offers its office to a standby.
-const RESIGN_AFTER: Duration = Duration::from_millis(1_000);
+const RESIGN_AFTER: Duration = Duration::from_secs(1);
 
 /// A member that is not heard from for so long is sent the record.
 const MEMBER_SILENCE: Duration = Duration::from_millis(900);
@@ -49,10 +49,10 @@
 /// A new cell waits this long after its newest member before shards are given out.
 ///
 /// Else the first member would get all of them, and most would have to move again.
-const SETTLE_AFTER: Duration = Duration::from_millis(1_000);
+const SETTLE_AFTER: Duration = Duration::from_secs(1);
 
 /// A new cell waits no longer than this for its members.
-const SETTLE_LIMIT: Duration = Duration::from_millis(3_000);
+const SETTLE_LIMIT: Duration = Duration::from_secs(3);
 
 /// Runs the cell under that epoch until another router takes it over or the process ends.
 pub async fn run<D: PlatformDialect>(node: Arc<NodeShared<D>>, epoch: Epoch) {
--- a/crates/anvilrack-node/src/ownership/grant_keeper.rs
+++ b/crates/anvilrack-node/src/ownership/grant_keeper.rs
@@ -15,7 +15,7 @@
 use crate::guard::LifeState;
 use crate::http_pool::{ConnectionAge, SendFault, within};
 use crate::ownership::SHARD_COUNT;
-use crate::{GrantOrder, KEY_SPACE, KeyNumber, NodeShared, PlatformDialect, tell};
+use crate::{GrantOrder, KEY_SPACE, KeyNumber, NodeShared, PlatformDialect, observe, tell};
 
 /// Time between two looks at what has to be renewed.
 const STEP: Duration = Duration::from_millis(100);
@@ -227,7 +227,7 @@
                 events::GRANT_UNANSWERED,
                 shard = shard,
                 token = token,
-                hold_ms = hold.as_millis() as u64,
+                hold_ms = observe::millis(hold),
                 fault = fault.to_string()
             );
             let unsent = fault.is_unsent();
--- a/crates/anvilrack-node/src/ownership/member_role.rs
+++ b/crates/anvilrack-node/src/ownership/member_role.rs
@@ -114,8 +114,8 @@
         return cell_calls::answer_beat(node, &beat, boot_clock::now()).map(|reply| *reply);
     }
     let address = cell.member(&cell.coordinator)?.peer_address;
-    let call = PeerCall::Heartbeat(Box::new(beat));
-    match node.links.call(address, &call, &[], BEAT_LIMIT).await {
+    let request = PeerCall::Heartbeat(Box::new(beat));
+    match node.links.call(address, &request, &[], BEAT_LIMIT).await {
         Ok((PeerReply::Heartbeat(reply), _)) => Some(*reply),
         Ok((PeerReply::NotCoordinator(update), _)) => {
             match update {
--- a/crates/anvilrack-node/src/ownership/mod.rs
+++ b/crates/anvilrack-node/src/ownership/mod.rs
@@ -36,12 +36,12 @@
 #[must_use]
 pub fn lease_terms() -> LeaseTerms {
     LeaseTerms {
-        lease: Duration::from_millis(3_000),
+        lease: Duration::from_secs(3),
         drift_margin: Duration::from_millis(150),
         heartbeat: Duration::from_millis(400),
         authority: Duration::from_millis(1_800),
         promise: Duration::from_millis(1_500),
         takeover_after: Duration::from_millis(1_600),
-        outage_limit: Duration::from_secs(60),
+        outage_limit: Duration::from_mins(1),
     }
 }
--- a/crates/anvilrack-node/tests/domain_reader.rs
+++ b/crates/anvilrack-node/tests/domain_reader.rs
@@ -69,9 +69,8 @@
         #[test]
         fn $name() {
             let mut watch = ReaderWatch::new(at(0));
-            let mut effect = BeatEffect::Same;
-            $(effect = watch.take($theirs, $own, at(100));)*
-            assert_eq!(effect, BeatEffect::$effect);
+            let effects = [$(watch.take($theirs, $own, at(100))),*];
+            assert_eq!(effects.last(), Some(&BeatEffect::$effect));
         }
     )*};
 }
--- a/crates/anvilrack-node/tests/packed_cell.rs
+++ b/crates/anvilrack-node/tests/packed_cell.rs
@@ -25,7 +25,7 @@
             node: node(shard % MEMBERS).into(),
             incarnation: 1_700_000_000_000 + shard % MEMBERS,
             token: shard + 1,
-            record_lost: shard % 2 == 0,
+            record_lost: shard.is_multiple_of(2),
             handover: (shard == 9).then(|| "5c0e7a21".into()),
         })
     };
