--- a/crates/anvilrack-node/src/node_process.rs
+++ b/crates/anvilrack-node/src/node_process.rs
@@ -39,8 +39,11 @@
 /// Callers and routers need this long to turn elsewhere, so a stop takes no less.
 const LEAST_STOP: Duration = Duration::from_millis(3_300);
 
+/// Time for the last answers to other routers.
+const PART_TIME: Duration = Duration::from_millis(200);
+
 /// A stop ends so long before the process would be killed.
-const STOP_MARGIN: Duration = Duration::from_millis(700);
+const STOP_MARGIN: Duration = Duration::from_millis(900);
 
 /// Time for a head at the ready and metrics addresses, counted also while a connection is idle.
 const HEAD_LIMIT: Duration = Duration::from_secs(30);
@@ -114,6 +117,9 @@
             break;
         }
     }
+    // Answers may still be on their way, and calls that come now have to learn that they were not taken.
+    node.begin_part();
+    sleep(PART_TIME).await;
     tell!(
         Info,
         events::ROUTER_STOPPED,
--- a/crates/anvilrack-node/src/node_shared.rs
+++ b/crates/anvilrack-node/src/node_shared.rs
@@ -83,6 +83,7 @@
     pub route_news: Notify,
     stopping: AtomicBool,
     closing: watch::Sender<bool>,
+    parting: watch::Sender<bool>,
     open: AtomicIsize,
     entry_version: AtomicU64,
     own_entry: Mutex<Option<DirectoryEntry>>,
@@ -129,6 +130,7 @@
             route_news: Notify::new(),
             stopping: AtomicBool::new(false),
             closing: watch::Sender::new(false),
+            parting: watch::Sender::new(false),
             open: AtomicIsize::new(0),
             entry_version: AtomicU64::new(0),
             own_entry: Mutex::default(),
@@ -256,6 +258,18 @@
         closing.wait_for(|closing| *closing).await.ok();
     }
 
+    /// No link takes another call; answers that are on their way are finished.
+    pub fn begin_part(&self) {
+        self.parting.send_replace(true);
+    }
+
+    /// Ends once [`Self::begin_part`] was called.
+    pub async fn parted(&self) {
+        let mut parting = self.parting.subscribe();
+        // The sender lives as long as this does.
+        parting.wait_for(|parting| *parting).await.ok();
+    }
+
     // --- the operators' document ----------------------------------------------------------------
 
     /// The document in force.
--- a/crates/anvilrack-node/src/peers/peer_server.rs
+++ b/crates/anvilrack-node/src/peers/peer_server.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::net::IpAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -34,12 +35,15 @@
 /// Streams that one router may have open on a link.
 const STREAM_LIMIT: u32 = 2_000;
 
-/// Accepts links from other routers until the process ends.
+/// Accepts links from other routers until this one parts from them.
 pub async fn serve_peers<D: PlatformDialect>(listener: TcpListener, node: Arc<NodeShared<D>>) {
-    accept_loop(&listener, |stream| {
+    let serve = |stream| {
         tokio::spawn(serve_link(stream, node.clone()));
-    })
-    .await;
+    };
+    tokio::select! {
+        () = accept_loop(&listener, serve) => {}
+        () = node.parted() => {}
+    }
 }
 
 async fn serve_link<D: PlatformDialect>(stream: TcpStream, node: Arc<NodeShared<D>>) {
@@ -52,7 +56,7 @@
         }
     };
     node.meet(from);
-    let service = service_fn(move |request| answer(request, from, node.clone()));
+    let service = service_fn(|request| answer(request, from, node.clone()));
     let connection = http2::Builder::new(TokioExecutor::new())
         .timer(TokioTimer::new())
         .keep_alive_interval(PING_EVERY)
@@ -62,7 +66,15 @@
         .initial_connection_window_size(WINDOW_BYTES)
         .max_send_buf_size(WINDOW_BYTES as usize)
         .serve_connection(TokioIo::new(stream), service);
-    if let Err(error) = connection.await {
+    let mut connection = pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = node.parted() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
         log::debug!("link from a router ended: {error}");
     }
 }
