--- a/crates/anvilrack-core/tests/catalogues.rs
+++ b/crates/anvilrack-core/tests/catalogues.rs
@@ -12,8 +12,9 @@
 const EVENTS_HEAD: &str = "\
 # Log events
 
-Each line of a router's log that starts with `E` and a number is an event. A number never changes its
-meaning. The fields of an event follow as `name=value`; `RUST_LOG` sets the level (`info` unless you
+In the log of `anvilrack-router` a line that starts with `E` and a number is an event, and its fields follow
+as `name=value`; in that of `anvilrack-node` each line is a JSON object with the number under `event`. A
+number never changes its meaning. `RUST_LOG` sets the level (`info` unless you
 set it). Requests are told by one line each: where it went, how often it was tried, its verdict and
 its time in microseconds.
 
