--- a/crates/anvilrack-node/src/node_process.rs
+++ b/crates/anvilrack-node/src/node_process.rs
@@ -37,7 +37,7 @@
 const STOP_STEP: Duration = Duration::from_millis(50);
 
 /// Callers and routers need this long to turn elsewhere, so a stop takes no less.
-const LEAST_STOP: Duration = Duration::from_millis(3_300);
+const LEAST_STOP: Duration = Duration::from_millis(2_800);
 
 /// Time for the last answers to other routers.
 const PART_TIME: Duration = Duration::from_millis(200);
--- a/crates/anvilrack-node/src/peers/peer_links.rs
+++ b/crates/anvilrack-node/src/peers/peer_links.rs
@@ -18,14 +18,18 @@
 use crate::peers::{FrameFault, PeerCall, PeerReply, pack, unpack};
 use crate::socket_options;
 
-/// Longest time for a new connection; some three times a round trip between regions.
-const CONNECT_LIMIT: Duration = Duration::from_millis(250);
+/// Longest time for a new connection.
+///
+/// A VM's own link may be slow: at 10 Mbit/s a few uploads keep packets waiting for half a second.
+const CONNECT_LIMIT: Duration = Duration::from_millis(600);
 
 /// Time between two pings while an answer is awaited.
 const PING_EVERY: Duration = Duration::from_millis(250);
 
 /// A ping without an answer for this long means that the link went silent.
-const PING_LIMIT: Duration = Duration::from_millis(400);
+///
+/// All calls on the link are lost with it, so packets that only wait on a full link must not look so.
+const PING_LIMIT: Duration = Duration::from_millis(900);
 
 /// Longest answer that is read, in bytes.
 const ANSWER_LIMIT: usize = 96 * 1024 * 1024;
