--- a/crates/anvilrack-node/src/node_process.rs
+++ b/crates/anvilrack-node/src/node_process.rs
@@ -39,6 +39,9 @@
 /// Callers and routers need this long to turn elsewhere, so a stop takes no less.
 const LEAST_STOP: Duration = Duration::from_millis(2_800);
 
+/// Time between the closing of callers' connections and the earliest end.
+const SETTLE_TIME: Duration = Duration::from_millis(400);
+
 /// Time for the last answers to other routers.
 const PART_TIME: Duration = Duration::from_millis(200);
 
@@ -113,7 +116,9 @@
         }
         let hands_over = node.reaches_store() && node.hand_over();
         let busy = node.open_count() > 0 || node.door.load().0 > 0 || hands_over;
-        if passed >= longest || (passed >= LEAST_STOP.min(longest) && !busy) {
+        // Connections that waited when the listener closed may still bring a request.
+        let settled = passed >= LEAST_STOP.min(longest * 3 / 5) + SETTLE_TIME;
+        if passed >= longest || (settled && !busy) {
             break;
         }
     }
