--- a/crates/anvilrack-node/src/guard/target_door.rs
+++ b/crates/anvilrack-node/src/guard/target_door.rs
@@ -1,7 +1,7 @@
 //! The only door to the target beside this router.
 
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use anvilrack_core::{
@@ -19,6 +19,7 @@
 use crate::http_pool::{ConnectionAge, HttpPool, SendFault, within};
 use crate::message_headers;
 use crate::peers::{RunCall, RunReply};
+use crate::state_lock::lock;
 use crate::{AnswerMark, NodeShared, PlatformDialect, RequestId, TargetMark, observe, tell};
 
 /// Longest time for a connection to the target, which stands on the same VM.
@@ -461,7 +462,3 @@
     let spoiled = foreign || unsigned || empty_promise || mark.encoded;
     spoiled.then_some(UncertainReason::AnswerCutShort)
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/anvilrack-node/src/lib.rs
+++ b/crates/anvilrack-node/src/lib.rs
@@ -27,6 +27,7 @@
 mod platform_dialect;
 pub mod routing;
 mod socket_options;
+mod state_lock;
 
 pub use node_process::{accept_loop, run};
 pub use node_settings::{DeploymentTerms, ListenAddresses, NodeSettings, parse_duration};
--- a/crates/anvilrack-node/src/node_shared.rs
+++ b/crates/anvilrack-node/src/node_shared.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeSet, HashMap};
 use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicBool, AtomicIsize, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 
 use anvilrack_core::{
     BootTime, CellMember, CellRecord, CoordinatorState, LeaseTerms, MemberReport, NodeId,
@@ -27,6 +27,7 @@
 use crate::peers::{
     CellUpdate, PeerCall, PeerLinks, PeerPlace, ReaderNews, RecordMark, TargetPlace,
 };
+use crate::state_lock::lock;
 use crate::{KEY_SPACE, KeyNumber, NodeSettings, PlatformDialect, tell};
 
 /// Retries that one router saves up at most, for the limit is shared by the fleet.
@@ -75,8 +76,6 @@
     pub coordinator_news: Notify,
     /// Grants may be due.
     pub grant_news: Notify,
-    /// A grant was confirmed by the target.
-    pub door_news: Notify,
     /// This router's entry may have changed.
     pub entry_news: Notify,
     /// A cell's record, or the directory, has changed.
@@ -125,7 +124,6 @@
             member_news: Notify::new(),
             coordinator_news: Notify::new(),
             grant_news: Notify::new(),
-            door_news: Notify::new(),
             entry_news: Notify::new(),
             route_news: Notify::new(),
             stopping: AtomicBool::new(false),
@@ -755,7 +753,3 @@
         self.member_news.notify_one();
     }
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/anvilrack-node/src/ownership/grant_keeper.rs
+++ b/crates/anvilrack-node/src/ownership/grant_keeper.rs
@@ -1,7 +1,7 @@
 //! The grants as the target beside this router has them.
 
 use std::collections::BTreeMap;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use anvilrack_core::{BootTime, FencingToken, OwnerState, ReleaseReport, ShardId, events};
@@ -15,6 +15,7 @@
 use crate::guard::LifeState;
 use crate::http_pool::{ConnectionAge, SendFault, within};
 use crate::ownership::SHARD_COUNT;
+use crate::state_lock::lock;
 use crate::{GrantOrder, KEY_SPACE, KeyNumber, NodeShared, PlatformDialect, observe, tell};
 
 /// Time between two looks at what has to be renewed.
@@ -206,7 +207,6 @@
             node.grants.settle(shard, |grant| {
                 grant.until = sent_at + hold;
             });
-            node.door_news.notify_waiters();
         }
         Ok(answer) => {
             tell!(
@@ -343,7 +343,3 @@
         handover: None,
     }
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
