Follow a successor that knows less, call moves off in an outage, keep late callers' connections

Versions and tokens of an epoch now begin above any of the former epoch, and a successor asks the routers it reaches for a newer record first. What a write of unknown outcome gives away cannot be served by anyone (log of the failed run: shards 36 to 39, version 15 unknown), so the test's outage begins when nothing moves; a drain during the outage is a new case.

--- a/crates/anvilrack-bench/src/sample_cell.rs
+++ b/crates/anvilrack-bench/src/sample_cell.rs
@@ -5,7 +5,7 @@
 
 use anvilrack_core::{
     CellMember, CellRecord, ConfigDocument, ConfigRecord, CoordinatorState, LeaseTerms,
-    MemberReport, RouteTable, ServiceRules, ShardOwner, WriterStamp,
+    MemberReport, ReportMark, RouteTable, ServiceRules, ShardOwner, WriterStamp,
 };
 
 /// Shards of each member.
@@ -75,6 +75,7 @@
 #[must_use]
 pub fn sample_report(number: u32) -> MemberReport {
     MemberReport {
+        mark: ReportMark::default(),
         member: sample_member(number),
         epoch: 3,
         ready: true,
--- a/crates/anvilrack-core/src/cell_record.rs
+++ b/crates/anvilrack-core/src/cell_record.rs
@@ -67,6 +67,24 @@
             })
     }
 
+    /// The record by which `member` takes the cell over as its coordinator.
+    ///
+    /// Its version and its tokens are above any that the former coordinator can still hand out, so a
+    /// router that knows more of the former's writes than this record does follows it all the same.
+    #[must_use]
+    pub fn next_epoch(&self, member: CellMember, writer: WriterStamp) -> Self {
+        let mut record = self.clone();
+        record.epoch += 1;
+        record.version = (self.version + 1).max(record.epoch * NUMBERS_PER_EPOCH);
+        record.last_token = self.last_token.max(record.epoch * NUMBERS_PER_EPOCH);
+        record.writer = writer;
+        record.coordinator = member.node.clone();
+        record.standbys.retain(|node| *node != member.node);
+        record.members.retain(|known| known.node != member.node);
+        record.members.push(member);
+        record
+    }
+
     /// True where `other` is the very same write, not just an equal one.
     #[must_use]
     pub fn is_same_write(&self, other: &Self) -> bool {
@@ -80,6 +98,11 @@
     }
 }
 
+/// Versions, and tokens, that one coordinator may use up.
+///
+/// At twenty writes a second that is more than a year, and each epoch stays legible in the number.
+const NUMBERS_PER_EPOCH: u64 = 1_000_000_000;
+
 /// One router of a cell.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct CellMember {
--- a/crates/anvilrack-core/src/coordinator_state.rs
+++ b/crates/anvilrack-core/src/coordinator_state.rs
@@ -50,16 +50,28 @@
     /// No lease that this member holds runs longer than this.
     lease_until: BootTime,
     last_heard: BootTime,
+    newest_report: ReportMark,
     /// When an older run of this member was found to be gone.
     replaced_at: BootTime,
     released: BTreeMap<ShardId, ReleaseReport>,
 }
 
+/// Which run of a router made a report, and which of its reports it is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct ReportMark {
+    /// The run of the router, which may differ from the incarnation of the member that it speaks for.
+    pub run: Incarnation,
+    /// Rises with each report of that run.
+    pub number: u64,
+}
+
 /// What a member says in each heartbeat.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct MemberReport {
     /// Who it is.
     pub member: CellMember,
+    /// Tells a report that was overtaken on its way from the newest.
+    pub mark: ReportMark,
     /// The newest epoch it has seen.
     pub epoch: Epoch,
     /// True once its target has announced itself and takes work.
@@ -109,6 +121,9 @@
     pub version: TableVersion,
     /// True where the lease is renewed.
     pub renewed: bool,
+    /// Shards that the member gave back and should serve again: the store is away, and nobody else can
+    /// be given them.
+    pub keep: Vec<ShardId>,
     /// Shards to give back.
     pub release: Vec<ReleaseOrder>,
 }
@@ -188,6 +203,7 @@
             view.lease_until = now + lease;
         }
         let renewed = may_renew && current && !losing;
+        let store_away = now >= self.last_store_contact + self.terms.store_away;
         let owned = &self.record;
         if current {
             self.loads.take(owned, &report.member.node, &report.loads);
@@ -196,12 +212,46 @@
         if renewed {
             view.lease_until = view.lease_until.max(now + lease);
         }
+        // Nothing that it gave back, or gives back now, finds a new owner before the store is back.
+        let keep = if store_away && current && report.ready {
+            self.forget_releases(&report.member.node)
+        } else {
+            Vec::new()
+        };
+        let release = if store_away {
+            Vec::new()
+        } else {
+            self.release_orders(&report.member)
+        };
         RenewalAnswer {
             epoch: self.record.epoch,
             version: self.record.version,
             renewed,
-            release: self.release_orders(&report.member),
+            keep,
+            release,
+        }
+    }
+
+    /// Forgets what a member gave back, and the moves that it did so for; returns those shards.
+    ///
+    /// Nothing that the member reported before leads to a new owner any more. What a write under way
+    /// gives away is not among them, since that may take effect yet.
+    fn forget_releases(&mut self, node: &NodeId) -> Vec<ShardId> {
+        let Some(view) = self.members.get_mut(node) else {
+            return Vec::new();
+        };
+        let (record, pending) = (&self.record, &self.pending);
+        let token = |record: &CellRecord, shard| record.owner(shard).map(|owner| owner.token);
+        let mut kept: Vec<ShardId> = view.released.keys().copied().collect();
+        kept.retain(|shard| {
+            let given_away = |next| token(next, *shard) != token(record, *shard);
+            !pending.as_ref().is_some_and(given_away)
+        });
+        for shard in &kept {
+            view.released.remove(shard);
+            self.moves.remove(shard);
         }
+        kept
     }
 
     /// True while a write under way takes a shard from this member that it has not given back.
@@ -459,7 +509,8 @@
             .policy
             .place(&self.record, &eligible, &free, &self.loads);
         for (shard, node) in &mut placed {
-            if let Some(successor) = self.moves.get(shard).filter(|n| eligible.contains(n)) {
+            let planned = self.moves.get(shard).filter(|n| eligible.contains(n));
+            if let Some(successor) = self.record_keeper(*shard, now).or(planned) {
                 *node = successor.clone();
             }
         }
@@ -513,6 +564,18 @@
         (report.token == owner.token).then_some(report)
     }
 
+    /// The member that has taken the at-most-once record of a shard that was given back, if it lives.
+    ///
+    /// It may have begun to leave since, or another coordinator may have planned the move. It gets the
+    /// shard all the same, and hands the record on when the shard leaves it.
+    fn record_keeper(&self, shard: ShardId, now: BootTime) -> Option<&NodeId> {
+        let (node, incarnation) = self.release_of(shard)?.record_at.as_ref()?;
+        let view = self.members.get(node)?;
+        let same_run = view.member.as_ref()?.incarnation == *incarnation;
+        let lives = view.ready && !view.unreachable && now < view.lease_until;
+        (same_run && lives).then_some(node)
+    }
+
     /// True where no earlier owner of the shard can still be serving it.
     fn is_free(&self, shard: ShardId, rules: &ServiceRules, now: BootTime) -> bool {
         let Some(owner) = self.record.owner(shard) else {
@@ -581,23 +644,6 @@
         self.superseded
     }
 
-    /// Forgets what a member gave back, and the moves that it did so for, while no write is under way.
-    ///
-    /// The member may be told then to serve those shards again: nothing that it reported before leads
-    /// to a new owner any more. Returns false where a write may still give them away.
-    pub fn forget_releases(&mut self, node: &NodeId) -> bool {
-        if self.pending.is_some() {
-            return false;
-        }
-        let Some(view) = self.members.get_mut(node) else {
-            return false;
-        };
-        for shard in std::mem::take(&mut view.released).into_keys() {
-            self.moves.remove(&shard);
-        }
-        true
-    }
-
     /// Members of the record that have not been heard from for `silence`, without the coordinator.
     pub fn silent_members(
         &self,
@@ -628,17 +674,25 @@
             confirmed: false,
             lease_until: now + wait,
             last_heard: BootTime::ZERO,
+            newest_report: ReportMark::default(),
             replaced_at: BootTime::ZERO,
             released: BTreeMap::new(),
         }
     }
 
-    /// Takes what a member says of itself; false where an older run is speaking.
+    /// Takes what a member says of itself; false where an older run is speaking, or where a later
+    /// report has come first: it may have given back since what it holds by now, or the reverse.
     fn take_report(&mut self, report: &MemberReport, now: BootTime) -> bool {
         let known = self.member.as_ref().map(|member| member.incarnation);
         if known.is_some_and(|known| report.member.incarnation < known) {
             return false;
         }
+        // Another run counts whatever its number is: the time of day may have been put back.
+        let newest = self.newest_report;
+        if report.mark.run == newest.run && report.mark.number < newest.number {
+            return false;
+        }
+        self.newest_report = report.mark;
         if known != Some(report.member.incarnation) {
             self.replaced_at = now;
         }
--- a/crates/anvilrack-core/src/event_catalogue.rs
+++ b/crates/anvilrack-core/src/event_catalogue.rs
@@ -49,6 +49,7 @@
     TARGET_TOLD = 1205, "target.told", "The target was told of grants and releases; says how many.";
     GRANT_UNANSWERED = 1206, "grant.unanswered", "The target did not answer a grant or release, which may still take effect.";
     GRANT_REFUSED = 1207, "grant.refused", "The target refused a grant; says its status and the token.";
+    SHARD_KEPT = 1208, "shard.kept", "A shard that was given back is served again: the store is away, so nobody else can have it.";
     CELL_CREATED = 1301, "cell.created", "This router created its cell and coordinates it.";
     CELL_TAKEN_OVER = 1302, "cell.taken-over", "This router took its cell over.";
     CELL_SUPERSEDED = 1303, "cell.superseded", "Another router took the cell over; this one stands down.";
--- a/crates/anvilrack-core/src/lease_terms.rs
+++ b/crates/anvilrack-core/src/lease_terms.rs
@@ -21,6 +21,10 @@
     pub takeover_after: Duration,
     /// How long a coordinator may live on promises alone.
     pub outage_limit: Duration,
+    /// A store that has not answered for so long counts as away, and nothing moves until it is back.
+    ///
+    /// A coordinator reads its record more often than that, from a store that is merely slow too.
+    pub store_away: Duration,
 }
 
 impl Default for LeaseTerms {
@@ -33,6 +37,7 @@
             promise: Duration::from_millis(700),
             takeover_after: Duration::from_millis(600),
             outage_limit: Duration::from_hours(24),
+            store_away: Duration::from_millis(1_400),
         }
     }
 }
--- a/crates/anvilrack-core/src/lib.rs
+++ b/crates/anvilrack-core/src/lib.rs
@@ -48,7 +48,7 @@
 pub use cell_record::{CellMember, CellRecord, ShardOwner, WriterStamp};
 pub use clock::BootTime;
 pub use coordinator_state::{
-    CoordinatorState, MemberReport, ReleaseOrder, ReleaseReport, RenewalAnswer,
+    CoordinatorState, MemberReport, ReleaseOrder, ReleaseReport, RenewalAnswer, ReportMark,
 };
 pub use crash_quarantine::{CrashId, CrashMark, CrashQuarantine, CrashReport, RequestPrint};
 pub use event_catalogue::{EVENT_CATALOGUE, LogEvent, events};
--- a/crates/anvilrack-core/src/request_verdict.rs
+++ b/crates/anvilrack-core/src/request_verdict.rs
@@ -30,6 +30,16 @@
         }
     }
 
+    /// Why it is not "ran", as a word for logs; empty where it ran.
+    #[must_use]
+    pub fn reason_word(&self) -> &'static str {
+        match self {
+            Self::Ran(_) => "",
+            Self::NotRun(reason, ..) => reason.word(),
+            Self::MayHaveRun(reason) => reason.word(),
+        }
+    }
+
     /// The verdict for a request of which an earlier try may have run: it is not told as not run
     /// any more.
     #[must_use]
--- a/crates/anvilrack-core/tests/common/mod.rs
+++ b/crates/anvilrack-core/tests/common/mod.rs
@@ -14,6 +14,7 @@
         promise: Duration::from_millis(1_200),
         takeover_after: Duration::from_millis(700),
         outage_limit: Duration::from_hours(24),
+        store_away: Duration::from_millis(1_500),
     }
 }
 
--- a/crates/anvilrack-core/tests/coordinator_state.rs
+++ b/crates/anvilrack-core/tests/coordinator_state.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use anvilrack_core::{
-    BootTime, CellRecord, CoordinatorState, Incarnation, MemberReport, ReleaseReport, RequestClass,
-    ServiceRules, ShardOwner, WriterStamp,
+    BootTime, CellRecord, CoordinatorState, Incarnation, MemberReport, ReleaseReport, ReportMark,
+    RequestClass, ServiceRules, ShardOwner, WriterStamp,
 };
 
 mod common;
@@ -30,6 +30,7 @@
 
 fn report(node: &str, incarnation: Incarnation) -> MemberReport {
     MemberReport {
+        mark: ReportMark::default(),
         member: member(node, incarnation),
         epoch: EPOCH,
         ready: true,
@@ -106,11 +107,12 @@
 }
 
 coordinator_cases! {
-    forgotten_release_gives_nothing_away => {
+    release_is_forgotten_while_the_store_is_away => {
         let mut office = owned_by_b();
-        office.on_heartbeat(&released_by_b(), ms(1_000));
-        assert!(office.forget_releases(&"b".into()));
-        let planned = office.plan(&rules(), 0, ms(1_050));
+        let answered_lately = office.on_heartbeat(&released_by_b(), ms(1_000));
+        assert!(answered_lately.keep.is_empty());
+        assert_eq!(office.on_heartbeat(&released_by_b(), ms(1_500)).keep, [0]);
+        let planned = office.plan(&rules(), 0, ms(1_550));
         let owner = planned.as_ref().unwrap_or(office.record()).owner(0).cloned();
         assert_eq!(owner.map(|owner| (owner.node, owner.token)), Some(("b".into(), 1)));
     }
@@ -121,7 +123,54 @@
         let planned = office.plan(&rules(), 0, ms(1_050)).expect("the shard is given away");
         assert_eq!(planned.owner(0).map(|owner| owner.token), Some(2));
         // The write may take effect yet, so its old owner must not serve again.
-        assert!(!office.forget_releases(&"b".into()));
+        assert!(office.on_heartbeat(&released_by_b(), ms(1_500)).keep.is_empty());
+    }
+
+    overtaken_report_gives_nothing_away => {
+        let mut office = owned_by_b();
+        let numbered = |report: MemberReport, number| MemberReport {
+            mark: ReportMark { run: 1, number },
+            ..report
+        };
+        office.on_heartbeat(&numbered(report("b", 1), 8), ms(1_000));
+        let late = office.on_heartbeat(&numbered(released_by_b(), 7), ms(1_010));
+        assert!(!late.renewed && late.keep.is_empty());
+        let planned = office.plan(&rules(), 0, ms(1_050));
+        let owner = planned.as_ref().unwrap_or(office.record()).owner(0).cloned();
+        assert_eq!(owner.map(|owner| (owner.node, owner.token)), Some(("b".into(), 1)));
+    }
+
+    shard_follows_its_record_to_a_member_that_leaves => {
+        let mut office = owned_by_b();
+        let mut leaving = report("c", 1);
+        leaving.member.leaving = true;
+        office.on_heartbeat(&leaving, ms(950));
+        let mut released = released_by_b();
+        released.released[0].record_at = Some(("c".into(), 1));
+        office.on_heartbeat(&released, ms(1_000));
+        let planned = office.plan(&rules(), 0, ms(1_050)).expect("the shard is given away");
+        let owner = planned.owner(0).expect("it has an owner");
+        assert_eq!((&*owner.node, owner.record_lost), ("c", false));
+    }
+
+    shard_does_not_follow_its_record_to_a_former_run => {
+        let mut office = owned_by_b();
+        office.on_heartbeat(&report("c", 2), ms(950));
+        let mut released = released_by_b();
+        released.released[0].record_at = Some(("c".into(), 1));
+        office.on_heartbeat(&released, ms(1_000));
+        let planned = office.plan(&rules(), 0, ms(1_050)).expect("the shard is given away");
+        assert!(planned.owner(0).is_some_and(|owner| owner.record_lost));
+    }
+
+    another_run_is_heard_whatever_its_number => {
+        let mut office = owned_by_b();
+        let numbered = |run, number| MemberReport {
+            mark: ReportMark { run, number },
+            ..report("b", 1)
+        };
+        assert!(office.on_heartbeat(&numbered(1, 8), ms(1_000)).renewed);
+        assert!(office.on_heartbeat(&numbered(2, 0), ms(1_010)).renewed);
     }
 
     member_is_silent_until_it_is_heard => {
--- a/crates/anvilrack-core/tests/member_reach.rs
+++ b/crates/anvilrack-core/tests/member_reach.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use anvilrack_core::{
-    BootTime, CellMember, CellRecord, CoordinatorState, LeaseTerms, MemberReport, ServiceRules,
+    BootTime, CellMember, CellRecord, CoordinatorState, LeaseTerms, MemberReport, ReportMark,
+    ServiceRules,
 };
 
 const NOW: BootTime = Duration::from_secs(100);
@@ -63,6 +64,7 @@
 
 fn report(node: &str) -> MemberReport {
     MemberReport {
+        mark: ReportMark::default(),
         member: CellMember {
             node: node.into(),
             incarnation: 1,
--- a/crates/anvilrack-core/tests/placement_load.rs
+++ b/crates/anvilrack-core/tests/placement_load.rs
@@ -5,8 +5,8 @@
 
 use anvilrack_core::{
     BootTime, CellMember, CellRecord, CoordinatorState, LeaseTerms, LoadView, MemberReport, NodeId,
-    PlacementPolicy, PlacementView, PlacementWeights, ServiceRules, ShardLoad, ShardMeter,
-    ShardOwner,
+    PlacementPolicy, PlacementView, PlacementWeights, ReportMark, ServiceRules, ShardLoad,
+    ShardMeter, ShardOwner,
 };
 
 const MEMBERS: u32 = 6;
@@ -174,6 +174,7 @@
     let mut state = CoordinatorState::new(record, LeaseTerms::default(), now, now, now);
     for index in 0..MEMBERS {
         let report = MemberReport {
+            mark: ReportMark::default(),
             member: member(index),
             epoch: 0,
             ready: true,
--- a/crates/anvilrack-harness/src/deployment.rs
+++ b/crates/anvilrack-harness/src/deployment.rs
@@ -19,6 +19,9 @@
 /// Time between two looks.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
 
+/// Time for the store's stand-in to answer, which takes milliseconds on a quiet machine.
+const STORE_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// What to start.
 #[derive(Clone, Debug)]
 pub struct DeploymentPlan {
@@ -267,10 +270,17 @@
             "document": self.plan.config,
         });
         let url = format!("http://{}/v1/kv/anvilrack/config?cas=0", self.store_address);
-        await_true("the store", || {
-            let put = attohttpc::put(&url).text(record.to_string()).send();
-            Ok(put.is_ok_and(|answer| answer.is_success()))
-        })
+        let applied = await_true("the store", || {
+            let put = attohttpc::put(&url).timeout(STORE_TIMEOUT);
+            let put = put.text(record.to_string()).send();
+            if put.is_ok_and(|answer| answer.is_success()) {
+                return Ok(true);
+            }
+            // A try whose answer was lost may have been the one that wrote it.
+            let found = attohttpc::get(&url).timeout(STORE_TIMEOUT).send();
+            Ok(found.is_ok_and(|answer| answer.is_success()))
+        });
+        applied.wrap_err_with(|| format!("the store's log: {:?}", self.store.log()))
     }
 
     /// Where other routers reach a router.
@@ -305,6 +315,18 @@
         })
     }
 
+    /// Waits until no shard of the first router's cell is on its way to another owner.
+    ///
+    /// # Errors
+    ///
+    /// Where that takes too long.
+    pub fn await_still(&self) -> eyre::Result<()> {
+        await_true("a cell without moves", || {
+            let coordinator = self.coordinator(0)?;
+            Ok(self.status(coordinator)?["moving_shards"] == 0)
+        })
+    }
+
     /// A router's status.
     ///
     /// # Errors
--- a/crates/anvilrack-harness/tests/ownership_store.rs
+++ b/crates/anvilrack-harness/tests/ownership_store.rs
@@ -76,12 +76,16 @@
 }
 
 /// What is owned stays owned and served while the store is away.
+///
+/// A shard whose next owner is being written when the store goes away has none until it is back:
+/// nobody can tell whether the write took effect. So the outage begins when nothing moves.
 #[test]
 fn owned_keys_stay_served_while_the_store_is_down() {
     let mut trial = FailureTrial::new(ROUTERS)
         .unwrap()
         .with_load(Duration::from_secs(8));
     let deployment = &mut trial.deployment;
+    deployment.await_still().unwrap();
     deployment.set_store_faults(down()).unwrap();
     thread::sleep(Duration::from_secs(3));
     let report = trial.run(|_| Ok(())).unwrap();
@@ -92,6 +96,22 @@
     );
 }
 
+/// A drain that begins in an outage waits for its end: nobody else could be given the shards.
+#[test]
+fn drain_waits_while_the_store_is_down() {
+    let mut trial = FailureTrial::new(ROUTERS).unwrap();
+    let deployment = &mut trial.deployment;
+    deployment.await_still().unwrap();
+    deployment.set_store_faults(down()).unwrap();
+    thread::sleep(Duration::from_secs(2));
+    let owner = deployment.plain_owner().unwrap();
+    deployment.drain(owner).unwrap();
+    let report = trial.run(|_| Ok(())).unwrap();
+    assert!(report.ran * 100 >= report.sent * 95, "{report}");
+    let status = trial.deployment.status(owner).unwrap();
+    assert!(status["held_shards"].as_u64() > Some(0), "{status}");
+}
+
 fn outage(deployment: &mut Deployment, faults: StoreFaults) -> eyre::Result<()> {
     deployment.set_store_faults(faults)?;
     thread::sleep(OUTAGE);
--- a/crates/anvilrack-model/src/dropped_rule.rs
+++ b/crates/anvilrack-model/src/dropped_rule.rs
@@ -42,13 +42,19 @@
     OutsiderWait,
     /// A takeover starts from the newer of the known and the stored record.
     TakeoverFromNewer,
+    /// A successor asks the routers that it reaches for a newer record than its own and the stored one.
+    TakeoverAsksOthers,
+    /// An owner serves again what it gave back only when its coordinator has forgotten that.
+    TakeBackWhenTold,
+    /// A coordinator takes no report that a later one has overtaken.
+    RefuseLateReports,
     /// A shard whose target checks no fences stays reserved until the last deadline.
     WaitForDeadline,
 }
 
 impl DroppedRule {
     /// All rules.
-    pub const ALL: [Self; 18] = [
+    pub const ALL: [Self; 21] = [
         Self::RenewWithAuthority,
         Self::NoRenewalWhileLosing,
         Self::KeepPendingWrite,
@@ -66,6 +72,9 @@
         Self::DriftMargin,
         Self::OutsiderWait,
         Self::TakeoverFromNewer,
+        Self::TakeoverAsksOthers,
+        Self::TakeBackWhenTold,
+        Self::RefuseLateReports,
         Self::WaitForDeadline,
     ];
 
@@ -75,6 +84,8 @@
         match self {
             // Counted from the sending, a late renewal of an older epoch has ended anyway.
             Self::RefuseOlderEpoch => Some(Self::LeaseFromSending),
+            // The others know what the successor itself knew.
+            Self::TakeoverFromNewer => Some(Self::TakeoverAsksOthers),
             _ => None,
         }
     }
@@ -158,6 +169,13 @@
             Self::DriftMargin => (&[Act(A::ClockSlip(2))], &[F::Partition], 2),
             Self::OutsiderWait => (&[Act(A::Pause(1)), Ticks(14), Act(OWNER_WITH_OLD)], &[], 2),
             Self::TakeoverFromNewer => (&[Act(A::Drain(2)), Ticks(4)], &[F::Pause, F::Restore], 3),
+            Self::TakeBackWhenTold => (&[Act(A::Drain(2))], &[F::Partition], 2),
+            Self::TakeoverAsksOthers => (&[Act(A::Pause(2)), Ticks(4)], &[F::Restore], 2),
+            Self::RefuseLateReports => (
+                &[Act(A::Drain(2)), Ticks(1)],
+                &[F::Partition, F::LateMessage],
+                3,
+            ),
             Self::WaitForDeadline => (&[Act(OWNER_ALONE)], &[F::Request], 2),
         }
     }
--- a/crates/anvilrack-model/src/model_terms.rs
+++ b/crates/anvilrack-model/src/model_terms.rs
@@ -28,6 +28,7 @@
         promise: ticks(4),
         takeover_after: ticks(2),
         outage_limit: ticks(12),
+        store_away: ticks(2),
     }
 }
 
--- a/crates/anvilrack-model/src/property_check.rs
+++ b/crates/anvilrack-model/src/property_check.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use anvilrack_core::CellRecord;
+use anvilrack_core::{CellRecord, FencingToken};
 
 use crate::NODE_COUNT;
 use crate::system_state::SystemState;
@@ -40,7 +40,9 @@
     let newer = record.version > told.version;
     let later = record.epoch > told.epoch;
     let same = record.version == told.version && record.is_same_write(told);
-    let broken = if later && !newer || newer && record.last_token < told.last_token {
+    let forgets =
+        (0..told.shards.len()).any(|shard| token_of(record, shard) < token_of(told, shard));
+    let broken = if later && !newer || newer && (forgets || record.last_token < told.last_token) {
         Some(BrokenProperty::AssignmentLost)
     } else if record.version == told.version && !same || newer && record.epoch < told.epoch {
         Some(BrokenProperty::RecordsDiverge)
@@ -52,3 +54,8 @@
     }
     state.broken = state.broken.or(broken);
 }
+
+fn token_of(record: &CellRecord, shard: usize) -> Option<FencingToken> {
+    let owner = record.shards.get(shard)?.as_ref()?;
+    Some(owner.token)
+}
--- a/crates/anvilrack-model/src/router_model.rs
+++ b/crates/anvilrack-model/src/router_model.rs
@@ -4,7 +4,7 @@
 
 use anvilrack_core::{
     BootTime, CellMember, CellRecord, CoordinatorState, Incarnation, LeaseTerms, MemberReport,
-    NodeId, OwnerState, ReleaseReport, RenewalAnswer, ShardId, StandbyState,
+    NodeId, OwnerState, ReleaseReport, RenewalAnswer, ReportMark, ShardId, StandbyState,
 };
 
 /// One run of a router.
@@ -93,11 +93,15 @@
         }
     }
 
-    /// What this router says in a heartbeat; the first router has no target.
+    /// What this router says in a heartbeat at the time `now`; the first router has no target.
     #[must_use]
-    pub fn report(&self) -> MemberReport {
+    pub fn report(&self, now: BootTime) -> MemberReport {
         MemberReport {
             member: self.member(),
+            mark: ReportMark {
+                run: self.incarnation,
+                number: u64::try_from(now.as_millis()).unwrap_or(u64::MAX),
+            },
             epoch: self.owner.epoch(),
             sick: false,
             loads: Vec::new(),
@@ -114,6 +118,18 @@
         }
     }
 
+    /// Serves a shard again that was given back.
+    pub(crate) fn take_back(&mut self, shard: ShardId) {
+        let place = self
+            .released
+            .iter()
+            .position(|report| report.shard == shard);
+        if let Some(place) = place {
+            let report = self.released.remove(place);
+            self.owner.take_back(report.shard, report.token);
+        }
+    }
+
     pub(crate) fn on_answer(&mut self, now: BootTime) {
         self.standby.on_answer(now);
         if let Some(unbound) = &mut self.unbound {
--- a/crates/anvilrack-model/src/system_steps.rs
+++ b/crates/anvilrack-model/src/system_steps.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use anvilrack_core::{
-    BootTime, CellRecord, CoordinatorState, MemberReport, ReleaseReport, RenewalAnswer,
+    BootTime, CellRecord, CoordinatorState, MemberReport, ReleaseReport, RenewalAnswer, ReportMark,
     StandbyState, TakeoverStep, WriterStamp,
 };
 
@@ -166,7 +166,7 @@
     fn beat(&mut self, rank: usize) {
         self.end_releases(rank);
         let sent_at = self.state.clock(rank);
-        let report = self.state.routers[rank].report();
+        let report = self.report(rank);
         let to = self.coordinator_of(rank);
         let answer = to
             .filter(|to| self.can_call(rank, *to))
@@ -177,6 +177,14 @@
         }
     }
 
+    fn report(&self, rank: usize) -> MemberReport {
+        let mut report = self.state.routers[rank].report(self.state.clock(rank));
+        if self.setup.drops(DroppedRule::RefuseLateReports) {
+            report.mark = ReportMark::default();
+        }
+        report
+    }
+
     fn learn_cell(&mut self, rank: usize) {
         if self.state.reaches(rank, STORE_BIT) {
             let stored = self.state.store.record.clone();
@@ -230,6 +238,14 @@
                 .owner
                 .on_renewal(from, answer.epoch.max(own_epoch), version);
         }
+        let untold = self.setup.drops(DroppedRule::TakeBackWhenTold);
+        let router = self.router(rank);
+        let keep = if untold { vec![0] } else { answer.keep };
+        if router.owner.epoch() == answer.epoch {
+            for shard in keep {
+                router.take_back(shard);
+            }
+        }
         let orders = answer.release.into_iter();
         router.orders = orders.map(|order| order.shard).collect();
     }
@@ -262,7 +278,7 @@
 
     pub(crate) fn send_late(&mut self, rank: usize) {
         let sent_at = self.state.clock(rank);
-        let report = self.state.routers[rank].report();
+        let report = self.report(rank);
         let to = self.coordinator_of(rank);
         self.router(rank).late = to.map(|to| LateMessage::Request {
             sent_at,
@@ -273,7 +289,7 @@
 
     pub(crate) fn answer_late(&mut self, rank: usize) {
         let sent_at = self.state.clock(rank);
-        let report = self.state.routers[rank].report();
+        let report = self.report(rank);
         let to = self.coordinator_of(rank);
         let answer = to
             .filter(|to| self.can_call(rank, *to))
@@ -365,12 +381,14 @@
             return;
         }
         let from_stored = self.setup.drops(DroppedRule::TakeoverFromNewer);
-        let newer = if stored.version < known.version && !from_stored {
-            &known
-        } else {
-            &stored
-        };
-        let record = Arc::new(next_epoch(&self.state.routers[rank], newer));
+        let asks = !self.setup.drops(DroppedRule::TakeoverAsksOthers);
+        let others = (0..NODE_COUNT).filter(|to| asks && *to != rank && self.can_call(rank, *to));
+        let told = others.map(|to| self.state.routers[to].known.clone());
+        let own = (!from_stored).then_some(known);
+        let newer = told.chain(own).filter(|told| told.version > stored.version);
+        let newer = newer.max_by_key(|told| told.version).unwrap_or(stored);
+        let successor = &self.state.routers[rank];
+        let record = Arc::new(newer.next_epoch(successor.member(), stamp(successor)));
         let open = OpenTakeover {
             record,
             index,
@@ -439,7 +457,7 @@
             return;
         }
         self.router(to).on_answer(now);
-        let report = self.state.routers[to].report();
+        let report = self.report(to);
         let now = self.state.clock(rank);
         if let Some(office) = self.router(rank).coordinator.as_mut() {
             office.on_heartbeat(&report, now);
@@ -542,18 +560,6 @@
     }
 }
 
-fn next_epoch(router: &RouterModel, older: &CellRecord) -> CellRecord {
-    let mut record = older.clone();
-    record.epoch += 1;
-    record.version += 1;
-    record.writer = stamp(router);
-    record.coordinator = router.node.clone();
-    record.standbys.retain(|node| *node != router.node);
-    record.members.retain(|member| member.node != router.node);
-    record.members.push(router.member());
-    record
-}
-
 fn stamp(router: &RouterModel) -> WriterStamp {
     WriterStamp {
         node: router.node.clone(),
--- a/crates/anvilrack-model/tests/rule_mutants.rs
+++ b/crates/anvilrack-model/tests/rule_mutants.rs
@@ -51,5 +51,8 @@
     drift_margin: DriftMargin => TwoOwners;
     outsider_wait: OutsiderWait => TwoOwners;
     takeover_from_newer: TakeoverFromNewer => AssignmentLost;
+    takeover_asks_others: TakeoverAsksOthers => AssignmentLost;
+    take_back_when_told: TakeBackWhenTold => TwoOwners;
+    refuse_late_reports: RefuseLateReports => TwoOwners;
     wait_for_deadline: WaitForDeadline => TwoOwners;
 }
--- a/crates/anvilrack-model/tests/sound_model.rs
+++ b/crates/anvilrack-model/tests/sound_model.rs
@@ -33,6 +33,8 @@
     ], 30, 1, true;
     pause_and_lost_reply: [Pause, StoreReply], 12, 2, false;
     drain_and_restore: [Drain, Restore], 14, 2, false;
+    drain_and_partition: [Drain, Partition], 9, 2, false;
+    pause_and_restore: [Pause, Restore], 14, 2, false;
 }
 
 /// A standby that restarts is named again; the promise of its former run must count no longer.
--- a/crates/anvilrack-node/src/callers/caller_connection.rs
+++ b/crates/anvilrack-node/src/callers/caller_connection.rs
@@ -1,6 +1,5 @@
 //! Callers' connections.
 
-use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -46,19 +45,13 @@
     let limits = node.site().map(|site| site.limits).unwrap_or_default();
     let room = (limits.head_bytes + HEAD_SLACK).max(LEAST_HEAD_ROOM);
     let service = service_fn(|request| caller_request::answer(request, &node));
-    let connection = http1::Builder::new()
+    let mut builder = http1::Builder::new();
+    builder
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout + IDLE_MARGIN)
-        .max_buf_size(room)
-        .serve_connection(TokioIo::new(stream), service);
-    let mut connection = pin!(connection);
-    let ended = tokio::select! {
-        ended = connection.as_mut() => ended,
-        () = node.closed() => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
-    };
+        .max_buf_size(room);
+    let io = TokioIo::new(stream);
+    let ended = accept_drain::serve_until_closed(&builder, io, service, node.closed()).await;
     if let Err(error) = ended {
         log::debug!("connection of a caller ended: {error}");
     }
--- a/crates/anvilrack-node/src/node_shared.rs
+++ b/crates/anvilrack-node/src/node_shared.rs
@@ -7,8 +7,8 @@
 
 use anvilrack_core::{
     BootTime, CellMember, CellRecord, CoordinatorState, LeaseTerms, MemberReport, NodeId,
-    OwnerState, RecordDelta, RetryBudget, ServiceName, ShardId, SiteRoutes, StandbyState,
-    TargetChoice, events,
+    OwnerState, RecordDelta, ReportMark, RetryBudget, ServiceName, ShardId, SiteRoutes,
+    StandbyState, TargetChoice, events,
 };
 use anvilrack_router::boot_clock;
 use bytes::Bytes;
@@ -94,8 +94,7 @@
     directory: Mutex<DirectoryView>,
     cells: Mutex<HashMap<ServiceName, Arc<CellRecord>>>,
     last_step: Mutex<Option<RecordDelta>>,
-    beat_count: AtomicU64,
-    newest_beats: Mutex<HashMap<NodeId, (u64, u64)>>,
+    report_count: AtomicU64,
     store_seen_at: Mutex<BootTime>,
     choices: Mutex<HashMap<ServiceName, TargetChoice>>,
     budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
@@ -139,8 +138,7 @@
             directory: Mutex::default(),
             cells: Mutex::default(),
             last_step: Mutex::default(),
-            beat_count: AtomicU64::new(0),
-            newest_beats: Mutex::default(),
+            report_count: AtomicU64::new(0),
             store_seen_at: Mutex::default(),
             choices: Mutex::default(),
             budgets: Mutex::default(),
@@ -657,6 +655,10 @@
         Some(MemberReport {
             ready: !member.leaving,
             member,
+            mark: ReportMark {
+                run: self.run,
+                number: self.report_count.fetch_add(1, Ordering::Relaxed),
+            },
             epoch: self.owner().epoch(),
             released: self.grants.released(),
             sick: false,
@@ -665,24 +667,6 @@
         })
     }
 
-    /// Numbers this router's next heartbeat.
-    pub fn next_beat(&self) -> (u64, u64) {
-        (self.run, self.beat_count.fetch_add(1, Ordering::Relaxed))
-    }
-
-    /// True where no later heartbeat of that member has come; a late one speaks of what may have
-    /// changed since.
-    pub fn is_newest_beat(&self, node: &NodeId, sequence: (u64, u64)) -> bool {
-        let mut newest = lock(&self.newest_beats);
-        let last = newest.entry(node.clone()).or_default();
-        // Another run counts whatever its number is: the time of day may have been put back.
-        let late = sequence.0 == last.0 && sequence.1 < last.1;
-        if !late {
-            *last = sequence;
-        }
-        !late
-    }
-
     /// What the previous owner of a shard handed over.
     #[must_use]
     pub fn handover_of(&self, shard: ShardId) -> Option<Arc<str>> {
--- a/crates/anvilrack-node/src/ownership/cell_calls.rs
+++ b/crates/anvilrack-node/src/ownership/cell_calls.rs
@@ -14,9 +14,6 @@
 /// Time for the store to show that it answers; well below the time for a call between routers.
 const STORE_PROBE: Duration = Duration::from_millis(250);
 
-/// A store that has not answered for so long is away: the record is read more often than that.
-const STORE_AWAY: Duration = Duration::from_millis(900);
-
 /// Answers a call about a cell.
 pub fn answer<D: PlatformDialect>(node: &Arc<NodeShared<D>>, call: PeerCall) -> PeerReply {
     let now = boot_clock::now();
@@ -57,15 +54,7 @@
     if state.record().service != beat.service || state.is_superseded() {
         return None;
     }
-    if !node.is_newest_beat(&beat.report.member.node, beat.sequence) {
-        return None;
-    }
-    let mut answer = state.on_heartbeat(&beat.report, now);
-    let store_away = now > state.last_store_contact() + STORE_AWAY;
-    let keep = store_away && beat.report.ready && state.forget_releases(&beat.report.member.node);
-    if store_away {
-        answer.release.clear();
-    }
+    let answer = state.on_heartbeat(&beat.report, now);
     let record = state.record();
     let update =
         (beat.known < RecordMark::new(record)).then(|| node.update_from(beat.known, record));
@@ -73,11 +62,7 @@
     if !beat.report.released.is_empty() {
         node.coordinator_news.notify_one();
     }
-    Some(Box::new(BeatReply {
-        answer,
-        keep,
-        update,
-    }))
+    Some(Box::new(BeatReply { answer, update }))
 }
 
 /// Takes the office over if this router is a standby and reaches the store right now.
--- a/crates/anvilrack-node/src/ownership/cell_takeover.rs
+++ b/crates/anvilrack-node/src/ownership/cell_takeover.rs
@@ -72,9 +72,10 @@
     if outsider && !named_are_silent(node, &record).await {
         return;
     }
-    let Some(next) = next_epoch(node, &record) else {
+    let Some(member) = node.member() else {
         return;
     };
+    let next = record.next_epoch(member, stamp(node));
     let silent_wait = if outsider {
         node.lease_terms.outage_limit + node.lease_terms.silent_wait()
     } else {
@@ -111,20 +112,6 @@
     answers.iter().all(Result::is_err)
 }
 
-fn next_epoch<D: PlatformDialect>(node: &NodeShared<D>, base: &CellRecord) -> Option<CellRecord> {
-    let own = &node.settings.node;
-    let member = node.member()?;
-    let mut record = base.clone();
-    record.epoch += 1;
-    record.version += 1;
-    record.writer = stamp(node);
-    record.coordinator = own.clone();
-    record.standbys.retain(|name| name != own);
-    record.members.retain(|known| known.node != *own);
-    record.members.push(member);
-    Some(record)
-}
-
 fn take_office<D: PlatformDialect>(
     node: &Arc<NodeShared<D>>,
     record: CellRecord,
--- a/crates/anvilrack-node/src/ownership/member_role.rs
+++ b/crates/anvilrack-node/src/ownership/member_role.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anvilrack_core::{CellRecord, Epoch, TakeoverStep, events};
+use anvilrack_core::{CellRecord, Epoch, ShardId, TakeoverStep, events};
 use anvilrack_router::boot_clock;
 
 use crate::guard::LifeState;
@@ -55,7 +55,6 @@
     };
     let beat = MemberBeat {
         service: cell.service.clone(),
-        sequence: node.next_beat(),
         report,
         known: RecordMark::new(cell),
     };
@@ -74,9 +73,7 @@
         node.grant_news.notify_one();
     }
     node.grants.forget_taken(&node.owner());
-    if reply.keep {
-        serve_again(node, answer.epoch);
-    }
+    serve_again(node, answer.epoch, &answer.keep);
     for order in answer.release {
         let held = node.owner().held().any(|(shard, _)| shard == order.shard);
         if held {
@@ -87,18 +84,25 @@
 }
 
 /// Serves what was given back again, unless another coordinator has taken over since.
-fn serve_again<D: PlatformDialect>(node: &Arc<NodeShared<D>>, epoch: Epoch) {
+fn serve_again<D: PlatformDialect>(node: &NodeShared<D>, epoch: Epoch, keep: &[ShardId]) {
     let serving = node
         .door
         .life()
         .is_some_and(|l| l.state == LifeState::Serving);
     let mut owner = node.owner();
-    if owner.epoch() != epoch || node.is_stopping() || !serving {
+    if keep.is_empty() || owner.epoch() != epoch || node.is_stopping() || !serving {
         return;
     }
-    for report in node.grants.released() {
+    let released = node.grants.released().into_iter();
+    for report in released.filter(|report| keep.contains(&report.shard)) {
         if owner.take_back(report.shard, report.token) {
             node.grants.withdraw(report.shard);
+            tell!(
+                Info,
+                events::SHARD_KEPT,
+                shard = report.shard,
+                epoch = epoch
+            );
         }
     }
     drop(owner);
--- a/crates/anvilrack-node/src/ownership/mod.rs
+++ b/crates/anvilrack-node/src/ownership/mod.rs
@@ -43,5 +43,6 @@
         promise: Duration::from_millis(1_500),
         takeover_after: Duration::from_millis(1_600),
         outage_limit: Duration::from_mins(1),
+        store_away: Duration::from_millis(900),
     }
 }
--- a/crates/anvilrack-node/src/peers/peer_message.rs
+++ b/crates/anvilrack-node/src/peers/peer_message.rs
@@ -126,8 +126,6 @@
 pub struct MemberBeat {
     /// The cell.
     pub service: ServiceName,
-    /// Which run of the router, and which of its heartbeats; a late one counts no more.
-    pub sequence: (u64, u64),
     /// What the member says of itself.
     pub report: MemberReport,
     /// The record that it has.
@@ -139,9 +137,6 @@
 pub struct BeatReply {
     /// About the lease, and what to release.
     pub answer: RenewalAnswer,
-    /// True where the member should serve again what it gave back: the store is away, and nobody else
-    /// can be given it.
-    pub keep: bool,
     /// A newer record than the member's.
     pub update: Option<CellUpdate>,
 }
--- a/crates/anvilrack-router/src/callers_port.rs
+++ b/crates/anvilrack-router/src/callers_port.rs
@@ -10,7 +10,6 @@
 use std::convert::Infallible;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
-use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
@@ -89,6 +88,26 @@
     }
 }
 
+/// One open connection, counted from its acceptance; dropping it ends the count.
+struct OpenConnection {
+    shared: Arc<CallersShared>,
+}
+
+impl OpenConnection {
+    fn new(shared: &Arc<CallersShared>) -> Self {
+        shared.connections.fetch_add(1, Ordering::Relaxed);
+        Self {
+            shared: shared.clone(),
+        }
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.shared.connections.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 impl CallersPort {
     /// Listens and starts the workers.
     ///
@@ -126,10 +145,10 @@
         self.shared.in_flight.load(Ordering::Relaxed)
     }
 
-    /// Connections that callers have open.
+    /// True while a caller may still bring a request: a connection is open, or the listener is.
     #[must_use]
-    pub fn connections(&self) -> usize {
-        self.shared.connections.load(Ordering::Relaxed)
+    pub fn is_open(&self) -> bool {
+        !self.listener.is_finished() || self.shared.connections.load(Ordering::Relaxed) > 0
     }
 
     /// Stops taking new connections; those that are open end once the request on them is answered.
@@ -157,10 +176,10 @@
         };
         match accepted {
             Ok((stream, caller)) => {
-                let shared = shared.clone();
+                let (shared, open) = (shared.clone(), OpenConnection::new(&shared));
                 tokio::spawn(async move {
                     serve_caller(stream, caller, shared).await;
-                    drop(place);
+                    drop((open, place));
                 });
             }
             Err(error) => {
@@ -172,10 +191,14 @@
     match accept_drain::close_listener(listener) {
         Ok(waiting) => {
             for stream in waiting {
-                let caller = stream.peer_addr();
-                if let Ok(caller) = caller {
-                    tokio::spawn(serve_caller(stream, caller, shared.clone()));
-                }
+                let Ok(caller) = stream.peer_addr() else {
+                    continue;
+                };
+                let (shared, open) = (shared.clone(), OpenConnection::new(&shared));
+                tokio::spawn(async move {
+                    serve_caller(stream, caller, shared).await;
+                    drop(open);
+                });
             }
         }
         Err(error) => log::warn!("connections that waited were not taken: {error}"),
@@ -186,23 +209,16 @@
     if stream.set_nodelay(true).is_err() {
         return;
     }
-    shared.connections.fetch_add(1, Ordering::Relaxed);
     let mut closing = shared.closing.subscribe();
     let service = service_fn(|request| answer(shared.clone(), caller.ip(), request));
-    let connection = http1::Builder::new()
+    let mut builder = http1::Builder::new();
+    builder
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIMEOUT)
-        .max_buf_size(HEAD_LIMIT)
-        .serve_connection(TokioIo::new(stream), service);
-    let mut connection = pin!(connection);
-    let served = tokio::select! {
-        served = connection.as_mut() => served,
-        () = wait_until_closing(&mut closing) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
-    };
-    shared.connections.fetch_sub(1, Ordering::Relaxed);
+        .max_buf_size(HEAD_LIMIT);
+    let io = TokioIo::new(stream);
+    let closing = wait_until_closing(&mut closing);
+    let served = accept_drain::serve_until_closed(&builder, io, service, closing).await;
     if let Err(error) = served {
         log::debug!("connection of {caller} ended: {error}");
     }
@@ -307,6 +323,7 @@
         "hop" = hop,
         "tries" = outcome.tries,
         "verdict" = outcome.verdict.word(),
+        "reason" = outcome.verdict.reason_word(),
         "us" = took.as_micros()
     );
     outcome.verdict
--- a/crates/anvilrack-router/src/membership.rs
+++ b/crates/anvilrack-router/src/membership.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use anvilrack_core::{
-    CellRecord, ReleaseOrder, ReleaseReport, RenewalAnswer, ServiceName, TakeoverStep, events,
+    CellRecord, Epoch, ReleaseOrder, ReleaseReport, RenewalAnswer, ServiceName, ShardId,
+    TakeoverStep, events,
 };
 use anvilrack_peer::LinkClass;
 use anvilrack_wire::{HeartbeatReply, HeartbeatRequest, PeerReply, PeerRequest};
@@ -77,6 +78,7 @@
             .on_renewal(sent_at, answer.epoch, answer.version);
     }
     forget_taken_shards(context);
+    serve_again(context, answer.epoch, &answer.keep);
     start_releases(context, answer);
     true
 }
@@ -152,6 +154,21 @@
         .retain(|shard, token| named.contains(&(shard, token)));
 }
 
+/// Serves what was given back again, unless another coordinator has taken over since.
+fn serve_again(context: &RouterContext, epoch: Epoch, keep: &[ShardId]) {
+    let mut owner = context.owner();
+    if owner.epoch() != epoch || context.is_leaving() {
+        return;
+    }
+    let released = context.releases.reports().into_iter();
+    for report in released.filter(|report| keep.contains(&report.shard)) {
+        if owner.take_back(report.shard, report.token) {
+            context.releases.withdraw(report.shard);
+            log_event!(Info, events::SHARD_KEPT, "shard" = report.shard);
+        }
+    }
+}
+
 fn start_releases(context: &Arc<RouterContext>, answer: RenewalAnswer) {
     for order in answer.release {
         let held = context
--- a/crates/anvilrack-router/src/release_tracker.rs
+++ b/crates/anvilrack-router/src/release_tracker.rs
@@ -60,6 +60,11 @@
         self.state().released.insert(report.shard, report);
     }
 
+    /// Forgets that a shard was given back: it is served again.
+    pub fn withdraw(&self, shard: ShardId) {
+        self.state().released.remove(&shard);
+    }
+
     /// Forgets the shards for which `still_named` says that no record names this router any more.
     pub fn retain(&self, still_named: impl Fn(ShardId, FencingToken) -> bool) {
         self.state()
--- a/crates/anvilrack-router/src/router_context.rs
+++ b/crates/anvilrack-router/src/router_context.rs
@@ -1,13 +1,13 @@
 //! What the threads of a router share.
 
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use anvilrack_core::{
     CellMember, CellRecord, ConfigRecord, CoordinatorState, Incarnation, LeaseTerms, MemberReport,
-    NodeId, OwnerState, PlacementJournal, RecordDelta, RouteTable, ServiceName, StandbyState,
-    events,
+    NodeId, OwnerState, PlacementJournal, RecordDelta, ReportMark, RouteTable, ServiceName,
+    StandbyState, events,
 };
 use anvilrack_peer::PeerLinks;
 use anvilrack_settings::RouterSettings;
@@ -69,6 +69,7 @@
     routes: ShardedLock<Arc<RouteTable>>,
     nudges: (Sender<()>, Receiver<()>),
     digest_wanted: AtomicBool,
+    report_count: AtomicU64,
     leaving: AtomicBool,
     stopping: AtomicBool,
     ended: AtomicBool,
@@ -103,6 +104,7 @@
             routes: ShardedLock::new(Arc::default()),
             nudges: bounded(1),
             digest_wanted: AtomicBool::new(true),
+            report_count: AtomicU64::new(0),
             leaving: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             ended: AtomicBool::new(false),
@@ -278,6 +280,10 @@
         let epoch = self.owner().epoch();
         MemberReport {
             member: self.member(),
+            mark: ReportMark {
+                run: self.incarnation,
+                number: self.report_count.fetch_add(1, Ordering::SeqCst),
+            },
             epoch,
             ready: self.target().is_ready(boot_clock::now()),
             released: self.releases.reports(),
--- a/crates/anvilrack-router/src/router_process.rs
+++ b/crates/anvilrack-router/src/router_process.rs
@@ -104,7 +104,7 @@
         self.callers.stop_listening();
         self.peers.close();
         context.pause(LAST_ANSWERS);
-        let is_busy = || context.releases.in_flight() + self.callers.connections() > 0;
+        let is_busy = || context.releases.in_flight() > 0 || self.callers.is_open();
         while boot_clock::now() < until && is_busy() && context.pause(STOP_STEP) {}
         self.callers.close();
         context.end();
--- a/crates/anvilrack-router/src/status_report.rs
+++ b/crates/anvilrack-router/src/status_report.rs
@@ -41,6 +41,7 @@
         "held_shards": held,
         "in_flight": context.releases.in_flight(),
         "coordinates": context.coordinator().is_some(),
+        "moving_shards": context.coordinator().as_ref().map(|state| state.moves().len()),
         "config_revision": routes.config().revision,
         "cells": cells,
         "findings": findings(context),
--- a/crates/anvilrack-router/src/takeover.rs
+++ b/crates/anvilrack-router/src/takeover.rs
@@ -9,7 +9,7 @@
 };
 use anvilrack_peer::LinkClass;
 use anvilrack_store::{StoreIndex, WriteOutcome};
-use anvilrack_wire::PeerRequest;
+use anvilrack_wire::{PeerReply, PeerRequest};
 
 use crate::router_context::RouterContext;
 use crate::store_records::{read_cell, write_cell};
@@ -18,6 +18,11 @@
 /// Time between two tries to read back a write whose reply was lost.
 const READ_BACK_EVERY: Duration = Duration::from_millis(100);
 
+/// Time for the other routers of the cell to tell their newest record before a takeover.
+///
+/// Those that run answer within milliseconds; the cell waits for the takeover meanwhile.
+const ASK_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Time for a sign of life.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -52,6 +57,7 @@
     let Ok((stored, index)) = read_cell(&context.store, service) else {
         return;
     };
+    let known = &ask_others(context, service, known);
     // A store that lost the record altogether is like one put back to its very beginning, and that
     // must not bring back an earlier assignment.
     let base = match &stored {
@@ -70,7 +76,7 @@
         TakeoverStep::AsOutsider => context.terms.outage_limit + context.terms.silent_wait(),
         _ => context.terms.silent_wait(),
     };
-    let record = next_epoch(context, base);
+    let record = base.next_epoch(context.member(), stamp(context));
     context.standby().open_takeover();
     let written = write_resolved(context, &record, index);
     context.standby().settle_takeover(boot_clock::now());
@@ -96,6 +102,29 @@
     }
 }
 
+/// The newest record that this router or one that it reaches has been told.
+///
+/// After the store was put back to an earlier copy, the one in the store and its own may both miss
+/// what the lost coordinator told the others last.
+fn ask_others(context: &RouterContext, service: &ServiceName, known: &CellRecord) -> CellRecord {
+    let others = known
+        .members
+        .iter()
+        .filter(|member| member.node != *context.node());
+    let addresses: Vec<_> = others.map(|member| member.peer_address).collect();
+    let request = PeerRequest::Pull(context.digest());
+    let answers = context
+        .links
+        .call_all(&addresses, LinkClass::Control, &request, ASK_TIMEOUT);
+    for answer in answers.into_iter().flatten() {
+        if let PeerReply::Update(update) = answer {
+            context.accept_update(update);
+        }
+    }
+    let newest = context.routes().cell(service).cloned();
+    newest.map_or_else(|| known.clone(), |cell| CellRecord::clone(&cell))
+}
+
 /// Asks the coordinator and the standbys for a sign of life.
 ///
 /// An outsider must wait long for silent owners, since it knows of no promise that a standby made;
@@ -112,20 +141,6 @@
     answers.iter().all(Result::is_err)
 }
 
-fn next_epoch(context: &RouterContext, base: &CellRecord) -> CellRecord {
-    let mut record = base.clone();
-    record.epoch += 1;
-    record.version += 1;
-    record.writer = stamp(context);
-    record.coordinator = context.node().clone();
-    record.standbys.retain(|node| node != context.node());
-    record
-        .members
-        .retain(|member| member.node != *context.node());
-    record.members.push(context.member());
-    record
-}
-
 fn take_office(
     context: &Arc<RouterContext>,
     record: CellRecord,
