Measure a target's classes apart, and refuse what the queue alone would make late

The one mean of a target mixed look-ups of 50 ms with requests of a second that wait for look-ups themselves, so every look-up seemed hopeless; and requests of people waited up to their deadline, so that most were answered late (median 818 ms, objective 800). Now each class has its own measured time, and a request that the queue alone makes late is refused at once, but for the most urgent class, on which other work hangs.

--- a/crates/anvilrack-core/src/admission_queue.rs
+++ b/crates/anvilrack-core/src/admission_queue.rs
@@ -18,6 +18,15 @@
 /// Each class may use this part of the waiting room, as a divisor, whatever else waits.
 const ROOM_FLOOR: usize = 4;
 
+/// How long the measured time of a class counts.
+///
+/// A class that seems too slow for its deadlines is turned away and so not measured; after this time
+/// it is tried again.
+const CLASS_AGE: Duration = Duration::from_secs(1);
+
+/// Weight of the newest time in the mean of a class, as a divisor.
+const MEAN_WEIGHT: u32 = 8;
+
 /// Names a request that was admitted or that waits.
 pub type TicketId = u64;
 
@@ -26,6 +35,8 @@
 pub struct AdmissionRequest {
     /// How urgent it is.
     pub class: RequestClass,
+    /// Until when an answer is worth most to the caller.
+    pub objective: BootTime,
     /// When its time is over.
     pub deadline: BootTime,
     /// Who asks.
@@ -45,8 +56,13 @@
 
 /// The slots of one target and the short queue in front of them.
 ///
-/// Free slots go by class, then to callers within their fair share, then by deadline. A class that
-/// was passed over often enough goes first once, so that none starves.
+/// Free slots go by class, then to callers within their fair share, then to those that can still meet
+/// their objective, then by deadline. A class that was passed over often enough goes first once, so
+/// that none starves.
+///
+/// A request that the queue alone would make late is refused at once. Otherwise a target that gets
+/// more than it can run answers everybody late, and nobody in time. The most urgent class waits up to
+/// its deadline all the same: the work of other services hangs on it, and is lost with it.
 #[derive(Clone, Debug)]
 pub struct AdmissionQueue {
     limit: LatencyLimit,
@@ -55,11 +71,23 @@
     waiting: BTreeMap<TicketId, AdmissionRequest>,
     refused: BTreeMap<TicketId, RefusalReason>,
     passed_over: BTreeMap<RequestClass, u32>,
+    classes: BTreeMap<RequestClass, ClassTime>,
     news: Vec<TicketId>,
 }
 
+/// How long the target takes for the requests of one class.
+///
+/// The classes of a target differ by ten and more times: a look-up for another service beside a request
+/// that makes such look-ups itself.
+#[derive(Clone, Copy, Debug)]
+struct ClassTime {
+    mean: Duration,
+    measured_at: BootTime,
+}
+
 #[derive(Clone, Debug)]
 struct RunningRequest {
+    class: RequestClass,
     caller: Arc<str>,
     began: BootTime,
 }
@@ -75,6 +103,7 @@
             waiting: BTreeMap::new(),
             refused: BTreeMap::new(),
             passed_over: BTreeMap::new(),
+            classes: BTreeMap::new(),
             news: Vec::new(),
         }
     }
@@ -88,16 +117,26 @@
 
     /// A request came in.
     pub fn offer(&mut self, request: AdmissionRequest, now: BootTime) -> AdmissionStep {
-        let latest = self.latest_start(&request);
-        let ahead = self.ahead_of(&request);
-        let wait = if self.has_room() && ahead == 0 {
+        let latest = self.latest_start(&request, now);
+        let rank = (request.class, request.deadline);
+        let ahead = || {
+            self.waiting
+                .values()
+                .filter(|r| (r.class, r.deadline) <= rank)
+        };
+        let wait = if self.has_room() && ahead().next().is_none() {
             Duration::ZERO
         } else {
-            self.time_for(ahead + 1, now)
+            self.time_for(ahead(), now)
         };
         if now + wait > latest || now >= request.deadline {
             return AdmissionStep::Refuse(RefusalReason::DeadlineTooShort, self.drain_time(now));
         }
+        let in_time = self.is_in_time(&request, now);
+        let made_late = in_time && !self.is_in_time(&request, now + wait);
+        if made_late && request.class != RequestClass::Claim {
+            return AdmissionStep::Refuse(RefusalReason::Overloaded, self.drain_time(now));
+        }
         if !self.has_room() && !self.make_place(&request) {
             return AdmissionStep::Refuse(RefusalReason::Overloaded, self.drain_time(now));
         }
@@ -119,7 +158,7 @@
         let Some(request) = self.waiting.get(&ticket) else {
             return AdmissionStep::Refuse(RefusalReason::Overloaded, self.drain_time(now));
         };
-        let latest = self.latest_start(request);
+        let latest = self.latest_start(request, now);
         if now >= latest {
             self.waiting.remove(&ticket);
             return AdmissionStep::Refuse(RefusalReason::DeadlineTooShort, self.drain_time(now));
@@ -138,6 +177,7 @@
         if let Some(request) = self.running.remove(&ticket).filter(|_| measured) {
             let took = now.saturating_sub(request.began);
             self.limit.record(took, full, now);
+            self.record(request.class, took, now);
         }
         self.start_waiting(now);
     }
@@ -153,13 +193,18 @@
     fn start_waiting(&mut self, now: BootTime) {
         self.drop_late(now);
         while self.has_room() {
-            let Some(ticket) = self.choose() else { break };
+            let Some(ticket) = self.choose(now) else {
+                break;
+            };
             let Some(request) = self.waiting.remove(&ticket) else {
                 break;
             };
             self.count_passed_over(request.class);
-            let caller = request.caller;
-            let running = RunningRequest { caller, began: now };
+            let running = RunningRequest {
+                class: request.class,
+                caller: request.caller,
+                began: now,
+            };
             self.running.insert(ticket, running);
             self.news.push(ticket);
         }
@@ -170,7 +215,7 @@
         let late: Vec<TicketId> = self
             .waiting
             .iter()
-            .filter(|(_, request)| now >= self.latest_start(request))
+            .filter(|(_, request)| now >= self.latest_start(request, now))
             .map(|(ticket, _)| *ticket)
             .collect();
         for ticket in late {
@@ -178,7 +223,7 @@
         }
     }
 
-    fn choose(&self) -> Option<TicketId> {
+    fn choose(&self, now: BootTime) -> Option<TicketId> {
         let classes: BTreeSet<RequestClass> = self.waiting.values().map(|r| r.class).collect();
         let overdue = classes.iter().rev().find(|class| self.is_overdue(**class));
         let class = *overdue.or(classes.first())?;
@@ -187,7 +232,8 @@
         let of_class = self.waiting.iter().filter(|(_, r)| r.class == class);
         let next = of_class.min_by_key(|(ticket, request)| {
             let above_share = held.get(&request.caller).copied().unwrap_or(0) >= share;
-            (above_share, request.deadline, **ticket)
+            let late = !self.is_in_time(request, now);
+            (above_share, late, request.deadline, **ticket)
         });
         next.map(|(ticket, _)| *ticket)
     }
@@ -287,38 +333,65 @@
 
     // --- estimates ------------------------------------------------------------------------------
 
-    fn ahead_of(&self, request: &AdmissionRequest) -> usize {
-        let rank = (request.class, request.deadline);
-        let waiting = self.waiting.values();
-        waiting.filter(|r| (r.class, r.deadline) <= rank).count()
+    /// Takes the time that one request of a class took.
+    fn record(&mut self, class: RequestClass, took: Duration, now: BootTime) {
+        let known = self.class_time(class, now);
+        let mean = if known.is_zero() {
+            took
+        } else {
+            (known * (MEAN_WEIGHT - 1) + took) / MEAN_WEIGHT
+        };
+        let measured_at = now;
+        self.classes.insert(class, ClassTime { mean, measured_at });
     }
 
-    /// The last moment at which a request can start and still be answered in time.
+    /// How long a request of that class takes; zero where that was not measured lately.
+    fn class_time(&self, class: RequestClass, now: BootTime) -> Duration {
+        let known = self.classes.get(&class);
+        let lately = known.filter(|time| now < time.measured_at + CLASS_AGE);
+        lately.map_or(Duration::ZERO, |time| time.mean)
+    }
+
+    /// True where a request that starts at `start` is answered within its objective.
+    fn is_in_time(&self, request: &AdmissionRequest, start: BootTime) -> bool {
+        start + self.class_time(request.class, start) <= request.objective
+    }
+
+    /// The last moment at which a request can start and still be answered before its deadline.
     ///
     /// A target with nothing to do may have become faster since it was measured, so one request is
     /// always let through to see.
-    fn latest_start(&self, request: &AdmissionRequest) -> BootTime {
+    fn latest_start(&self, request: &AdmissionRequest, now: BootTime) -> BootTime {
         if self.running.is_empty() {
             return request.deadline;
         }
-        request.deadline.saturating_sub(self.limit.mean())
+        let time = self.class_time(request.class, now);
+        request.deadline.saturating_sub(time)
     }
 
-    /// Time until so many more requests have had a slot.
+    /// Time until those requests have had a slot and one more is free.
     ///
     /// Where even the newest running request is older than the mean, the target is slower than
     /// it was, and the mean does not count.
-    fn time_for(&self, requests: usize, now: BootTime) -> Duration {
+    fn time_for<'a>(
+        &self,
+        ahead: impl Iterator<Item = &'a AdmissionRequest>,
+        now: BootTime,
+    ) -> Duration {
         let newest = self.running.values().map(|r| r.began).max();
         let age = newest.map_or(Duration::ZERO, |began| now.saturating_sub(began));
-        let service = self.limit.mean().max(age);
-        let requests = u32::try_from(requests).unwrap_or(u32::MAX);
-        service.saturating_mul(requests) / self.limit.limit()
+        let mean = self.limit.mean();
+        let class_time = |class| match self.class_time(class, now) {
+            Duration::ZERO => mean,
+            time => time,
+        };
+        let ahead = ahead.map(|request| class_time(request.class).max(age));
+        (mean.max(age) + ahead.sum::<Duration>()) / self.limit.limit()
     }
 
     /// Time until what waits now has had a slot: when it is worth coming back.
     fn drain_time(&self, now: BootTime) -> Duration {
-        self.time_for(self.waiting.len() + 1, now)
+        self.time_for(self.waiting.values(), now)
     }
 
     // --- reading --------------------------------------------------------------------------------
--- a/crates/anvilrack-core/tests/admission_queue.rs
+++ b/crates/anvilrack-core/tests/admission_queue.rs
@@ -56,6 +56,7 @@
                 let deadline = now + source.timeout;
                 let request = AdmissionRequest {
                     class: source.class,
+                    objective: deadline,
                     deadline,
                     caller: source.caller.into(),
                 };
@@ -137,6 +138,7 @@
 fn read_until(deadline_ms: u64) -> AdmissionRequest {
     AdmissionRequest {
         class: RequestClass::Read,
+        objective: BootTime::from_millis(deadline_ms),
         deadline: BootTime::from_millis(deadline_ms),
         caller: "a".into(),
     }
--- a/crates/anvilrack-node/src/callers/caller_request.rs
+++ b/crates/anvilrack-node/src/callers/caller_request.rs
@@ -133,6 +133,7 @@
         headers: message_headers::to_list(&parts.headers),
         body,
         key: head.key,
+        objective: began + route.latency_objective,
         deadline: began + time,
         route,
         service,
--- a/crates/anvilrack-node/src/guard/target_door.rs
+++ b/crates/anvilrack-node/src/guard/target_door.rs
@@ -108,6 +108,7 @@
                     events::ADMISSION_REFUSED,
                     request = &*call.request,
                     why = reason.word(),
+                    class = call.class.word(),
                     key = call.key,
                     running = running,
                     waiting = waiting,
@@ -203,6 +204,7 @@
         self.may_run(node, call)?;
         let request = AdmissionRequest {
             class: call.class,
+            objective: (boot_clock::now() + call.objective_left).min(deadline),
             deadline,
             caller: call.caller_service.clone(),
         };
--- a/crates/anvilrack-node/src/peers/peer_message.rs
+++ b/crates/anvilrack-node/src/peers/peer_message.rs
@@ -88,6 +88,8 @@
     pub headers: Vec<(String, Vec<u8>)>,
     /// Time left for it.
     pub time_left: Duration,
+    /// Time left until its answer is late.
+    pub objective_left: Duration,
     /// The key, where the service is divided by key.
     pub key: Option<KeyNumber>,
     /// Which requests go first.
--- a/crates/anvilrack-node/src/routing/forward.rs
+++ b/crates/anvilrack-node/src/routing/forward.rs
@@ -63,6 +63,8 @@
     pub body: Bytes,
     /// The key, where the service is divided by key.
     pub key: Option<KeyNumber>,
+    /// When an answer begins to be late.
+    pub objective: BootTime,
     /// When its time is over.
     pub deadline: BootTime,
 }
@@ -292,6 +294,7 @@
             path: request.path.clone(),
             headers: request.headers.clone(),
             time_left: self.time_left(),
+            objective_left: request.objective.saturating_sub(boot_clock::now()),
             key: request.key,
             class: request.route.class(),
             run_once: !request.route.idempotent,
--- a/crates/anvilrack-router/src/stages/admit.rs
+++ b/crates/anvilrack-router/src/stages/admit.rs
@@ -33,6 +33,8 @@
     let class = class_of(request, rules);
     let asked = AdmissionRequest {
         class,
+        // Callers name a deadline alone.
+        objective: deadline,
         deadline,
         caller: request.caller.clone(),
     };
