Measure times by route, serve the nearest objective first, let short calls wait

On the platform the calls of targets have the priority of the requests that wait for them, so classes do not tell them apart; their route does. A short call is not turned away for being late: it takes little, and the request that made it is lost with it.

--- a/crates/anvilrack-core/src/admission_queue.rs
+++ b/crates/anvilrack-core/src/admission_queue.rs
@@ -18,15 +18,21 @@
 /// Each class may use this part of the waiting room, as a divisor, whatever else waits.
 const ROOM_FLOOR: usize = 4;
 
-/// How long the measured time of a class counts.
+/// The measured time of a kind of request counts half after so long without a new one.
 ///
-/// A class that seems too slow for its deadlines is turned away and so not measured; after this time
-/// it is tried again.
-const CLASS_AGE: Duration = Duration::from_secs(1);
+/// A kind that seems too slow for its deadlines is turned away and so not measured; sooner or later it
+/// is tried again.
+const KIND_HALF_LIFE: Duration = Duration::from_secs(1);
 
-/// Weight of the newest time in the mean of a class, as a divisor.
+/// Kinds of request that are measured at most.
+const KIND_LIMIT: usize = 256;
+
+/// Weight of the newest time in the mean of a kind, as a divisor.
 const MEAN_WEIGHT: u32 = 8;
 
+/// A kind of request is short where it takes this part of the mean time or less, as a divisor.
+const SHORT_PART: u32 = 3;
+
 /// Names a request that was admitted or that waits.
 pub type TicketId = u64;
 
@@ -35,6 +41,8 @@
 pub struct AdmissionRequest {
     /// How urgent it is.
     pub class: RequestClass,
+    /// What kind of work it is, such as its route; requests of one kind take about the same time.
+    pub kind: Arc<str>,
     /// Until when an answer is worth most to the caller.
     pub objective: BootTime,
     /// When its time is over.
@@ -57,12 +65,13 @@
 /// The slots of one target and the short queue in front of them.
 ///
 /// Free slots go by class, then to callers within their fair share, then to those that can still meet
-/// their objective, then by deadline. A class that was passed over often enough goes first once, so
+/// their objective, the nearest first, then by deadline. A class that was passed over often enough goes first once, so
 /// that none starves.
 ///
 /// A request that the queue alone would make late is refused at once. Otherwise a target that gets
-/// more than it can run answers everybody late, and nobody in time. The most urgent class waits up to
-/// its deadline all the same: the work of other services hangs on it, and is lost with it.
+/// more than it can run answers everybody late, and nobody in time. The most urgent class and short
+/// requests wait up to their deadline all the same: the work of other services hangs on them, and is
+/// lost with them, and they take little from others.
 #[derive(Clone, Debug)]
 pub struct AdmissionQueue {
     limit: LatencyLimit,
@@ -71,23 +80,23 @@
     waiting: BTreeMap<TicketId, AdmissionRequest>,
     refused: BTreeMap<TicketId, RefusalReason>,
     passed_over: BTreeMap<RequestClass, u32>,
-    classes: BTreeMap<RequestClass, ClassTime>,
+    kinds: BTreeMap<Arc<str>, KindTime>,
     news: Vec<TicketId>,
 }
 
-/// How long the target takes for the requests of one class.
+/// How long the target takes for the requests of one kind.
 ///
-/// The classes of a target differ by ten and more times: a look-up for another service beside a request
+/// Those of a target differ by ten and more times: a look-up for another service beside a request
 /// that makes such look-ups itself.
 #[derive(Clone, Copy, Debug)]
-struct ClassTime {
+struct KindTime {
     mean: Duration,
     measured_at: BootTime,
 }
 
 #[derive(Clone, Debug)]
 struct RunningRequest {
-    class: RequestClass,
+    kind: Arc<str>,
     caller: Arc<str>,
     began: BootTime,
 }
@@ -103,7 +112,7 @@
             waiting: BTreeMap::new(),
             refused: BTreeMap::new(),
             passed_over: BTreeMap::new(),
-            classes: BTreeMap::new(),
+            kinds: BTreeMap::new(),
             news: Vec::new(),
         }
     }
@@ -117,12 +126,15 @@
 
     /// A request came in.
     pub fn offer(&mut self, request: AdmissionRequest, now: BootTime) -> AdmissionStep {
+        if !self.kinds.contains_key(&request.kind) {
+            self.set_kind_time(request.kind.clone(), self.limit.mean(), now);
+        }
         let latest = self.latest_start(&request, now);
-        let rank = (request.class, request.deadline);
+        let rank = (request.class, self.urgency(&request, now));
         let ahead = || {
             self.waiting
                 .values()
-                .filter(|r| (r.class, r.deadline) <= rank)
+                .filter(|r| (r.class, self.urgency(r, now)) <= rank)
         };
         let wait = if self.has_room() && ahead().next().is_none() {
             Duration::ZERO
@@ -134,7 +146,7 @@
         }
         let in_time = self.is_in_time(&request, now);
         let made_late = in_time && !self.is_in_time(&request, now + wait);
-        if made_late && request.class != RequestClass::Claim {
+        if made_late && !self.is_worth_waiting(&request, now) {
             return AdmissionStep::Refuse(RefusalReason::Overloaded, self.drain_time(now));
         }
         if !self.has_room() && !self.make_place(&request) {
@@ -177,7 +189,7 @@
         if let Some(request) = self.running.remove(&ticket).filter(|_| measured) {
             let took = now.saturating_sub(request.began);
             self.limit.record(took, full, now);
-            self.record(request.class, took, now);
+            self.record(request.kind, took, now);
         }
         self.start_waiting(now);
     }
@@ -201,7 +213,7 @@
             };
             self.count_passed_over(request.class);
             let running = RunningRequest {
-                class: request.class,
+                kind: request.kind,
                 caller: request.caller,
                 began: now,
             };
@@ -232,8 +244,7 @@
         let of_class = self.waiting.iter().filter(|(_, r)| r.class == class);
         let next = of_class.min_by_key(|(ticket, request)| {
             let above_share = held.get(&request.caller).copied().unwrap_or(0) >= share;
-            let late = !self.is_in_time(request, now);
-            (above_share, late, request.deadline, **ticket)
+            (above_share, self.urgency(request, now), **ticket)
         });
         next.map(|(ticket, _)| *ticket)
     }
@@ -333,28 +344,56 @@
 
     // --- estimates ------------------------------------------------------------------------------
 
-    /// Takes the time that one request of a class took.
-    fn record(&mut self, class: RequestClass, took: Duration, now: BootTime) {
-        let known = self.class_time(class, now);
+    /// Takes the time that one request of a kind took.
+    fn record(&mut self, kind: Arc<str>, took: Duration, now: BootTime) {
+        let known = self.kind_time(&kind, now);
         let mean = if known.is_zero() {
             took
         } else {
             (known * (MEAN_WEIGHT - 1) + took) / MEAN_WEIGHT
         };
+        self.set_kind_time(kind, mean, now);
+    }
+
+    fn set_kind_time(&mut self, kind: Arc<str>, mean: Duration, now: BootTime) {
+        if self.kinds.len() >= KIND_LIMIT {
+            self.kinds
+                .retain(|_, time| now < time.measured_at + KIND_HALF_LIFE);
+        }
         let measured_at = now;
-        self.classes.insert(class, ClassTime { mean, measured_at });
+        self.kinds.insert(kind, KindTime { mean, measured_at });
+    }
+
+    /// How long a request of that kind takes; the mean of all where the kind is new.
+    fn kind_time(&self, kind: &str, now: BootTime) -> Duration {
+        let known = self.kinds.get(kind).filter(|time| !time.mean.is_zero());
+        let Some(time) = known else {
+            return self.limit.mean();
+        };
+        let age = now.saturating_sub(time.measured_at).as_millis() / KIND_HALF_LIFE.as_millis();
+        let halvings = u32::try_from(age).unwrap_or(u32::MAX);
+        time.mean / 1_u32.checked_shl(halvings).unwrap_or(u32::MAX)
     }
 
-    /// How long a request of that class takes; zero where that was not measured lately.
-    fn class_time(&self, class: RequestClass, now: BootTime) -> Duration {
-        let known = self.classes.get(&class);
-        let lately = known.filter(|time| now < time.measured_at + CLASS_AGE);
-        lately.map_or(Duration::ZERO, |time| time.mean)
+    /// The order within a class: what can still be answered in time, the nearest objective first, then
+    /// the rest by deadline.
+    fn urgency(&self, request: &AdmissionRequest, now: BootTime) -> (bool, BootTime) {
+        if self.is_in_time(request, now) || self.is_worth_waiting(request, now) {
+            (false, request.objective)
+        } else {
+            (true, request.deadline)
+        }
+    }
+
+    /// True for requests that run also where they are late.
+    fn is_worth_waiting(&self, request: &AdmissionRequest, now: BootTime) -> bool {
+        let short = self.kind_time(&request.kind, now) * SHORT_PART <= self.limit.mean();
+        short || request.class == RequestClass::Claim
     }
 
     /// True where a request that starts at `start` is answered within its objective.
     fn is_in_time(&self, request: &AdmissionRequest, start: BootTime) -> bool {
-        start + self.class_time(request.class, start) <= request.objective
+        start + self.kind_time(&request.kind, start) <= request.objective
     }
 
     /// The last moment at which a request can start and still be answered before its deadline.
@@ -365,7 +404,7 @@
         if self.running.is_empty() {
             return request.deadline;
         }
-        let time = self.class_time(request.class, now);
+        let time = self.kind_time(&request.kind, now);
         request.deadline.saturating_sub(time)
     }
 
@@ -381,11 +420,7 @@
         let newest = self.running.values().map(|r| r.began).max();
         let age = newest.map_or(Duration::ZERO, |began| now.saturating_sub(began));
         let mean = self.limit.mean();
-        let class_time = |class| match self.class_time(class, now) {
-            Duration::ZERO => mean,
-            time => time,
-        };
-        let ahead = ahead.map(|request| class_time(request.class).max(age));
+        let ahead = ahead.map(|request| self.kind_time(&request.kind, now).max(age));
         (mean.max(age) + ahead.sum::<Duration>()) / self.limit.limit()
     }
 
--- a/crates/anvilrack-core/tests/admission_objective.rs
+++ b/crates/anvilrack-core/tests/admission_objective.rs
@@ -17,6 +17,7 @@
 /// Requests of one kind.
 #[derive(Clone, Copy)]
 struct LoadKind {
+    name: &'static str,
     class: RequestClass,
     /// One request in so many steps.
     every: u32,
@@ -63,6 +64,7 @@
             outcomes[kind].sent += 1;
             let request = AdmissionRequest {
                 class: load.class,
+                kind: load.name.into(),
                 objective: now + load.objective,
                 deadline: now + load.deadline,
                 caller: "a".into(),
@@ -100,6 +102,7 @@
 
 /// Look-ups that people wait for.
 const VIEWS: LoadKind = LoadKind {
+    name: "view",
     class: RequestClass::Read,
     every: 1,
     work: Duration::from_millis(10),
@@ -109,7 +112,8 @@
 
 /// Short calls of other services, which hold a slot elsewhere meanwhile.
 const CALLS: LoadKind = LoadKind {
-    class: RequestClass::Claim,
+    name: "call",
+    class: RequestClass::Read,
     every: 20,
     work: Duration::from_millis(5),
     objective: Duration::from_millis(20),
@@ -130,6 +134,7 @@
 fn short_calls_pass_long_requests() {
     // The long ones alone would keep every slot busy.
     let long = LoadKind {
+        name: "join",
         every: 10,
         work: ms(45),
         objective: ms(150),
@@ -146,6 +151,7 @@
 #[test]
 fn most_urgent_class_waits_beyond_its_objective() {
     let slow = LoadKind {
+        class: RequestClass::Claim,
         every: 12,
         work: ms(60),
         objective: ms(70),
@@ -184,6 +190,7 @@
     let mut queue = AdmissionQueue::new(LatencyLimit::new(1).with_fixed_limit());
     let request = |objective_ms| AdmissionRequest {
         class: RequestClass::Read,
+        kind: "view".into(),
         objective: ms(objective_ms),
         deadline: ms(1_000),
         caller: "a".into(),
--- a/crates/anvilrack-core/tests/admission_queue.rs
+++ b/crates/anvilrack-core/tests/admission_queue.rs
@@ -56,6 +56,7 @@
                 let deadline = now + source.timeout;
                 let request = AdmissionRequest {
                     class: source.class,
+                    kind: source.caller.into(),
                     objective: deadline,
                     deadline,
                     caller: source.caller.into(),
@@ -138,6 +139,7 @@
 fn read_until(deadline_ms: u64) -> AdmissionRequest {
     AdmissionRequest {
         class: RequestClass::Read,
+        kind: "read".into(),
         objective: BootTime::from_millis(deadline_ms),
         deadline: BootTime::from_millis(deadline_ms),
         caller: "a".into(),
--- a/crates/anvilrack-node/src/guard/target_door.rs
+++ b/crates/anvilrack-node/src/guard/target_door.rs
@@ -204,9 +204,12 @@
         self.may_run(node, call)?;
         let request = AdmissionRequest {
             class: call.class,
+            kind: call.route.clone(),
             objective: (boot_clock::now() + call.objective_left).min(deadline),
             deadline,
-            caller: call.caller_service.clone(),
+            // The platform names no client accounts, and the service beside the router that a request
+            // came through is none: calls of targets and of people come through the same ones.
+            caller: call.service.clone(),
         };
         let mut step = self.queue().offer(request, boot_clock::now());
         let mut slot: Option<SlotTicket<'_>> = None;
--- a/crates/anvilrack-node/src/peers/peer_message.rs
+++ b/crates/anvilrack-node/src/peers/peer_message.rs
@@ -1,6 +1,7 @@
 //! Messages between routers.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use anvilrack_core::{
@@ -80,6 +81,8 @@
     pub request: RequestId,
     /// The service that is to run it.
     pub service: ServiceName,
+    /// Name of the route that it takes.
+    pub route: Arc<str>,
     /// HTTP method.
     pub method: String,
     /// Path and query, unchanged.
--- a/crates/anvilrack-node/src/routing/forward.rs
+++ b/crates/anvilrack-node/src/routing/forward.rs
@@ -290,6 +290,7 @@
         RunCall {
             request: request.request.clone(),
             service: request.service.clone(),
+            route: request.route.name.clone(),
             method: request.method.clone(),
             path: request.path.clone(),
             headers: request.headers.clone(),
--- a/crates/anvilrack-router/src/stages/admit.rs
+++ b/crates/anvilrack-router/src/stages/admit.rs
@@ -33,6 +33,7 @@
     let class = class_of(request, rules);
     let asked = AdmissionRequest {
         class,
+        kind: request.service.clone(),
         // Callers name a deadline alone.
         objective: deadline,
         deadline,
