Ask for room before a long body is sent, and fail calls to routers that cannot be reached at once

The router beside the target now keeps room for bodies of 16 KB and more, a quarter of a second of its link together; where there is none the sender goes elsewhere or refuses at once. Bodies on their way count in the load that others see. Ruled out: longer pings (the calls behind the uploads would still wait a second) and cut VMs (the losses are not on the VMs that were cut).

--- a/crates/anvilrack-core/src/event_catalogue.rs
+++ b/crates/anvilrack-core/src/event_catalogue.rs
@@ -83,6 +83,7 @@
     ADMISSION_REFUSED = 2301, "admission.refused", "A target has no room for a request; says why, its class and what runs and waits.";
     ENTRY_REFUSED = 2302, "entry.refused", "One service or one caller has its share of a router's workers already.";
     TARGET_SUSPECTED = 2303, "target.suspected", "This router's own requests say that a target is sick, or well again.";
+    BODY_REFUSED = 2304, "body.refused", "There is no room for a long body on the link of this VM; says how many are on their way.";
     REQUEST_ANSWERED = 2401, "request.answered", "A caller got its answer; says the outcome, the tries and the time.";
     REQUEST_TRIED = 2402, "request.tried", "One try of a request ended without its target's answer; says where and why.";
     REQUEST_BARRED = 2403, "request.barred", "The router beside the target was asked whether a request has begun, and to bar it.";
--- a/crates/anvilrack-node/src/guard/mod.rs
+++ b/crates/anvilrack-node/src/guard/mod.rs
@@ -1,11 +1,13 @@
 //! The guard beside the target: admission, fences, and the target's life.
 
 mod begun_requests;
+mod body_room;
 mod control_address;
 mod target_door;
 mod target_life;
 
 pub use begun_requests::BegunRequests;
+pub use body_room::BodyRoom;
 pub use control_address::serve_control;
 pub use target_door::TargetDoor;
 pub use target_life::{LifeState, NoticeEffect, NoticeKind, TargetLife, TargetLives, TargetNotice};
--- a/crates/anvilrack-node/src/guard/target_door.rs
+++ b/crates/anvilrack-node/src/guard/target_door.rs
@@ -15,10 +15,12 @@
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use tokio::sync::Notify;
 
-use crate::guard::{BegunRequests, LifeState, NoticeEffect, TargetLife, TargetLives, TargetNotice};
+use crate::guard::{
+    BegunRequests, BodyRoom, LifeState, NoticeEffect, TargetLife, TargetLives, TargetNotice,
+};
 use crate::http_pool::{ConnectionAge, HttpPool, SendFault, within};
 use crate::message_headers;
-use crate::peers::{RunCall, RunReply};
+use crate::peers::{RoomCall, RunCall, RunReply};
 use crate::state_lock::lock;
 use crate::{AnswerMark, NodeShared, PlatformDialect, RequestId, TargetMark, observe, tell};
 
@@ -51,6 +53,7 @@
     queue: Mutex<AdmissionQueue>,
     waiters: Mutex<HashMap<TicketId, Arc<Notify>>>,
     begun: Mutex<BegunRequests>,
+    room: Mutex<BodyRoom>,
     meter: Mutex<ShardMeter>,
     pace: Mutex<TargetPace>,
 }
@@ -75,9 +78,9 @@
 }
 
 impl TargetDoor {
-    /// You give the target's address.
+    /// You give the target's address and the speed of the VM's link, in megabits a second.
     #[must_use]
-    pub fn new(target: std::net::SocketAddr) -> Self {
+    pub fn new(target: std::net::SocketAddr, link_mbps: u32) -> Self {
         Self {
             pool: HttpPool::new(target, CONNECT_LIMIT),
             lives: Mutex::default(),
@@ -86,6 +89,7 @@
             )),
             waiters: Mutex::default(),
             begun: Mutex::default(),
+            room: Mutex::new(BodyRoom::new(link_mbps)),
             meter: Mutex::default(),
             pace: Mutex::default(),
         }
@@ -121,6 +125,43 @@
         }
     }
 
+    /// Keeps room for a long body, or says truthfully why it should not come.
+    ///
+    /// # Errors
+    ///
+    /// A refusal; the request has not run.
+    pub fn reserve<D: PlatformDialect>(
+        &self,
+        node: &NodeShared<D>,
+        call: &RoomCall,
+    ) -> Result<(), RunReply> {
+        let bytes = usize::try_from(call.bytes).unwrap_or(usize::MAX);
+        let now = boot_clock::now();
+        let room = if node.is_closing() {
+            Err((RefusalReason::Stopping, GONE_RETRY_AFTER))
+        } else {
+            let reserved = lock(&self.room).reserve(&call.request, bytes, now);
+            reserved.map_err(|after| (RefusalReason::Overloaded, after.max(LEAST_RETRY_AFTER)))
+        };
+        room.map_err(|(reason, retry_after)| {
+            tell!(
+                Info,
+                events::BODY_REFUSED,
+                request = &*call.request,
+                why = reason.word(),
+                bytes = call.bytes,
+                expected = lock(&self.room).expected(),
+                retry_after_ms = observe::millis(retry_after)
+            );
+            not_run(reason, retry_after).0
+        })
+    }
+
+    /// A request has come with its whole body.
+    pub fn take_body(&self, request: &RequestId) {
+        lock(&self.room).take(request);
+    }
+
     /// Bars a request that has not begun; false where it has.
     pub fn bar(&self, request: &RequestId) -> bool {
         let barred = lock(&self.begun).bar(request, boot_clock::now());
@@ -169,8 +210,9 @@
     #[must_use]
     pub fn target_load(&self) -> TargetLoad {
         let (running, waiting) = self.load();
+        let expected = lock(&self.room).expected();
         TargetLoad {
-            busy: u32::try_from(running + waiting).unwrap_or(u32::MAX),
+            busy: u32::try_from(running + waiting + expected).unwrap_or(u32::MAX),
             slots: self.life().map_or(0, |life| life.slots),
         }
     }
--- a/crates/anvilrack-node/src/node_settings.rs
+++ b/crates/anvilrack-node/src/node_settings.rs
@@ -26,6 +26,9 @@
     pub listen: ListenAddresses,
     /// Address of the platform's store.
     pub store: SocketAddr,
+    /// Speed of the VM's link, in megabits a second.
+    #[serde(default = "usual_link_mbps", deserialize_with = "whole_mbps")]
+    pub link_mbps: u32,
     /// Limits of the deployment.
     #[serde(default)]
     pub terms: DeploymentTerms,
@@ -65,6 +68,19 @@
     pub shortest_lease: Duration,
 }
 
+/// The link of a VM whose settings name none.
+fn usual_link_mbps() -> u32 {
+    1_000
+}
+
+/// The platform writes the speed with a fraction.
+fn whole_mbps<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u32, D::Error> {
+    let mbps = f64::deserialize(deserializer)?;
+    let whole = format!("{mbps:.0}").parse();
+    let usable = whole.ok().filter(|mbps| *mbps > 0);
+    usable.ok_or_else(|| serde::de::Error::custom("a link has at least one megabit a second"))
+}
+
 impl Default for DeploymentTerms {
     fn default() -> Self {
         Self {
--- a/crates/anvilrack-node/src/node_shared.rs
+++ b/crates/anvilrack-node/src/node_shared.rs
@@ -112,7 +112,7 @@
         let node = settings.node.clone();
         let now = boot_clock::now();
         Self {
-            door: TargetDoor::new(settings.target),
+            door: TargetDoor::new(settings.target, settings.link_mbps),
             dialect,
             store,
             links: PeerLinks::default(),
--- a/crates/anvilrack-node/src/ownership/cell_calls.rs
+++ b/crates/anvilrack-node/src/ownership/cell_calls.rs
@@ -34,6 +34,7 @@
             PeerReply::Cell(node.cell(&service).map(|cell| PackedCell::new(&cell)))
         }
         PeerCall::Run(_)
+        | PeerCall::Room(_)
         | PeerCall::Bar(_)
         | PeerCall::Entry(_)
         | PeerCall::Resign(..)
--- a/crates/anvilrack-node/src/peers/mod.rs
+++ b/crates/anvilrack-node/src/peers/mod.rs
@@ -9,6 +9,6 @@
 pub use peer_links::{PeerFault, PeerLinks};
 pub use peer_message::{
     BeatReply, CellUpdate, KnownView, MemberBeat, PeerCall, PeerPlace, PeerReply, ReaderNews,
-    RecordMark, RunCall, RunReply, TargetPlace,
+    RecordMark, RoomCall, RunCall, RunReply, TargetPlace,
 };
 pub use peer_server::serve_peers;
--- a/crates/anvilrack-node/src/peers/peer_links.rs
+++ b/crates/anvilrack-node/src/peers/peer_links.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,17 +12,24 @@
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use thiserror::Error;
 use tokio::net::TcpStream;
-use tokio::sync::Mutex as AsyncMutex;
-use tokio::time::{Instant, timeout_at};
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::peers::{FrameFault, PeerCall, PeerReply, pack, unpack};
 use crate::socket_options;
+use crate::state_lock::lock;
 
 /// Longest time for a new connection.
 ///
 /// A VM's own link may be slow: at 10 Mbit/s a few uploads keep packets waiting for half a second.
 const CONNECT_LIMIT: Duration = Duration::from_millis(600);
 
+/// Pause between two tries to reach a router that could not be reached.
+const REOPEN_PAUSE: Duration = Duration::from_millis(100);
+
+/// A router that nobody has called for so long is not tried again until somebody does.
+const REOPEN_LIMIT: Duration = Duration::from_secs(2);
+
 /// Time between two pings while an answer is awaited.
 const PING_EVERY: Duration = Duration::from_millis(250);
 
@@ -68,14 +75,30 @@
 type PeerSender = SendRequest<Full<Bytes>>;
 
 /// Links to other routers, opened when they are first needed.
+///
+/// Calls to a router wait together for its link. Once it could not be reached, calls fail at once
+/// while it is tried again beside them: a caller whose request has nowhere to go is told so, and
+/// does not spend its time on a connection.
 #[derive(Clone, Debug, Default)]
 pub struct PeerLinks {
     links: Arc<Mutex<HashMap<SocketAddr, Arc<PeerLink>>>>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct PeerLink {
-    sender: AsyncMutex<Option<PeerSender>>,
+    address: SocketAddr,
+    state: watch::Sender<LinkState>,
+    asked_at: Mutex<Instant>,
+}
+
+#[derive(Clone, Debug)]
+enum LinkState {
+    Idle,
+    /// Being opened; calls wait for it.
+    Opening,
+    Open(PeerSender),
+    /// Could not be opened, and is tried again.
+    Failing,
 }
 
 impl PeerLinks {
@@ -106,7 +129,6 @@
                 Ok(Err(mut error)) => match error.take_message() {
                     // The kept link had ended; a new one is opened once.
                     Some(unsent) if !is_last => {
-                        self.forget(address).await;
                         frame = collect(unsent).await;
                         continue;
                     }
@@ -141,31 +163,72 @@
         answers
     }
 
-    /// Ends the link to a router, so that the next call opens a new one.
-    pub async fn forget(&self, address: SocketAddr) {
-        let link = self.link(address);
-        *link.sender.lock().await = None;
-    }
-
     fn link(&self, address: SocketAddr) -> Arc<PeerLink> {
-        let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
-        links.entry(address).or_default().clone()
+        let mut links = lock(&self.links);
+        let link = links.entry(address);
+        link.or_insert_with(|| Arc::new(PeerLink::new(address)))
+            .clone()
     }
 
     async fn sender(&self, address: SocketAddr, until: Instant) -> Result<PeerSender, PeerFault> {
         let link = self.link(address);
-        let mut kept = link.sender.lock().await;
-        if let Some(sender) = kept.as_ref().filter(|sender| !sender.is_closed()) {
-            return Ok(sender.clone());
+        *lock(&link.asked_at) = Instant::now();
+        let mut state = link.state.subscribe();
+        loop {
+            if link.begin_opening() {
+                tokio::spawn(link.clone().open());
+            }
+            match &*state.borrow_and_update() {
+                LinkState::Open(sender) if !sender.is_closed() => return Ok(sender.clone()),
+                LinkState::Failing => return Err(PeerFault::Unreachable(address)),
+                _ => {}
+            }
+            // The sender lives as long as the link does.
+            if !matches!(timeout_at(until, state.changed()).await, Ok(Ok(()))) {
+                return Err(PeerFault::Unreachable(address));
+            }
+        }
+    }
+}
+
+impl PeerLink {
+    fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            state: watch::Sender::new(LinkState::Idle),
+            asked_at: Mutex::new(Instant::now()),
+        }
+    }
+
+    /// Claims the opening of a link that has none or whose connection has ended.
+    fn begin_opening(&self) -> bool {
+        self.state.send_if_modified(|state| {
+            let open = match state {
+                LinkState::Idle => false,
+                LinkState::Open(sender) => !sender.is_closed(),
+                LinkState::Opening | LinkState::Failing => true,
+            };
+            if !open {
+                *state = LinkState::Opening;
+            }
+            !open
+        })
+    }
+
+    /// Tries until the router is reached or nobody asks for it any more.
+    async fn open(self: Arc<Self>) {
+        loop {
+            if let Ok(Some(sender)) = timeout(CONNECT_LIMIT, connect(self.address)).await {
+                self.state.send_replace(LinkState::Open(sender));
+                return;
+            }
+            if lock(&self.asked_at).elapsed() >= REOPEN_LIMIT {
+                self.state.send_replace(LinkState::Idle);
+                return;
+            }
+            self.state.send_replace(LinkState::Failing);
+            sleep(REOPEN_PAUSE).await;
         }
-        let until = until.min(Instant::now() + CONNECT_LIMIT);
-        let sender = timeout_at(until, connect(address))
-            .await
-            .ok()
-            .flatten()
-            .ok_or(PeerFault::Unreachable(address))?;
-        *kept = Some(sender.clone());
-        Ok(sender)
     }
 }
 
--- a/crates/anvilrack-node/src/peers/peer_message.rs
+++ b/crates/anvilrack-node/src/peers/peer_message.rs
@@ -20,6 +20,8 @@
 pub enum PeerCall {
     /// Run a request at the target beside you.
     Run(RunCall),
+    /// Is there room for the body of a request?
+    Room(RoomCall),
     /// Has this request begun? If not, never begin it.
     Bar(RequestId),
     /// A member tells its coordinator that it lives.
@@ -54,6 +56,8 @@
 pub enum PeerReply {
     /// How the request ended, and what the target has under way.
     Run(RunReply, TargetLoad),
+    /// Whether the body may come; if not, the request has not run.
+    Room(Result<(), RunReply>, TargetLoad),
     /// True where the request has not begun and will not.
     Barred(bool),
     /// From the coordinator.
@@ -103,6 +107,15 @@
     pub caller_service: ServiceName,
 }
 
+/// Asks for room before a long body is sent.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct RoomCall {
+    /// The request that the body belongs to.
+    pub request: RequestId,
+    /// Length of the body, in bytes.
+    pub bytes: u64,
+}
+
 /// How a request ended at the router beside its target.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum RunReply {
--- a/crates/anvilrack-node/src/peers/peer_server.rs
+++ b/crates/anvilrack-node/src/peers/peer_server.rs
@@ -110,9 +110,14 @@
 ) -> (PeerReply, Bytes) {
     let reply = match call {
         PeerCall::Run(run) => {
+            node.door.take_body(&run.request);
             let (reply, body) = node.door.run(node, run, body).await;
             return (PeerReply::Run(reply, node.door.target_load()), body);
         }
+        PeerCall::Room(call) => {
+            let room = node.door.reserve(node, &call);
+            PeerReply::Room(room, node.door.target_load())
+        }
         PeerCall::Bar(request) => PeerReply::Barred(node.door.bar(&request)),
         PeerCall::Entry(entry) => {
             node.take_entry(entry);
--- a/crates/anvilrack-node/src/routing/forward.rs
+++ b/crates/anvilrack-node/src/routing/forward.rs
@@ -14,7 +14,7 @@
 
 use crate::http_pool::within;
 use crate::ownership::refresh_cell;
-use crate::peers::{PeerCall, PeerFault, PeerReply, RunCall, RunReply};
+use crate::peers::{PeerCall, PeerFault, PeerReply, RoomCall, RunCall, RunReply};
 use crate::{KeyNumber, NodeShared, PlatformDialect, RequestId, tell};
 
 /// Targets that refused are not asked again for this long.
@@ -41,6 +41,14 @@
 /// Time for the question whether a request has begun.
 const BAR_LIMIT: Duration = Duration::from_millis(350);
 
+/// A body of so many bytes or more is sent only where there is room for it.
+///
+/// Shorter ones fit into the first packets of a connection, and asking would only cost time.
+const LONG_BODY: usize = 16 * 1024;
+
+/// Time for the question whether there is room.
+const ROOM_LIMIT: Duration = Duration::from_millis(600);
+
 /// Time that an answer has for the way back, beyond the target's own time.
 const WAY_BACK: Duration = Duration::from_millis(60);
 
@@ -222,6 +230,11 @@
         }
         let links = &self.node.links;
         let body = &self.request.body;
+        if body.len() >= LONG_BODY
+            && let Some(refusal) = self.ask_room(place, address).await
+        {
+            return (refusal, Bytes::new());
+        }
         let fault = match links.call(address, &PeerCall::Run(call), body, limit).await {
             Ok((PeerReply::Run(reply, load), body)) => {
                 self.see_load(place, load);
@@ -249,6 +262,27 @@
         (reply, Bytes::new())
     }
 
+    /// Asks the router beside the target for room, before a long body crosses the way there.
+    async fn ask_room(&self, place: &NodeId, address: SocketAddr) -> Option<RunReply> {
+        let call = PeerCall::Room(RoomCall {
+            request: self.request.request.clone(),
+            bytes: self.request.body.len() as u64,
+        });
+        let limit = ROOM_LIMIT.min(self.time_left());
+        match self.node.links.call(address, &call, &[], limit).await {
+            Ok((PeerReply::Room(room, load), _)) => {
+                self.see_load(place, load);
+                room.err()
+            }
+            // Nothing of the request itself was sent.
+            _ => Some(RunReply::NotRun {
+                reason: RefusalReason::OwnerUnreachable,
+                retry_after: NO_TARGET_RETRY_AFTER,
+                by_target: false,
+            }),
+        }
+    }
+
     fn see_load(&self, place: &NodeId, load: TargetLoad) {
         if let Some(choice) = self.node.choices().get_mut(&self.request.service) {
             choice.set_load(place, load, boot_clock::now());
@@ -261,7 +295,6 @@
         if self.request.route.idempotent {
             return doubt;
         }
-        self.node.links.forget(address).await;
         let call = PeerCall::Bar(self.request.request.clone());
         let limit = BAR_LIMIT.min(self.time_left());
         let answer = self.node.links.call(address, &call, &[], limit).await;
