--- a/crates/anvilrack-core/src/target_choice.rs
+++ b/crates/anvilrack-core/src/target_choice.rs
@@ -1,5 +1,7 @@
 //! Which target takes a request that any target of its service may take.
 
+use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -9,6 +11,13 @@
 /// Weight of the newest latency in the mean, as a divisor.
 const MEAN_WEIGHT: u32 = 8;
 
+/// Weight of the newest latency in the mean of a kind of request, as a divisor: that mean is over all
+/// targets, and must not follow the one that was measured last.
+const KIND_WEIGHT: u32 = 32;
+
+/// Kinds of request whose latency is kept.
+const KIND_LIMIT: usize = 256;
+
 /// A latency older than this says nothing any more.
 const LATENCY_AGE: Duration = Duration::from_secs(5);
 
@@ -44,9 +53,20 @@
     near: Vec<usize>,
     /// Those of the own region, where it is not all of them.
     region: Vec<usize>,
+    kinds: KindLatencies,
     turn: usize,
 }
 
+/// How long the kinds of request take in the mean, over all targets.
+///
+/// A target's last request may have been a look-up of 50 ms or an upload of a second. Held against
+/// the mean of its kind, each tells how fast the target is.
+#[derive(Clone, Debug, Default)]
+struct KindLatencies {
+    all: Duration,
+    means: BTreeMap<Arc<str>, Duration>,
+}
+
 #[derive(Clone, Debug)]
 struct TargetFigures {
     node: NodeId,
@@ -236,15 +256,24 @@
         }
     }
 
-    /// A request is over.
-    pub fn end(&mut self, node: &str, outcome: HealthOutcome, took: Duration, now: BootTime) {
+    /// A request is over; `kind` says what work it was, such as its route.
+    pub fn end(
+        &mut self,
+        node: &str,
+        kind: &Arc<str>,
+        outcome: HealthOutcome,
+        took: Duration,
+        now: BootTime,
+    ) {
+        let measured = outcome != HealthOutcome::NotTried;
+        let latency = measured.then(|| self.kinds.typical(kind, took));
         let Some(target) = self.target(node) else {
             return;
         };
         target.in_flight = target.in_flight.saturating_sub(1);
         target.health.end(outcome, now);
-        if outcome != HealthOutcome::NotTried {
-            target.measure(took, now);
+        if let Some(latency) = latency {
+            target.measure(latency, now);
         }
     }
 
@@ -274,6 +303,27 @@
     }
 }
 
+impl KindLatencies {
+    /// What a typical request would have taken where one of this kind took `took`.
+    fn typical(&mut self, kind: &Arc<str>, took: Duration) -> Duration {
+        let learn = |mean: Duration| {
+            if mean.is_zero() {
+                took
+            } else {
+                (mean * (KIND_WEIGHT - 1) + took) / KIND_WEIGHT
+            }
+        };
+        if self.means.len() >= KIND_LIMIT && !self.means.contains_key(kind) {
+            self.means.clear();
+        }
+        self.all = learn(self.all);
+        let mean = self.means.entry(kind.clone()).or_default();
+        *mean = learn(*mean);
+        let micros = took.as_micros() * self.all.as_micros() / mean.as_micros().max(1);
+        Duration::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
+    }
+}
+
 impl TargetFigures {
     fn new(member: &CellMember, distance: TargetDistance, came_at: Option<BootTime>) -> Self {
         Self {
--- a/crates/anvilrack-core/tests/target_choice.rs
+++ b/crates/anvilrack-core/tests/target_choice.rs
@@ -62,7 +62,7 @@
                 HealthOutcome::Failed
             };
             let took = Duration::from_millis(ms - began);
-            choice.end(&members[target].node, outcome, took, now);
+            choice.end(&members[target].node, &"read".into(), outcome, took, now);
         }
         let node = choice
             .choose(std::array::from_fn(|_| draws.draw()), now)
@@ -133,3 +133,45 @@
     }
     assert!(counts[0] < 100 && counts[1] > 500, "{counts:?}");
 }
+
+/// Answers the days on which targets get look-ups beside uploads: all are as fast, and a target whose
+/// last request happened to be a long one is not left for another region.
+#[test]
+fn kinds_of_request_are_told_apart() {
+    // One target in the own region.
+    let members: Vec<CellMember> = [0, 2, 3, 4, 5].map(member).to_vec();
+    let mut choice = TargetChoice::default();
+    choice.set_members(&members[0], members.iter(), BootTime::ZERO);
+    let mut draws = DrawSource(7);
+    let mut remote = 0;
+    for turn in 0..2_000_u64 {
+        let now = BootTime::from_millis(turn * 20);
+        if turn % 50 == 0 {
+            // Each was asked for a look-up while the near one had no room.
+            for far in &members[1..] {
+                let took = Duration::from_millis(4);
+                choice.begin(&far.node, now);
+                let kind = "look-up".into();
+                choice.end(&far.node, &kind, HealthOutcome::Answered, took, now);
+            }
+        }
+        let (kind, took) = if draws.draw().is_multiple_of(10) {
+            ("upload", 400)
+        } else {
+            ("look-up", 4)
+        };
+        let choices = std::array::from_fn(|_| draws.draw());
+        let node = choice.choose(choices, now).unwrap();
+        remote += usize::from(members[1..].iter().any(|member| member.node == node));
+        choice.begin(&node, now);
+        let took = Duration::from_millis(took);
+        choice.end(
+            &node,
+            &kind.into(),
+            HealthOutcome::Answered,
+            took,
+            now + took,
+        );
+    }
+    assert!(remote < 100, "{remote} of 2000 went to other regions");
+}
--- a/crates/anvilrack-node/src/routing/forward.rs
+++ b/crates/anvilrack-node/src/routing/forward.rs
@@ -145,7 +145,7 @@
         };
         self.places += 1;
         self.last_place = Some(place.clone());
-        let mut open = OpenTry::new(self.node, &self.request.service, &place);
+        let mut open = OpenTry::new(self.node, self.request, &place);
         let (reply, body) = self.run_at(&place, address).await;
         open.outcome = health_outcome(&reply);
         drop(open);
@@ -422,20 +422,23 @@
 struct OpenTry<'a, D: PlatformDialect> {
     node: &'a NodeShared<D>,
     service: &'a ServiceName,
+    route: &'a RouteRules,
     place: &'a NodeId,
     began: BootTime,
     outcome: HealthOutcome,
 }
 
 impl<'a, D: PlatformDialect> OpenTry<'a, D> {
-    fn new(node: &'a NodeShared<D>, service: &'a ServiceName, place: &'a NodeId) -> Self {
+    fn new(node: &'a NodeShared<D>, request: &'a CallerRequest, place: &'a NodeId) -> Self {
         let began = boot_clock::now();
+        let service = &request.service;
         if let Some(choice) = node.choices().get_mut(service) {
             choice.begin(place, began);
         }
         Self {
             node,
             service,
+            route: &request.route,
             place,
             began,
             outcome: HealthOutcome::NotTried,
@@ -448,7 +451,7 @@
         let now = boot_clock::now();
         let took = now.saturating_sub(self.began);
         if let Some(choice) = self.node.choices().get_mut(self.service) {
-            choice.end(self.place, self.outcome, took, now);
+            choice.end(self.place, &self.route.name, self.outcome, took, now);
         }
     }
 }
--- a/crates/anvilrack-router/src/spread_choices.rs
+++ b/crates/anvilrack-router/src/spread_choices.rs
@@ -78,7 +78,7 @@
         let choice = &mut view.choice;
         let before = choice.is_suspect(node);
         let took = now.saturating_sub(sent_at);
-        choice.end(node, outcome_of(verdict), took, now);
+        choice.end(node, service, outcome_of(verdict), took, now);
         if let RequestVerdict::NotRun(_, retry_after) = verdict {
             choice.set_busy(node, now + *retry_after);
         }
