--- a/crates/anvilrack-core/src/admission_queue.rs
+++ b/crates/anvilrack-core/src/admission_queue.rs
@@ -65,8 +65,8 @@
 /// The slots of one target and the short queue in front of them.
 ///
 /// Free slots go by class, then to callers within their fair share, then to those that can still meet
-/// their objective, the nearest first, then by deadline. A class that was passed over often enough goes first once, so
-/// that none starves.
+/// their objective, the nearest first, then by deadline. A class that was passed over often enough
+/// goes first once, so that none starves.
 ///
 /// A request that the queue alone would make late is refused at once. Otherwise a target that gets
 /// more than it can run answers everybody late, and nobody in time. The most urgent class and short
