Write the moving mean once, and let an open try keep its request

The mean that follows the newest times stood in the latency limit, the admission queue and twice in the choice of targets; core's moving_mean serves all. An open try kept two parts of its request beside its place; it keeps the request. Behaviour is the same.

--- a/crates/anvilrack-core/src/admission_queue.rs
+++ b/crates/anvilrack-core/src/admission_queue.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::moving_mean::moving_mean;
 use crate::{BootTime, LatencyLimit, RefusalReason, RequestClass};
 
 /// Requests that may wait for each slot.
@@ -347,11 +348,7 @@
     /// Takes the time that one request of a kind took.
     fn record(&mut self, kind: Arc<str>, took: Duration, now: BootTime) {
         let known = self.kind_time(&kind, now);
-        let mean = if known.is_zero() {
-            took
-        } else {
-            (known * (MEAN_WEIGHT - 1) + took) / MEAN_WEIGHT
-        };
+        let mean = moving_mean(known, took, MEAN_WEIGHT);
         self.set_kind_time(kind, mean, now);
     }
 
--- a/crates/anvilrack-core/src/latency_limit.rs
+++ b/crates/anvilrack-core/src/latency_limit.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::BootTime;
+use crate::moving_mean::moving_mean;
 
 /// Shortest time over which latencies are gathered before the limit changes.
 const WINDOW: Duration = Duration::from_millis(100);
@@ -103,11 +104,7 @@
 
     /// Takes one measured latency; `full` says whether the limit was reached meanwhile.
     pub fn record(&mut self, took: Duration, full: bool, now: BootTime) {
-        self.mean = if self.mean.is_zero() {
-            took
-        } else {
-            (self.mean * (MEAN_WEIGHT - 1) + took) / MEAN_WEIGHT
-        };
+        self.mean = moving_mean(self.mean, took, MEAN_WEIGHT);
         let window = &mut self.window;
         window.sum += took;
         window.count += 1;
--- a/crates/anvilrack-core/src/lib.rs
+++ b/crates/anvilrack-core/src/lib.rs
@@ -26,6 +26,7 @@
 mod lease_terms;
 mod load_view;
 mod metric_catalogue;
+mod moving_mean;
 mod owner_state;
 mod placement_note;
 mod placement_policy;
--- a/crates/anvilrack-core/src/target_choice.rs
+++ b/crates/anvilrack-core/src/target_choice.rs
@@ -6,6 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::moving_mean::moving_mean;
 use crate::{BootTime, CellMember, HealthOutcome, Incarnation, NodeId, TargetHealth};
 
 /// Weight of the newest latency in the mean, as a divisor.
@@ -306,19 +307,12 @@
 impl KindLatencies {
     /// What a typical request would have taken where one of this kind took `took`.
     fn typical(&mut self, kind: &Arc<str>, took: Duration) -> Duration {
-        let learn = |mean: Duration| {
-            if mean.is_zero() {
-                took
-            } else {
-                (mean * (KIND_WEIGHT - 1) + took) / KIND_WEIGHT
-            }
-        };
         if self.means.len() >= KIND_LIMIT && !self.means.contains_key(kind) {
             self.means.clear();
         }
-        self.all = learn(self.all);
+        self.all = moving_mean(self.all, took, KIND_WEIGHT);
         let mean = self.means.entry(kind.clone()).or_default();
-        *mean = learn(*mean);
+        *mean = moving_mean(*mean, took, KIND_WEIGHT);
         let micros = took.as_micros() * self.all.as_micros() / mean.as_micros().max(1);
         Duration::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
     }
--- a/crates/anvilrack-node/src/routing/forward.rs
+++ b/crates/anvilrack-node/src/routing/forward.rs
@@ -421,8 +421,7 @@
 /// One try under way; dropping it counts it as ended, also where the caller has left.
 struct OpenTry<'a, D: PlatformDialect> {
     node: &'a NodeShared<D>,
-    service: &'a ServiceName,
-    route: &'a RouteRules,
+    request: &'a CallerRequest,
     place: &'a NodeId,
     began: BootTime,
     outcome: HealthOutcome,
@@ -431,14 +430,12 @@
 impl<'a, D: PlatformDialect> OpenTry<'a, D> {
     fn new(node: &'a NodeShared<D>, request: &'a CallerRequest, place: &'a NodeId) -> Self {
         let began = boot_clock::now();
-        let service = &request.service;
-        if let Some(choice) = node.choices().get_mut(service) {
+        if let Some(choice) = node.choices().get_mut(&request.service) {
             choice.begin(place, began);
         }
         Self {
             node,
-            service,
-            route: &request.route,
+            request,
             place,
             began,
             outcome: HealthOutcome::NotTried,
@@ -450,8 +447,9 @@
     fn drop(&mut self) {
         let now = boot_clock::now();
         let took = now.saturating_sub(self.began);
-        if let Some(choice) = self.node.choices().get_mut(self.service) {
-            choice.end(self.place, &self.route.name, self.outcome, took, now);
+        let request = self.request;
+        if let Some(choice) = self.node.choices().get_mut(&request.service) {
+            choice.end(self.place, &request.route.name, self.outcome, took, now);
         }
     }
 }
