--- a/crates/anvilrack-node/src/callers/caller_request.rs
+++ b/crates/anvilrack-node/src/callers/caller_request.rs
@@ -124,7 +124,9 @@
         "no service has a share of the route",
     ))?;
     let body = read_body(body, &site).await?;
-    let time = head.time_left.unwrap_or(USUAL_TIME).min(route.timeout);
+    let time_left = head.time_left.unwrap_or(USUAL_TIME);
+    let waited = node.patience().waited(&route.name, time_left);
+    let time = time_left.min(route.timeout);
     let path = parts.uri.path_and_query();
     Ok(CallerRequest {
         request: id,
@@ -133,7 +135,7 @@
         headers: message_headers::to_list(&parts.headers),
         body,
         key: head.key,
-        objective: began + route.latency_objective,
+        asked_at: began.saturating_sub(waited),
         deadline: began + time,
         route,
         service,
--- a/crates/anvilrack-node/src/routing/forward.rs
+++ b/crates/anvilrack-node/src/routing/forward.rs
@@ -71,8 +71,8 @@
     pub body: Bytes,
     /// The key, where the service is divided by key.
     pub key: Option<KeyNumber>,
-    /// When an answer begins to be late.
-    pub objective: BootTime,
+    /// When its caller first asked, as far as that is known.
+    pub asked_at: BootTime,
     /// When its time is over.
     pub deadline: BootTime,
 }
@@ -328,7 +328,8 @@
             path: request.path.clone(),
             headers: request.headers.clone(),
             time_left: self.time_left(),
-            objective_left: request.objective.saturating_sub(boot_clock::now()),
+            waited: boot_clock::now().saturating_sub(request.asked_at),
+            objective: request.route.latency_objective,
             key: request.key,
             class: request.route.class(),
             run_once: !request.route.idempotent,
