Tell callers of a stopping router whose requests wait elsewhere that they have not run

Ruled out: links lost (none in the log), a target at work (it never reached one). Change: half a second before the end the router beside the target is asked to bar what has not begun; what is barred is refused with a time to come back, what has begun is waited for as before. Requests that wait at a router that closes look again at once, and go elsewhere.

--- a/crates/anvilrack-node/src/guard/begun_requests.rs
+++ b/crates/anvilrack-node/src/guard/begun_requests.rs
@@ -13,10 +13,10 @@
 /// Requests that are remembered at most; the oldest are forgotten first.
 const KEPT_LIMIT: usize = 20_000;
 
-/// What is known of requests that must not run twice.
+/// What is known of the requests that came here.
 ///
-/// Where the link to another router breaks, that router asks whether its request has begun. If it has
-/// not, it is barred, and then the caller can truthfully be told that it has not run.
+/// Where the link to another router breaks, or that router stops, it asks whether its request has begun.
+/// If it has not, it is barred, and then the caller can truthfully be told that it has not run.
 #[derive(Debug, Default)]
 pub struct BegunRequests {
     known: HashMap<RequestId, RequestMark>,
--- a/crates/anvilrack-node/src/guard/target_door.rs
+++ b/crates/anvilrack-node/src/guard/target_door.rs
@@ -274,6 +274,7 @@
             slot.get_or_insert_with(|| self.ticket(ticket));
             let wait = until.saturating_sub(boot_clock::now());
             within(wait, news.notified()).await;
+            self.may_run(node, call)?;
             step = self.queue().poll(ticket, boot_clock::now());
         }
     }
@@ -342,7 +343,7 @@
         let Some(request) = build_request(node, &call, body, life, time_left) else {
             return not_run(RefusalReason::BadRequest, LEAST_RETRY_AFTER);
         };
-        if call.run_once && !lock(&self.begun).begin(&call.request, now) {
+        if !lock(&self.begun).begin(&call.request, now) {
             return not_run(RefusalReason::OwnerUnreachable, LEAST_RETRY_AFTER);
         }
         if let Some(shard) = shard {
@@ -442,6 +443,13 @@
         }
     }
 
+    /// Has all that wait look again whether they may still run here.
+    pub fn wake_all(&self) {
+        lock(&self.waiters)
+            .values()
+            .for_each(|news| news.notify_one());
+    }
+
     fn queue(&self) -> MutexGuard<'_, AdmissionQueue> {
         lock(&self.queue)
     }
--- a/crates/anvilrack-node/src/node_process.rs
+++ b/crates/anvilrack-node/src/node_process.rs
@@ -48,6 +48,10 @@
 /// A stop ends so long before the process would be killed.
 const STOP_MARGIN: Duration = Duration::from_millis(900);
 
+/// Before a stop ends whatever is under way, this is the time to tell callers that their requests have not
+/// begun: a question to another router and the answer's way to the caller.
+const LAST_WORD_TIME: Duration = Duration::from_millis(500);
+
 /// Time for a head at the ready and metrics addresses, counted also while a connection is idle.
 const HEAD_LIMIT: Duration = Duration::from_secs(30);
 
@@ -114,6 +118,9 @@
         if passed >= LEAST_STOP.min(longest * 3 / 5) {
             node.begin_close();
         }
+        if passed >= longest.saturating_sub(LAST_WORD_TIME) {
+            node.begin_end();
+        }
         let hands_over = node.reaches_store() && node.hand_over();
         let busy = node.open_count() > 0 || node.door.load().0 > 0 || hands_over;
         // Connections that waited when the listener closed may still bring a request.
--- a/crates/anvilrack-node/src/node_shared.rs
+++ b/crates/anvilrack-node/src/node_shared.rs
@@ -82,6 +82,7 @@
     pub route_news: Notify,
     stopping: AtomicBool,
     closing: watch::Sender<bool>,
+    ending: watch::Sender<bool>,
     parting: watch::Sender<bool>,
     open: AtomicIsize,
     entry_version: AtomicU64,
@@ -128,6 +129,7 @@
             route_news: Notify::new(),
             stopping: AtomicBool::new(false),
             closing: watch::Sender::new(false),
+            ending: watch::Sender::new(false),
             parting: watch::Sender::new(false),
             open: AtomicIsize::new(0),
             entry_version: AtomicU64::new(0),
@@ -246,6 +248,7 @@
     /// No connection of a caller takes another request; those under way are finished.
     pub fn begin_close(&self) {
         self.closing.send_replace(true);
+        self.door.wake_all();
     }
 
     /// True once [`Self::begin_close`] was called.
@@ -261,6 +264,24 @@
         closing.wait_for(|closing| *closing).await.ok();
     }
 
+    /// The process ends in a moment: callers whose requests have not begun are told so.
+    pub fn begin_end(&self) {
+        self.ending.send_replace(true);
+    }
+
+    /// True once [`Self::begin_end`] was called.
+    #[must_use]
+    pub fn is_ending(&self) -> bool {
+        *self.ending.borrow()
+    }
+
+    /// Ends once [`Self::begin_end`] was called.
+    pub async fn ended(&self) {
+        let mut ending = self.ending.subscribe();
+        // The sender lives as long as this does.
+        ending.wait_for(|ending| *ending).await.ok();
+    }
+
     /// No link takes another call; answers that are on their way are finished.
     pub fn begin_part(&self) {
         self.parting.send_replace(true);
--- a/crates/anvilrack-node/src/routing/forward.rs
+++ b/crates/anvilrack-node/src/routing/forward.rs
@@ -1,6 +1,7 @@
 //! Takes one caller's request to a target and back.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -140,6 +141,9 @@
         if self.time_left().is_zero() {
             return self.out_of_time();
         }
+        if self.node.is_ending() {
+            return self.refuse(RefusalReason::Stopping, NO_TARGET_RETRY_AFTER);
+        }
         let Some((place, address)) = self.find_place() else {
             return self.await_place().await;
         };
@@ -223,10 +227,15 @@
                 .node
                 .door
                 .run(self.node, call, self.request.body.clone());
-            return within(limit, work).await.unwrap_or((
-                RunReply::MayHaveRun(UncertainReason::TimedOut),
-                Bytes::new(),
-            ));
+            let bar = async { self.node.door.bar(&self.request.request) };
+            return match self.unless_barred(within(limit, work), bar).await {
+                Some(Some(reply)) => reply,
+                Some(None) => (
+                    RunReply::MayHaveRun(UncertainReason::TimedOut),
+                    Bytes::new(),
+                ),
+                None => (not_begun(RefusalReason::Stopping), Bytes::new()),
+            };
         }
         let links = &self.node.links;
         let body = &self.request.body;
@@ -235,7 +244,12 @@
         {
             return (refusal, Bytes::new());
         }
-        let fault = match links.call(address, &PeerCall::Run(call), body, limit).await {
+        let call = PeerCall::Run(call);
+        let work = links.call(address, &call, body, limit);
+        let Some(answer) = self.unless_barred(work, self.bar(address)).await else {
+            return (not_begun(RefusalReason::Stopping), Bytes::new());
+        };
+        let fault = match answer {
             Ok((PeerReply::Run(reply, load), body)) => {
                 self.see_load(place, load);
                 return (reply, body);
@@ -252,11 +266,7 @@
         );
         let reply = match fault {
             PeerFault::Timeout => RunReply::MayHaveRun(UncertainReason::TimedOut),
-            fault if fault.is_unsent() => RunReply::NotRun {
-                reason: RefusalReason::OwnerUnreachable,
-                retry_after: NO_TARGET_RETRY_AFTER,
-                by_target: false,
-            },
+            fault if fault.is_unsent() => not_begun(RefusalReason::OwnerUnreachable),
             _ => self.ask_whether_begun(address).await,
         };
         (reply, Bytes::new())
@@ -275,11 +285,27 @@
                 room.err()
             }
             // Nothing of the request itself was sent.
-            _ => Some(RunReply::NotRun {
-                reason: RefusalReason::OwnerUnreachable,
-                retry_after: NO_TARGET_RETRY_AFTER,
-                by_target: false,
-            }),
+            _ => Some(not_begun(RefusalReason::OwnerUnreachable)),
+        }
+    }
+
+    /// Waits for a try. Where the process ends before that, and the request can be barred, it has not
+    /// begun and never will: none is returned.
+    async fn unless_barred<T>(
+        &self,
+        work: impl Future<Output = T>,
+        bar: impl Future<Output = bool>,
+    ) -> Option<T> {
+        let mut work = pin!(work);
+        tokio::select! {
+            biased;
+            done = &mut work => return Some(done),
+            () = self.node.ended() => {}
+        }
+        tokio::select! {
+            biased;
+            done = &mut work => Some(done),
+            barred = bar => if barred { None } else { Some(work.await) },
         }
     }
 
@@ -295,6 +321,15 @@
         if self.request.route.idempotent {
             return doubt;
         }
+        if self.bar(address).await {
+            not_begun(RefusalReason::OwnerUnreachable)
+        } else {
+            doubt
+        }
+    }
+
+    /// Has the router at `address` bar the request; false where it has begun, or nobody can tell.
+    async fn bar(&self, address: SocketAddr) -> bool {
         let call = PeerCall::Bar(self.request.request.clone());
         let limit = BAR_LIMIT.min(self.time_left());
         let answer = self.node.links.call(address, &call, &[], limit).await;
@@ -307,15 +342,7 @@
             barred = barred,
             answered = answer.is_ok()
         );
-        if barred {
-            RunReply::NotRun {
-                reason: RefusalReason::OwnerUnreachable,
-                retry_after: NO_TARGET_RETRY_AFTER,
-                by_target: false,
-            }
-        } else {
-            doubt
-        }
+        barred
     }
 
     fn run_call(&self) -> RunCall {
@@ -417,6 +444,15 @@
     }
 }
 
+/// The request has not begun anywhere, and will not.
+fn not_begun(reason: RefusalReason) -> RunReply {
+    RunReply::NotRun {
+        reason,
+        retry_after: NO_TARGET_RETRY_AFTER,
+        by_target: false,
+    }
+}
+
 // --- evidence -----------------------------------------------------------------------------------
 
 /// One try under way; dropping it counts it as ended, also where the caller has left.
