One router at a time stands in for a silent reader, and tries at the store come less often

Cause: a router's watch that wakes, and a try that the store turns away, are calls that count against the rates of the whole deployment. Change: routers stand in line by name, each 350 ms behind the one before, and whoever watches sends the signs of life; pauses between tries double (300 to 1,200 ms for watches, 400 to 1,000 for entries); entries are gathered for 250 ms, since bad news travels between routers. Tests: domain_reader, five cases for the line.

--- a/crates/anvilrack-node/src/directory/entry_keeper.rs
+++ b/crates/anvilrack-node/src/directory/entry_keeper.rs
@@ -6,13 +6,13 @@
 use anvilrack_core::{BootTime, events};
 use anvilrack_router::boot_clock;
 use anvilrack_wire::encode;
-use rand::Rng;
 use tokio::time::sleep;
 
 use crate::directory::{
     DirectoryEntry, ENTRY_PREFIX, LeaseId, MetadataStore, StoreFault, StoreWrite, WriteResult,
 };
 use crate::http_pool::within;
+use crate::pause_range::PauseRange;
 use crate::{NodeShared, PlatformDialect, observe, tell};
 
 /// Time to live of the entry's lease.
@@ -21,8 +21,10 @@
 /// Time between two renewals; three may be lost.
 const KEEP_EVERY: Duration = Duration::from_millis(1_100);
 
-/// Time between two tries while the store does not answer.
-const RETRY_EVERY: Duration = Duration::from_millis(400);
+/// Time between two tries while the store does not answer, at first and after many.
+///
+/// An entry that lapsed has to be back within two seconds of the store's return.
+const RETRY_PAUSES: PauseRange = PauseRange::new(400, 1_000);
 
 /// Changes that come close together are written as one.
 const GATHER: Duration = Duration::from_millis(30);
@@ -39,13 +41,16 @@
 /// Writes the entry when it changes, and renews its lease, until the process ends.
 pub async fn keep_entry<D: PlatformDialect>(node: Arc<NodeShared<D>>) {
     let mut kept = KeptEntry::default();
+    let mut pauses = RETRY_PAUSES;
     loop {
         match kept.step(&node).await {
-            Ok(()) => kept.tell_back(),
+            Ok(()) => {
+                kept.tell_back();
+                pauses = RETRY_PAUSES;
+            }
             Err(fault) => {
                 kept.tell_lost(&fault);
-                let jitter = rand::rng().random_range(0.6..1.4);
-                sleep(RETRY_EVERY.mul_f64(jitter)).await;
+                sleep(pauses.next()).await;
                 continue;
             }
         }
--- a/crates/anvilrack-node/src/directory/mod.rs
+++ b/crates/anvilrack-node/src/directory/mod.rs
@@ -8,7 +8,9 @@
 mod store_watch;
 
 pub use directory_view::{DirectoryEntry, DirectoryView};
-pub use domain_reader::{BeatEffect, READER_BEAT, ReaderBeat, ReaderWatch, digest_of, reader_of};
+pub use domain_reader::{
+    BeatEffect, READER_BEAT, ReaderBeat, ReaderWatch, digest_of, place_in_line,
+};
 pub use entry_keeper::keep_entry;
 pub use metadata_store::{
     LeaseId, MetadataStore, StoreChange, StoreFault, StoreItem, StoreList, StoreRevision,
--- a/crates/anvilrack-node/src/directory/store_watch.rs
+++ b/crates/anvilrack-node/src/directory/store_watch.rs
@@ -5,7 +5,6 @@
 
 use anvilrack_router::boot_clock;
 use anvilrack_wire::decode;
-use rand::Rng;
 use tokio::time::sleep;
 
 use crate::directory::READER_BEAT;
@@ -13,14 +12,18 @@
 use crate::directory::{
     DirectoryEntry, ENTRY_PREFIX, MetadataStore, StoreChange, StoreFault, StoreRevision, WatchNews,
 };
+use crate::pause_range::PauseRange;
 use crate::peers::{PeerCall, ReaderNews};
 use crate::{NodeShared, PlatformDialect};
 
 /// Longest wait of one watch.
 const WATCH_WAIT: Duration = Duration::from_secs(20);
 
-/// Time between two tries while the store does not answer.
-const RETRY_EVERY: Duration = Duration::from_millis(300);
+/// Time between two tries while the store does not answer, at first and after many.
+///
+/// What is missed meanwhile is learned from other routers. A try is a call that counts against the rates
+/// of the whole deployment, also where it is refused.
+const RETRY_PAUSES: PauseRange = PauseRange::new(300, 1_200);
 
 /// Time after the start of the process before the entries are read.
 const START_PAUSE: Duration = Duration::from_millis(450);
@@ -32,23 +35,29 @@
 const TELL_LIMIT: Duration = Duration::from_millis(400);
 
 /// Time before a watch goes on after news, so that changes that come together wake it once.
-const GATHER: Duration = Duration::from_millis(120);
+///
+/// Routers tell each other of what must not wait.
+const GATHER: Duration = Duration::from_millis(250);
+
+/// The same for the document, which has to be in force within seconds.
+const GATHER_SITE: Duration = Duration::from_millis(100);
 
 /// Keeps the view of the routers until the process ends.
 pub async fn watch_entries<D: PlatformDialect>(node: Arc<NodeShared<D>>) {
     // Routers start together, so their entries are there a moment later.
     sleep(START_PAUSE.mul_f64(rand::random_range(0.7..1.3))).await;
     let mut listed = false;
+    let mut pauses = RETRY_PAUSES;
     loop {
         if listed && !node.watches_store() {
             sleep(ROLE_STEP).await;
             continue;
         }
-        match follow_entries(&node, &mut listed).await {
-            Ok(()) => {}
+        match follow_entries(&node, &mut listed, &mut pauses).await {
+            Ok(()) => pauses = RETRY_PAUSES,
             Err(fault) => {
                 log::debug!("entries cannot be followed: {fault}");
-                pause().await;
+                sleep(pauses.next()).await;
             }
         }
     }
@@ -57,31 +66,32 @@
 /// Keeps the operators' document until the process ends.
 pub async fn watch_site<D: PlatformDialect>(node: Arc<NodeShared<D>>) {
     let mut after = 0;
+    let mut pauses = RETRY_PAUSES;
     loop {
         if node.site().is_some() && !node.watches_store() {
             sleep(ROLE_STEP).await;
             continue;
         }
-        if let Err(fault) = follow_site(&node, &mut after).await {
-            log::debug!("the document of routes cannot be followed: {fault}");
-            catch_up(&node).await;
-            pause().await;
+        match follow_site(&node, &mut after, &mut pauses).await {
+            Ok(()) => pauses = RETRY_PAUSES,
+            Err(fault) => {
+                log::debug!("the document of routes cannot be followed: {fault}");
+                catch_up(&node).await;
+                sleep(pauses.next()).await;
+            }
         }
     }
 }
 
-async fn pause() {
-    let jitter = rand::rng().random_range(0.5..1.5);
-    sleep(RETRY_EVERY.mul_f64(jitter)).await;
-}
-
 /// Reads all entries, then follows their changes for as long as this router watches the store, and the
 /// history goes back far enough.
 async fn follow_entries<D: PlatformDialect>(
     node: &Arc<NodeShared<D>>,
     listed: &mut bool,
+    pauses: &mut PauseRange,
 ) -> Result<(), StoreFault> {
     let list = node.store.list(ENTRY_PREFIX).await?;
+    *pauses = RETRY_PAUSES;
     let names: Vec<_> = list
         .items
         .iter()
@@ -150,17 +160,24 @@
 async fn follow_site<D: PlatformDialect>(
     node: &Arc<NodeShared<D>>,
     after: &mut StoreRevision,
+    pauses: &mut PauseRange,
 ) -> Result<(), StoreFault> {
     let key = node.dialect.site_key();
     if let Some(item) = node.store.read(key).await? {
         *after = item.revision.max(*after);
         take_site(node, &item.value);
     }
+    *pauses = RETRY_PAUSES;
     while node.site().is_none() || node.watches_store() {
         match node.store.watch(key, *after, WATCH_WAIT).await? {
             WatchNews::HistoryGone => return Ok(()),
             WatchNews::Changes(changes, revision) => {
                 *after = revision.max(*after);
+                let gather = if changes.is_empty() {
+                    Duration::ZERO
+                } else {
+                    GATHER_SITE
+                };
                 for change in changes {
                     match change {
                         StoreChange::Written(item) if *item.key == *key => {
@@ -173,6 +190,7 @@
                         _ => {}
                     }
                 }
+                sleep(gather).await;
             }
         }
     }
@@ -184,7 +202,7 @@
     loop {
         sleep(READER_BEAT).await;
         // A reader that the store does not answer is none: the others look for themselves.
-        if node.reads_for_domain() && node.reaches_store() {
+        if node.watches_store() && node.reaches_store() {
             let call = PeerCall::ReaderBeat(node.reader_beat());
             let links = &node.links;
             links.call_all(node.domain_peers(), &call, TELL_LIMIT).await;
--- a/crates/anvilrack-node/src/lib.rs
+++ b/crates/anvilrack-node/src/lib.rs
@@ -23,6 +23,7 @@
 mod node_shared;
 pub mod observe;
 pub mod ownership;
+mod pause_range;
 pub mod peers;
 mod platform_dialect;
 pub mod routing;
--- a/crates/anvilrack-node/src/node_shared.rs
+++ b/crates/anvilrack-node/src/node_shared.rs
@@ -15,8 +15,8 @@
 use tokio::sync::{Notify, watch};
 
 use crate::directory::{
-    BeatEffect, DirectoryEntry, DirectoryView, ReaderBeat, ReaderWatch, digest_of, pull_view,
-    reader_of, take_site,
+    BeatEffect, DirectoryEntry, DirectoryView, ReaderBeat, ReaderWatch, digest_of, place_in_line,
+    pull_view, take_site,
 };
 use crate::guard::{LifeState, TargetDoor, TargetLife};
 use crate::observe::NodeMetrics;
@@ -439,19 +439,20 @@
         entries.map(|entry| entry.place.address).collect()
     }
 
-    /// True where this router watches the store for its failure domain.
-    #[must_use]
-    pub fn reads_for_domain(&self) -> bool {
-        let own = self.own_entry();
-        let directory = self.directory();
-        let entries = directory.entries().chain([&own]);
-        reader_of(&self.settings.failure_domain, entries) == Some(&*self.settings.node)
-    }
-
-    /// True where this router has to watch the store: for its failure domain, or because nobody does.
+    /// True where this router has to watch the store: it reads for its failure domain, or stands in for
+    /// a reader that is silent.
     #[must_use]
     pub fn watches_store(&self) -> bool {
-        self.reads_for_domain() || !lock(&self.reader).is_heard(boot_clock::now())
+        let place = {
+            let directory = self.directory();
+            let settings = &self.settings;
+            place_in_line(
+                &settings.node,
+                &settings.failure_domain,
+                directory.entries(),
+            )
+        };
+        !lock(&self.reader).is_heard(place, boot_clock::now())
     }
 
     /// What this router tells its failure domain while it reads for it.
@@ -460,6 +461,7 @@
         let own = self.own_entry();
         let directory = self.directory();
         ReaderBeat {
+            reader: self.settings.node.clone(),
             site: self.site().map(|site| site.version),
             digest: digest_of(directory.entries().chain([&own])),
         }
@@ -476,9 +478,9 @@
         near.map(|entry| entry.place.address).collect()
     }
 
-    /// Passes on what was read from the store, where this router reads for its failure domain.
+    /// Passes on what was read from the store.
     pub fn tell_domain(self: &Arc<Self>, news: ReaderNews) {
-        if !self.reads_for_domain() {
+        if !self.watches_store() {
             return;
         }
         let node = self.clone();
@@ -493,7 +495,7 @@
     /// The reader of the failure domain lives; what it knows and this router does not is asked for.
     pub fn take_reader_beat(self: &Arc<Self>, beat: ReaderBeat, from: IpAddr) {
         let own = self.reader_beat();
-        let effect = lock(&self.reader).take(beat, own, boot_clock::now());
+        let effect = lock(&self.reader).take(&beat, &own, boot_clock::now());
         if effect == BeatEffect::Same {
             return;
         }
--- a/crates/anvilrack-node/tests/domain_reader.rs
+++ b/crates/anvilrack-node/tests/domain_reader.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use anvilrack_node::directory::{
-    BeatEffect, DirectoryEntry, ReaderBeat, ReaderWatch, digest_of, reader_of,
+    BeatEffect, DirectoryEntry, ReaderBeat, ReaderWatch, digest_of, place_in_line,
 };
 use anvilrack_node::peers::PeerPlace;
 
@@ -28,22 +28,29 @@
 }
 
 fn beat(site: u64, digest: u64) -> ReaderBeat {
+    beat_of("b", site, digest)
+}
+
+fn beat_of(reader: &str, site: u64, digest: u64) -> ReaderBeat {
     ReaderBeat {
+        reader: reader.into(),
         site: Some(site),
         digest,
     }
 }
 
 #[test]
-fn first_router_of_the_domain_reads() {
+fn routers_of_a_domain_stand_in_line_by_name() {
     let entries = [
         entry("c", "norte-a", 1, false),
         entry("b", "norte-a", 1, false),
         entry("a", "sul-a", 1, false),
     ];
-    assert_eq!(reader_of("norte-a", entries.iter()), Some("b"));
-    assert_eq!(reader_of("sul-a", entries.iter()), Some("a"));
-    assert_eq!(reader_of("centro-a", entries.iter()), None);
+    let place = |node, domain| place_in_line(node, domain, entries.iter());
+    assert_eq!(place("b", "norte-a"), 0);
+    assert_eq!(place("c", "norte-a"), 1);
+    assert_eq!(place("a", "sul-a"), 0);
+    assert_eq!(place("d", "centro-a"), 0);
 }
 
 #[test]
@@ -52,18 +59,38 @@
         entry("a", "norte-a", 2, true),
         entry("b", "norte-a", 1, false),
     ];
-    assert_eq!(reader_of("norte-a", entries.iter()), Some("b"));
+    assert_eq!(place_in_line("b", "norte-a", entries.iter()), 0);
 }
 
 #[test]
 fn silent_reader_is_not_waited_for() {
     let mut watch = ReaderWatch::new(at(0));
-    assert!(watch.is_heard(at(800)));
+    assert!(!watch.is_heard(0, at(0)));
+    assert!(watch.is_heard(1, at(800)));
     // A document has to be in force two seconds after it was written, and be read in that time.
-    assert!(!watch.is_heard(at(1_000)));
-    watch.take(beat(1, 7), beat(1, 7), at(2_000));
-    assert!(watch.is_heard(at(2_800)));
-    assert!(!watch.is_heard(at(3_000)));
+    assert!(!watch.is_heard(1, at(1_000)));
+    watch.take(&beat(1, 7), &beat_of("c", 1, 7), at(2_000));
+    assert!(watch.is_heard(1, at(2_800)));
+    assert!(!watch.is_heard(1, at(3_000)));
+}
+
+#[test]
+fn one_router_at_a_time_stands_in_for_a_silent_reader() {
+    let mut last = ReaderWatch::new(at(0));
+    // The router before it reads from 900 ms on and says so.
+    assert!(last.is_heard(2, at(1_200)));
+    last.take(&beat_of("b", 1, 7), &beat_of("c", 1, 7), at(1_200));
+    assert!(last.is_heard(2, at(2_100)));
+    // Where that is silent too, nobody waits for long, whatever its place.
+    assert!(!ReaderWatch::new(at(0)).is_heard(2, at(1_300)));
+    assert!(!ReaderWatch::new(at(0)).is_heard(11, at(1_700)));
+}
+
+#[test]
+fn reader_does_not_rely_on_the_one_that_stands_in_for_it() {
+    let mut watch = ReaderWatch::new(at(0));
+    watch.take(&beat_of("c", 1, 7), &beat_of("b", 1, 7), at(2_000));
+    assert!(!watch.is_heard(1, at(2_100)));
 }
 
 macro_rules! beats {
@@ -71,7 +98,7 @@
         #[test]
         fn $name() {
             let mut watch = ReaderWatch::new(at(0));
-            let effects = [$(watch.take($theirs, $own, at(100))),*];
+            let effects = [$(watch.take(&$theirs, &$own, at(100))),*];
             assert_eq!(effects.last(), Some(&BeatEffect::$effect));
         }
     )*};
