Revert "Let callers that come back late yield to those who can be served in time"

The queue admits up to the last moment at which the mean request is in time, so about half of what it admits is late.

--- a/crates/anvilrack-core/src/admission_queue.rs
+++ b/crates/anvilrack-core/src/admission_queue.rs
@@ -34,10 +34,6 @@
 /// A kind of request is short where it takes this part of the mean time or less, as a divisor.
 const SHORT_PART: u32 = 3;
 
-/// Late requests do not wait at a target that turned one away which could have been in time for so long:
-/// about the time after which the refused come back.
-const SATURATED_TIME: Duration = Duration::from_millis(700);
-
 /// Names a request that was admitted or that waits.
 pub type TicketId = u64;
 
@@ -48,8 +44,6 @@
     pub class: RequestClass,
     /// What kind of work it is, such as its route; requests of one kind take about the same time.
     pub kind: Arc<str>,
-    /// When the caller asked first; before now for one that was refused and has come back.
-    pub asked_at: BootTime,
     /// Until when an answer is worth most to the caller.
     pub objective: BootTime,
     /// When its time is over.
@@ -79,10 +73,6 @@
 /// more than it can run answers everybody late, and nobody in time. The most urgent class and short
 /// requests wait up to their deadline all the same: the work of other services hangs on them, and is
 /// lost with them, and they take little from others.
-///
-/// Callers that were refused come back, and some come back too late for their objective. While requests
-/// are turned away that could be in time, these do not wait for a slot but are refused at once: each of
-/// them served late would cost another one its answer in time.
 #[derive(Clone, Debug)]
 pub struct AdmissionQueue {
     limit: LatencyLimit,
@@ -91,8 +81,6 @@
     waiting: BTreeMap<TicketId, AdmissionRequest>,
     refused: BTreeMap<TicketId, RefusalReason>,
     passed_over: BTreeMap<RequestClass, u32>,
-    /// When a request of the class was last turned away that could have been in time.
-    turned_away: BTreeMap<RequestClass, BootTime>,
     kinds: BTreeMap<Arc<str>, KindTime>,
     news: Vec<TicketId>,
 }
@@ -125,7 +113,6 @@
             waiting: BTreeMap::new(),
             refused: BTreeMap::new(),
             passed_over: BTreeMap::new(),
-            turned_away: BTreeMap::new(),
             kinds: BTreeMap::new(),
             news: Vec::new(),
         }
@@ -160,14 +147,10 @@
         }
         let in_time = self.is_in_time(&request, now);
         let made_late = in_time && !self.is_in_time(&request, now + wait);
-        let given_up = made_late && !self.is_worth_waiting(&request, now);
-        let outrun = !wait.is_zero()
-            && self.came_back_late(&request, now)
-            && self.is_saturated(request.class, now);
-        if given_up || outrun || (!self.has_room() && !self.make_place(&request)) {
-            if in_time {
-                self.on_turned_away(request.class, now);
-            }
+        if made_late && !self.is_worth_waiting(&request, now) {
+            return AdmissionStep::Refuse(RefusalReason::Overloaded, self.drain_time(now));
+        }
+        if !self.has_room() && !self.make_place(&request) {
             return AdmissionStep::Refuse(RefusalReason::Overloaded, self.drain_time(now));
         }
         self.last_ticket += 1;
@@ -284,37 +267,6 @@
         }
     }
 
-    // --- callers that come back -----------------------------------------------------------------
-
-    /// A request was turned away that could have been in time, so late ones of its class or a lesser
-    /// one have no prospect of a slot.
-    fn on_turned_away(&mut self, class: RequestClass, now: BootTime) {
-        self.turned_away.insert(class, now);
-        let late: Vec<TicketId> = self
-            .waiting
-            .iter()
-            .filter(|(_, waiting)| waiting.class >= class && self.came_back_late(waiting, now))
-            .map(|(ticket, _)| *ticket)
-            .collect();
-        for ticket in late {
-            self.settle(ticket, RefusalReason::Overloaded);
-        }
-    }
-
-    /// True where a request as urgent or more so was turned away lately.
-    fn is_saturated(&self, class: RequestClass, now: BootTime) -> bool {
-        let mut turned_away = self.turned_away.range(..=class);
-        turned_away.any(|(_, at)| now < *at + SATURATED_TIME)
-    }
-
-    /// True for a request that its target could have answered in time when the caller first asked, and
-    /// cannot now.
-    fn came_back_late(&self, request: &AdmissionRequest, now: BootTime) -> bool {
-        let time = self.kind_time(&request.kind, now);
-        let could = request.asked_at + time <= request.objective;
-        could && !self.is_in_time(request, now) && !self.is_worth_waiting(request, now)
-    }
-
     // --- the waiting room -----------------------------------------------------------------------
 
     /// Finds a place for a request in the waiting room, if need be by refusing a lesser one.
--- a/crates/anvilrack-core/src/lib.rs
+++ b/crates/anvilrack-core/src/lib.rs
@@ -13,7 +13,6 @@
 //! * [`StandbyState`] decides whether this router may replace its coordinator.
 
 mod admission_queue;
-mod caller_patience;
 mod cell_history;
 mod cell_record;
 mod clock;
@@ -47,7 +46,6 @@
 mod target_pace;
 
 pub use admission_queue::{AdmissionQueue, AdmissionRequest, AdmissionStep, TicketId};
-pub use caller_patience::CallerPatience;
 pub use cell_record::{CellMember, CellRecord, ShardOwner, WriterStamp};
 pub use clock::BootTime;
 pub use coordinator_state::{
--- a/crates/anvilrack-node/src/callers/caller_request.rs
+++ b/crates/anvilrack-node/src/callers/caller_request.rs
@@ -124,9 +124,7 @@
         "no service has a share of the route",
     ))?;
     let body = read_body(body, &site).await?;
-    let time_left = head.time_left.unwrap_or(USUAL_TIME);
-    let waited = node.patience().waited(&route.name, time_left);
-    let time = time_left.min(route.timeout);
+    let time = head.time_left.unwrap_or(USUAL_TIME).min(route.timeout);
     let path = parts.uri.path_and_query();
     Ok(CallerRequest {
         request: id,
@@ -135,7 +133,7 @@
         headers: message_headers::to_list(&parts.headers),
         body,
         key: head.key,
-        asked_at: began.saturating_sub(waited),
+        objective: began + route.latency_objective,
         deadline: began + time,
         route,
         service,
--- a/crates/anvilrack-node/src/guard/target_door.rs
+++ b/crates/anvilrack-node/src/guard/target_door.rs
@@ -117,7 +117,6 @@
                     running = running,
                     waiting = waiting,
                     time_left_ms = observe::millis(call.time_left),
-                    waited_ms = observe::millis(call.waited),
                     retry_after_ms = observe::millis(retry_after)
                 );
                 let retry_after = retry_after.max(LEAST_RETRY_AFTER);
@@ -245,12 +244,10 @@
         deadline: Duration,
     ) -> Result<(SlotTicket<'_>, TargetLife), Refusal> {
         self.may_run(node, call)?;
-        let asked_at = boot_clock::now().saturating_sub(call.waited);
         let request = AdmissionRequest {
             class: call.class,
             kind: call.route.clone(),
-            asked_at,
-            objective: (asked_at + call.objective).min(deadline),
+            objective: (boot_clock::now() + call.objective_left).min(deadline),
             deadline,
             // The platform names no client accounts, and the service beside the router that a request
             // came through is none: calls of targets and of people come through the same ones.
--- a/crates/anvilrack-node/src/node_shared.rs
+++ b/crates/anvilrack-node/src/node_shared.rs
@@ -6,8 +6,8 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use anvilrack_core::{
-    BootTime, CallerPatience, CellMember, CellRecord, CoordinatorState, LeaseTerms, MemberReport,
-    NodeId, OwnerState, RecordDelta, ReportMark, RetryBudget, ServiceName, ShardId, SiteRoutes,
+    BootTime, CellMember, CellRecord, CoordinatorState, LeaseTerms, MemberReport, NodeId,
+    OwnerState, RecordDelta, ReportMark, RetryBudget, ServiceName, ShardId, SiteRoutes,
     StandbyState, TargetChoice, events,
 };
 use anvilrack_router::boot_clock;
@@ -98,7 +98,6 @@
     report_count: AtomicU64,
     store_seen_at: Mutex<BootTime>,
     choices: Mutex<HashMap<ServiceName, TargetChoice>>,
-    patience: Mutex<CallerPatience>,
     budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
     refreshes: Mutex<HashMap<ServiceName, RefreshTimes>>,
     owner: Mutex<OwnerState>,
@@ -144,7 +143,6 @@
             report_count: AtomicU64::new(0),
             store_seen_at: Mutex::default(),
             choices: Mutex::default(),
-            patience: Mutex::default(),
             budgets: Mutex::default(),
             refreshes: Mutex::default(),
             owner: Mutex::new(OwnerState::new(node.clone(), 0, terms)),
@@ -181,11 +179,6 @@
         lock(&self.choices)
     }
 
-    /// How long callers of each route usually wait.
-    pub fn patience(&self) -> MutexGuard<'_, CallerPatience> {
-        lock(&self.patience)
-    }
-
     /// Runs `work` on the retry budget of a service.
     pub fn with_budget<T>(
         &self,
--- a/crates/anvilrack-node/src/peers/peer_message.rs
+++ b/crates/anvilrack-node/src/peers/peer_message.rs
@@ -95,10 +95,8 @@
     pub headers: Vec<(String, Vec<u8>)>,
     /// Time left for it.
     pub time_left: Duration,
-    /// Time since its caller first asked, as far as that is known.
-    pub waited: Duration,
-    /// The latency objective of its route, which counts from that moment.
-    pub objective: Duration,
+    /// Time left until its answer is late.
+    pub objective_left: Duration,
     /// The key, where the service is divided by key.
     pub key: Option<KeyNumber>,
     /// Which requests go first.
--- a/crates/anvilrack-node/src/routing/forward.rs
+++ b/crates/anvilrack-node/src/routing/forward.rs
@@ -72,8 +72,8 @@
     pub body: Bytes,
     /// The key, where the service is divided by key.
     pub key: Option<KeyNumber>,
-    /// When its caller first asked, as far as that is known.
-    pub asked_at: BootTime,
+    /// When an answer begins to be late.
+    pub objective: BootTime,
     /// When its time is over.
     pub deadline: BootTime,
 }
@@ -355,8 +355,7 @@
             path: request.path.clone(),
             headers: request.headers.clone(),
             time_left: self.time_left(),
-            waited: boot_clock::now().saturating_sub(request.asked_at),
-            objective: request.route.latency_objective,
+            objective_left: request.objective.saturating_sub(boot_clock::now()),
             key: request.key,
             class: request.route.class(),
             run_once: !request.route.idempotent,
--- a/crates/anvilrack-router/src/stages/admit.rs
+++ b/crates/anvilrack-router/src/stages/admit.rs
@@ -7,9 +7,9 @@
 use anvilrack_wire::ForwardRequest;
 
 use crate::admission_control::AdmissionControl;
+use crate::log_event;
 use crate::router_context::RouterContext;
 use crate::spread_choices::outcome_of;
-use crate::{boot_clock, log_event};
 
 /// Room at the target for one request; dropping it gives the room back.
 #[derive(Debug)]
@@ -35,7 +35,6 @@
         class,
         kind: request.service.clone(),
         // Callers name a deadline alone.
-        asked_at: boot_clock::now(),
         objective: deadline,
         deadline,
         caller: request.caller.clone(),
