--- a/crates/anvilrack-node/src/node_settings.rs
+++ b/crates/anvilrack-node/src/node_settings.rs
@@ -24,6 +24,9 @@
     pub target: SocketAddr,
     /// Where it listens.
     pub listen: ListenAddresses,
+    /// Where other routers reach it, if that is not the address for peers, as behind a relay.
+    #[serde(default)]
+    pub advertised_peers: Option<SocketAddr>,
     /// Address of the platform's store.
     pub store: SocketAddr,
     /// Speed of the VM's link, in megabits a second.
@@ -102,6 +105,12 @@
         read_checked(path, Self::check)
     }
 
+    /// Where other routers reach this one.
+    #[must_use]
+    pub fn peer_address(&self) -> SocketAddr {
+        self.advertised_peers.unwrap_or(self.listen.peers)
+    }
+
     fn check(&self) -> Result<(), FieldFault> {
         let empty = [
             ("node", &self.node),
--- a/crates/anvilrack-node/src/node_shared.rs
+++ b/crates/anvilrack-node/src/node_shared.rs
@@ -420,7 +420,7 @@
         peers.extend(met);
         peers.sort_unstable();
         peers.dedup();
-        peers.retain(|peer| *peer != self.settings.listen.peers);
+        peers.retain(|peer| *peer != self.settings.peer_address());
         peers
     }
 
@@ -486,14 +486,16 @@
     }
 
     /// The reader of the failure domain lives; what it knows and this router does not is asked for.
-    pub fn take_reader_beat(self: &Arc<Self>, beat: ReaderBeat, from: IpAddr) {
+    pub fn take_reader_beat(self: &Arc<Self>, beat: &ReaderBeat) {
         let own = self.reader_beat();
-        let effect = lock(&self.reader).take(&beat, &own, boot_clock::now());
+        let effect = lock(&self.reader).take(beat, &own, boot_clock::now());
         if effect == BeatEffect::Same {
             return;
         }
+        let Some(reader) = self.directory().address(&beat.reader) else {
+            return;
+        };
         let (node, entries) = (self.clone(), effect == BeatEffect::EntriesMissing);
-        let reader = SocketAddr::new(from, self.settings.listen.peers.port());
         tokio::spawn(async move { pull_view(&node, vec![reader], entries).await });
     }
 
@@ -569,7 +571,7 @@
     fn place(&self) -> PeerPlace {
         PeerPlace {
             node: self.settings.node.clone(),
-            address: self.settings.listen.peers,
+            address: self.settings.peer_address(),
             failure_domain: self.settings.failure_domain.clone(),
             region: self.settings.region.clone(),
         }
--- a/crates/anvilrack-node/src/peers/peer_server.rs
+++ b/crates/anvilrack-node/src/peers/peer_server.rs
@@ -1,7 +1,6 @@
 //! Answers other routers.
 
 use std::convert::Infallible;
-use std::net::IpAddr;
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
@@ -56,7 +55,7 @@
         }
     };
     node.meet(from);
-    let service = service_fn(|request| answer(request, from, node.clone()));
+    let service = service_fn(|request| answer(request, node.clone()));
     let connection = http2::Builder::new(TokioExecutor::new())
         .timer(TokioTimer::new())
         .keep_alive_interval(PING_EVERY)
@@ -81,7 +80,6 @@
 
 async fn answer<D: PlatformDialect>(
     request: Request<Incoming>,
-    from: IpAddr,
     node: Arc<NodeShared<D>>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     let frame = match Limited::new(request.into_body(), CALL_LIMIT)
@@ -95,7 +93,7 @@
         Ok(call) => call,
         Err(error) => return Ok(refuse(StatusCode::BAD_REQUEST, &error.to_string())),
     };
-    let (reply, body) = dispatch(call, body, from, &node).await;
+    let (reply, body) = dispatch(call, body, &node).await;
     Ok(match pack(&reply, &body) {
         Ok(frame) => Response::new(Full::new(frame)),
         Err(error) => refuse(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string()),
@@ -105,7 +103,6 @@
 async fn dispatch<D: PlatformDialect>(
     call: PeerCall,
     body: Bytes,
-    from: IpAddr,
     node: &Arc<NodeShared<D>>,
 ) -> (PeerReply, Bytes) {
     let reply = match call {
@@ -127,7 +124,7 @@
             PeerReply::Resigned(cell_calls::accept_office(node, &service, epoch).await)
         }
         PeerCall::ReaderBeat(beat) => {
-            node.take_reader_beat(beat, from);
+            node.take_reader_beat(&beat);
             PeerReply::Done
         }
         PeerCall::ReaderNews(news) => {
--- a/crates/anvilrack-node/tests/node_settings.rs
+++ b/crates/anvilrack-node/tests/node_settings.rs
@@ -31,6 +31,18 @@
     assert_eq!(settings.terms.longest_hold, Duration::from_secs(10));
 }
 
+#[test]
+fn router_behind_a_relay_says_where_it_is_reached() {
+    let direct = read("direct", GOOD).expect("these are good");
+    assert_eq!(direct.peer_address(), direct.listen.peers);
+    let relayed = GOOD.replace(
+        "\"store\"",
+        "\"advertised_peers\": \"127.0.0.1:9\", \"store\"",
+    );
+    let relayed = read("relayed", &relayed).expect("these are good");
+    assert_eq!(relayed.peer_address().port(), 9);
+}
+
 macro_rules! faults {
     ($($name:ident: $from:literal => $to:literal, $says:literal;)*) => {$(
         #[test]
