Keep routers in the directory that lost the store alone and still answer

Change: the reader of a failure domain asks routers whose entries lapsed for their own entry, and passes on who answers; each answer keeps the router for 2.5 s more.

--- a/crates/anvilrack-node/src/directory/directory_view.rs
+++ b/crates/anvilrack-node/src/directory/directory_view.rs
@@ -9,10 +9,11 @@
 
 use crate::peers::{PeerPlace, TargetPlace};
 
-/// An entry that lapsed counts as there for this long.
+/// An entry that lapsed counts as there for this long, and for as long again after each answer of its
+/// router.
 ///
 /// After an outage of the store all entries may have lapsed; those whose router lives are back
-/// within about two seconds.
+/// within about two seconds. A router that alone does not reach the store lapses too, and serves on.
 const LAPSE_GRACE: Duration = Duration::from_millis(2_500);
 
 /// What a router tells of itself and of the target beside it.
@@ -96,6 +97,31 @@
         }
     }
 
+    /// A router has told its entry itself; says whether that is news. Where its entry in the store lapsed
+    /// it counts as there for a while longer.
+    pub fn confirm(&mut self, entry: DirectoryEntry, now: BootTime) -> bool {
+        let node = entry.place.node.clone();
+        let lapsed = self.is_lapsed(&node);
+        let is_news = self.take(entry);
+        if lapsed && let Some(seen) = self.entries.get_mut(&node) {
+            seen.lapsed_at = Some(now);
+        }
+        is_news
+    }
+
+    /// True for a router whose entry in the store lapsed and is not back.
+    #[must_use]
+    pub fn is_lapsed(&self, node: &str) -> bool {
+        let seen = self.entries.get(node);
+        seen.is_some_and(|seen| seen.lapsed_at.is_some())
+    }
+
+    /// Where the routers are reached whose entries lapsed.
+    pub fn lapsed(&self) -> impl Iterator<Item = SocketAddr> {
+        let seen = self.entries.values().filter(|s| s.lapsed_at.is_some());
+        seen.map(|seen| seen.entry.place.address)
+    }
+
     /// Takes a full list: what is missing has lapsed.
     pub fn retain_listed(&mut self, listed: &[NodeId], now: BootTime) {
         let missing: Vec<_> = self
--- a/crates/anvilrack-node/src/directory/mod.rs
+++ b/crates/anvilrack-node/src/directory/mod.rs
@@ -16,7 +16,7 @@
     LeaseId, MetadataStore, StoreChange, StoreFault, StoreItem, StoreList, StoreRevision,
     StoreWrite, WatchNews, WriteResult,
 };
-pub use peer_catch_up::{known_view, pull_view, take_site};
+pub use peer_catch_up::{confirm_lapsed, known_view, pull_view, take_site};
 pub use store_watch::{send_reader_beats, watch_entries, watch_site};
 
 /// Where the routers' entries stand.
--- a/crates/anvilrack-node/src/directory/peer_catch_up.rs
+++ b/crates/anvilrack-node/src/directory/peer_catch_up.rs
@@ -8,8 +8,9 @@
 use anvilrack_router::boot_clock;
 use bytes::Bytes;
 use rand::seq::IndexedRandom;
+use tokio::time::sleep;
 
-use crate::peers::{KnownView, PeerCall, PeerReply};
+use crate::peers::{KnownView, PeerCall, PeerReply, ReaderNews};
 use crate::{NodeShared, PlatformDialect, tell};
 
 /// Routers that are asked side by side.
@@ -18,6 +19,10 @@
 /// Time for one answer.
 const ASK_LIMIT: Duration = Duration::from_millis(400);
 
+/// Time between two questions to routers whose entries lapsed: two may stay unanswered before such a
+/// router counts as gone.
+const CONFIRM_EVERY: Duration = Duration::from_millis(800);
+
 /// Asks routers for the operators' document, and for all entries where this router knows none.
 ///
 /// A router that started anew while the store is away knows nobody but those that have called it.
@@ -43,6 +48,37 @@
     }
 }
 
+/// Asks routers whose entries in the store lapsed whether they live, until the process ends.
+///
+/// A router that the store turns away, or that is cut off from it, still serves its target's requests, and
+/// so does the target. One router of each failure domain asks for all of it.
+pub async fn confirm_lapsed<D: PlatformDialect>(node: Arc<NodeShared<D>>) {
+    loop {
+        sleep(CONFIRM_EVERY).await;
+        let lapsed: Vec<_> = node.directory().lapsed().collect();
+        if lapsed.is_empty() || !node.watches_store() {
+            continue;
+        }
+        let call = PeerCall::PullEntry;
+        let answers = node.links.call_all(lapsed, &call, ASK_LIMIT).await;
+        let entries = answers.into_iter().filter_map(|answer| match answer {
+            Ok(PeerReply::Entry(entry)) => Some(*entry),
+            // One that does not answer is gone, or is asked once more.
+            _ => None,
+        });
+        let news = ReaderNews {
+            confirmed: entries.collect(),
+            ..ReaderNews::default()
+        };
+        for entry in &news.confirmed {
+            node.confirm_entry(entry.clone());
+        }
+        if !news.confirmed.is_empty() {
+            node.tell_domain(news);
+        }
+    }
+}
+
 /// What this router can tell another one.
 #[must_use]
 pub fn known_view<D: PlatformDialect>(
--- a/crates/anvilrack-node/src/node_process.rs
+++ b/crates/anvilrack-node/src/node_process.rs
@@ -21,7 +21,7 @@
 use tokio::time::sleep;
 
 use crate::callers::serve_callers;
-use crate::directory::{keep_entry, send_reader_beats, watch_entries, watch_site};
+use crate::directory::{confirm_lapsed, keep_entry, send_reader_beats, watch_entries, watch_site};
 use crate::guard::serve_control;
 use crate::ownership::{keep_grants, resign, run_member};
 use crate::peers::serve_peers;
@@ -92,6 +92,7 @@
     tokio::spawn(watch_entries(node.clone()));
     tokio::spawn(send_reader_beats(node.clone()));
     tokio::spawn(keep_entry(node.clone()));
+    tokio::spawn(confirm_lapsed(node.clone()));
     tokio::spawn(expire_entries(node.clone()));
     tokio::spawn(run_member(node.clone()));
     tokio::spawn(keep_grants(node.clone()));
--- a/crates/anvilrack-node/src/node_shared.rs
+++ b/crates/anvilrack-node/src/node_shared.rs
@@ -338,14 +338,28 @@
 
     // --- directory ------------------------------------------------------------------------------
 
-    /// Takes another router's entry.
+    /// Takes another router's entry from the store.
     pub fn take_entry(&self, entry: DirectoryEntry) {
+        self.see_entry(entry, |directory, entry| directory.take(entry));
+    }
+
+    /// Takes an entry that its router has told itself, though the one in the store lapsed.
+    pub fn confirm_entry(&self, entry: DirectoryEntry) {
+        let now = boot_clock::now();
+        self.see_entry(entry, |directory, entry| directory.confirm(entry, now));
+    }
+
+    fn see_entry(
+        &self,
+        entry: DirectoryEntry,
+        take: impl FnOnce(&mut DirectoryView, DirectoryEntry) -> bool,
+    ) {
         if entry.place.node == self.settings.node {
             return;
         }
         let service = entry.service.clone();
         let line = (entry.place.node.clone(), entry.is_ready(), entry.version);
-        if self.directory().take(entry) {
+        if take(&mut self.directory(), entry) {
             tell!(
                 Info,
                 events::ROUTER_SEEN,
@@ -504,6 +518,9 @@
         for entry in news.entries {
             self.take_entry(entry);
         }
+        for entry in news.confirmed {
+            self.confirm_entry(entry);
+        }
         for node in news.lapsed {
             self.directory().lapse(&node, boot_clock::now());
         }
--- a/crates/anvilrack-node/src/ownership/cell_calls.rs
+++ b/crates/anvilrack-node/src/ownership/cell_calls.rs
@@ -37,6 +37,7 @@
         | PeerCall::Room(_)
         | PeerCall::Bar(_)
         | PeerCall::Entry(_)
+        | PeerCall::PullEntry
         | PeerCall::Resign(..)
         | PeerCall::PullView { .. }
         | PeerCall::ReaderBeat(_)
--- a/crates/anvilrack-node/src/peers/peer_message.rs
+++ b/crates/anvilrack-node/src/peers/peer_message.rs
@@ -49,6 +49,8 @@
     ReaderNews(ReaderNews),
     /// The sender's own directory entry has changed.
     Entry(DirectoryEntry),
+    /// What is your directory entry? Yours in the store has lapsed.
+    PullEntry,
 }
 
 /// The answer to a [`PeerCall`]; an answer's body follows the message.
@@ -72,6 +74,8 @@
     Resigned(bool),
     /// What was asked for.
     View(Box<KnownView>),
+    /// The sender's own directory entry.
+    Entry(Box<DirectoryEntry>),
     /// The record that was asked for.
     Cell(Option<PackedCell>),
     /// Nothing to say.
@@ -177,6 +181,8 @@
     pub lapsed: Vec<NodeId>,
     /// The operators' document as it stands in the store.
     pub document: Option<Vec<u8>>,
+    /// Routers whose entries lapsed, and that answer all the same.
+    pub confirmed: Vec<DirectoryEntry>,
 }
 
 /// A newer record of a cell.
--- a/crates/anvilrack-node/src/peers/peer_server.rs
+++ b/crates/anvilrack-node/src/peers/peer_server.rs
@@ -120,6 +120,7 @@
             node.take_entry(entry);
             PeerReply::Done
         }
+        PeerCall::PullEntry => PeerReply::Entry(Box::new(node.own_entry())),
         PeerCall::Resign(service, epoch) => {
             PeerReply::Resigned(cell_calls::accept_office(node, &service, epoch).await)
         }
--- a/crates/anvilrack-node/tests/directory_view.rs
+++ b/crates/anvilrack-node/tests/directory_view.rs
@@ -64,6 +64,23 @@
     assert_eq!(names(&view), ["a"]);
 }
 
+#[test]
+fn router_that_lost_the_store_counts_while_it_answers_itself() {
+    let mut view = DirectoryView::default();
+    view.take(entry("a", 5, 1));
+    view.take(entry("b", 5, 1));
+    view.lapse("a", at(1_000));
+    view.lapse("b", at(1_000));
+    // What it tells of itself does not put the entry back into the store.
+    assert!(!view.confirm(entry("a", 5, 1), at(3_000)));
+    assert!(view.is_lapsed("a"));
+    assert_eq!(view.expire(at(3_600)), vec!["b".into()]);
+    assert!(view.confirm(entry("a", 5, 2), at(5_000)));
+    assert_eq!(view.lapsed().count(), 1);
+    assert!(view.expire(at(7_400)).is_empty());
+    assert_eq!(view.expire(at(7_600)), vec!["a".into()]);
+}
+
 #[test]
 fn router_missing_from_a_full_list_has_lapsed() {
     let mut view = DirectoryView::default();
