Name the target in grants and releases, so that its next life takes none of them

Change: each grant and release carries the id of the target's life, as requests do; another life refuses it.

--- a/crates/anvilrack-node/src/ownership/grant_keeper.rs
+++ b/crates/anvilrack-node/src/ownership/grant_keeper.rs
@@ -194,11 +194,15 @@
         .saturating_sub(sent_at)
         .min(node.settings.terms.longest_hold);
     let still_held = node.owner().held().any(|held| held == (shard, token));
-    if hold < LEAST_HOLD || !still_held {
+    let life = node
+        .door
+        .life()
+        .filter(|_| still_held && hold >= LEAST_HOLD);
+    let Some(life) = life else {
         node.grants.settle(shard, |_| {});
         return;
-    }
-    let mut order = order_for(shard, token);
+    };
+    let mut order = order_for(life.id, shard, token);
     order.hold = hold;
     order.handover = node.handover_of(shard);
     let call = node.dialect.grant_call(&order).map(Full::new);
@@ -248,12 +252,16 @@
     let Some(token) = node.owner().release(shard) else {
         return;
     };
-    let incarnation = node.door.life().map(|life| life.incarnation);
+    let life = node.door.life();
+    let incarnation = life.as_ref().map(|life| life.incarnation);
     // A grant that is under way could reach the target after the release.
     while node.grants.doubt(shard).0 {
         sleep(STEP / 4).await;
     }
-    let handover = take_back(&node, shard, token, incarnation).await;
+    let handover = match life {
+        Some(life) => take_back(&node, order_for(life.id, shard, token), shard, incarnation).await,
+        None => None,
+    };
     let (_, doubt_until, _) = node.grants.doubt(shard);
     let doubt = doubt_until.saturating_sub(boot_clock::now());
     if !doubt.is_zero() && is_same_life(&node, incarnation) {
@@ -274,11 +282,10 @@
 /// Has the target give a shard's keys back; returns what it handed over.
 async fn take_back<D: PlatformDialect>(
     node: &Arc<NodeShared<D>>,
+    order: GrantOrder,
     shard: ShardId,
-    token: FencingToken,
     incarnation: Option<u64>,
 ) -> Option<Arc<str>> {
-    let order = order_for(shard, token);
     let _place = node.grants.calls.acquire().await;
     loop {
         if !is_same_life(node, incarnation) {
@@ -297,7 +304,7 @@
             Info,
             events::GRANT_UNANSWERED,
             shard = shard,
-            token = token,
+            token = order.token,
             fault = fault
         );
         let longest = until.max(doubt_until);
@@ -332,10 +339,11 @@
 }
 
 /// The keys of a shard.
-fn order_for(shard: ShardId, token: FencingToken) -> GrantOrder {
+fn order_for(target: Arc<str>, shard: ShardId, token: FencingToken) -> GrantOrder {
     let width = KEY_SPACE / SHARD_COUNT;
     let bound = |key: u32| KeyNumber::try_from(key).unwrap_or(KeyNumber::MAX);
     GrantOrder {
+        target,
         first: bound(shard * width),
         last: bound(shard * width + width - 1),
         token,
--- a/crates/anvilrack-node/src/platform_dialect.rs
+++ b/crates/anvilrack-node/src/platform_dialect.rs
@@ -110,6 +110,8 @@
 /// Keys for the target beside this router.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct GrantOrder {
+    /// Id of the target that the order is for; another one at its address must not take it.
+    pub target: Arc<str>,
     /// First key.
     pub first: KeyNumber,
     /// Last key, inclusive.
