--- a/crates/anvilrack-core/src/admission_queue.rs
+++ b/crates/anvilrack-core/src/admission_queue.rs
@@ -31,12 +31,6 @@
 /// Weight of the newest time in the mean of a kind, as a divisor.
 const MEAN_WEIGHT: u32 = 8;
 
-/// A request may spend this part of the time that it has to spare on waiting, as a divisor.
-///
-/// The rest is for requests that take longer than the mean of their kind, which about half of them do:
-/// with all of it spent on waiting, every second answer would be late.
-const WAIT_PART: u32 = 2;
-
 /// A kind of request is short where it takes this part of the mean time or less, as a divisor.
 const SHORT_PART: u32 = 3;
 
@@ -152,7 +146,7 @@
             return AdmissionStep::Refuse(RefusalReason::DeadlineTooShort, self.drain_time(now));
         }
         let in_time = self.is_in_time(&request, now);
-        let made_late = in_time && !self.is_in_time(&request, now + wait * WAIT_PART);
+        let made_late = in_time && !self.is_in_time(&request, now + wait);
         if made_late && !self.is_worth_waiting(&request, now) {
             return AdmissionStep::Refuse(RefusalReason::Overloaded, self.drain_time(now));
         }
