Begin a watch of the document at the store's present revision

A log of the calls (trial) showed some 150 reads and as many watches a second from second 20 on: the document was older than the history that the store keeps, so a watch that began at the document's revision was told each time that its history is gone, and the router read the document and tried again at once. Ruled out: stand-in readers (nine watches were open before), renewals (84 a second, a tenth of a call each). Change: the document is read as a list, which tells the store's revision, and the watch begins there; after history that is gone there is a pause.

--- a/crates/anvilrack-node/src/directory/store_watch.rs
+++ b/crates/anvilrack-node/src/directory/store_watch.rs
@@ -107,6 +107,7 @@
     while node.watches_store() {
         let news = node.store.watch(ENTRY_PREFIX, after, WATCH_WAIT).await?;
         let WatchNews::Changes(changes, revision) = news else {
+            sleep(GATHER).await;
             return Ok(());
         };
         after = revision.max(after);
@@ -163,14 +164,20 @@
     pauses: &mut PauseRange,
 ) -> Result<(), StoreFault> {
     let key = node.dialect.site_key();
-    if let Some(item) = node.store.read(key).await? {
-        *after = item.revision.max(*after);
+    // The document itself may be older than the history that a watch can go back to, so the watch begins
+    // at the revision of the list.
+    let list = node.store.list(key).await?;
+    if let Some(item) = list.items.iter().find(|item| *item.key == *key) {
         take_site(node, &item.value);
     }
+    *after = list.revision.max(*after);
     *pauses = RETRY_PAUSES;
     while node.site().is_none() || node.watches_store() {
         match node.store.watch(key, *after, WATCH_WAIT).await? {
-            WatchNews::HistoryGone => return Ok(()),
+            WatchNews::HistoryGone => {
+                sleep(GATHER_SITE).await;
+                return Ok(());
+            }
             WatchNews::Changes(changes, revision) => {
                 *after = revision.max(*after);
                 let gather = if changes.is_empty() {
