Log which site documents a router knows of, and why it could not fetch one

A router that stayed behind left no line: the log could not tell a request that timed out from one that was never sent, nor whether the reader itself had the newer document.

site.taken reports the size and the source of a document, site.behind the version that a reader named, site.fetch-failed the source and the reason. No decision changes.

--- a/crates/anvilrack-node/src/directory/peer_catch_up.rs
+++ b/crates/anvilrack-node/src/directory/peer_catch_up.rs
@@ -11,7 +11,7 @@
 use tokio::time::sleep;
 
 use crate::peers::{DirectorySnapshot, PeerCall, PeerReply, ReaderChanges};
-use crate::{NodeState, PlatformDialect, emit_event};
+use crate::{NodeState, PlatformDialect, emit_event, observe};
 
 /// Number of routers that are asked in parallel.
 const PEERS_TO_ASK: usize = 2;
@@ -42,9 +42,24 @@
 ) {
     let site = node.site().map(|site| site.version);
     let call = PeerCall::PullView { site, entries };
-    for reply in node.links.call_all(addresses, &call, ASK_TIMEOUT).await {
-        if let Ok(PeerReply::View(snapshot)) = reply {
-            apply_snapshot(node, *snapshot, entries);
+    let began = boot_clock::now();
+    let replies = node
+        .links
+        .call_all(addresses.clone(), &call, ASK_TIMEOUT)
+        .await;
+    for (address, reply) in addresses.into_iter().zip(replies) {
+        match reply {
+            Ok(PeerReply::View(snapshot)) => {
+                apply_snapshot(node, *snapshot, entries, &address.to_string());
+            }
+            Ok(_) => {}
+            Err(error) => emit_event!(
+                Warn,
+                events::SITE_FETCH_FAILED,
+                source = address.to_string(),
+                fault = error.to_string(),
+                took_ms = observe::millis(boot_clock::now().saturating_sub(began))
+            ),
         }
     }
 }
@@ -105,6 +120,7 @@
     node: &Arc<NodeState<D>>,
     snapshot: DirectorySnapshot,
     lists_all: bool,
+    source: &str,
 ) {
     if lists_all {
         let names: Vec<_> = snapshot
@@ -119,14 +135,20 @@
         node.store_entry(entry);
     }
     if let Some(document) = snapshot.document {
-        apply_site_document(node, &Bytes::from(document));
+        apply_site_document(node, &Bytes::from(document), source);
     }
 }
 
 /// Applies a site document; if it cannot be read, the previous one stays in force.
-pub fn apply_site_document<D: PlatformDialect>(node: &Arc<NodeState<D>>, document: &Bytes) {
+///
+/// `source` names where the document came from.
+pub fn apply_site_document<D: PlatformDialect>(
+    node: &Arc<NodeState<D>>,
+    document: &Bytes,
+    source: &str,
+) {
     match node.dialect.read_site(document) {
-        Ok(site) => node.store_site_document(site, document.clone()),
+        Ok(site) => node.store_site_document(site, document.clone(), source),
         Err(error) => emit_event!(Warn, events::SITE_REFUSED, fault = error.to_string()),
     }
 }
--- a/crates/anvilrack-node/src/directory/store_watch.rs
+++ b/crates/anvilrack-node/src/directory/store_watch.rs
@@ -172,7 +172,7 @@
     // the list.
     let list = node.store.list(key).await?;
     if let Some(item) = list.items.iter().find(|item| *item.key == *key) {
-        apply_site_document(node, &item.value);
+        apply_site_document(node, &item.value, "store");
     }
     *after = list.revision.max(*after);
     *pauses = RETRY_PAUSES;
@@ -192,7 +192,7 @@
                 for change in changes {
                     match change {
                         StoreChange::Written(item) if *item.key == *key => {
-                            apply_site_document(node, &item.value);
+                            apply_site_document(node, &item.value, "store");
                             node.broadcast_to_domain(ReaderChanges {
                                 document: Some(item.value.to_vec()),
                                 ..ReaderChanges::default()
--- a/crates/anvilrack-node/src/node_shared/router_directory.rs
+++ b/crates/anvilrack-node/src/node_shared/router_directory.rs
@@ -35,8 +35,9 @@
         lock(&self.site).clone()
     }
 
-    /// Stores a site document unless one of the same or a later version is known.
-    pub fn store_site_document(&self, site: SiteRoutes, document: Bytes) {
+    /// Stores a site document unless one of the same or a later version is known; `source` names where
+    /// it came from.
+    pub fn store_site_document(&self, site: SiteRoutes, document: Bytes, source: &str) {
         let mut known = lock(&self.site);
         let version = site.version;
         if known.as_ref().is_some_and(|known| known.version >= version) {
@@ -47,7 +48,9 @@
             events::SITE_TAKEN,
             version = version,
             routes = site.route_count(),
-            services = site.services.len()
+            services = site.services.len(),
+            bytes = document.len(),
+            source = source
         );
         *known = Some(Arc::new(site));
         drop(known);
@@ -250,7 +253,23 @@
         if effect == HeartbeatEffect::Same {
             return;
         }
+        if effect == HeartbeatEffect::SiteMissing {
+            emit_event!(
+                Info,
+                events::SITE_BEHIND,
+                version = own.site,
+                newest = heartbeat.site,
+                named_by = &*heartbeat.reader
+            );
+        }
         let Some(reader) = self.directory().address(&heartbeat.reader) else {
+            emit_event!(
+                Warn,
+                events::SITE_FETCH_FAILED,
+                source = &*heartbeat.reader,
+                fault = "the directory has no entry for this router",
+                took_ms = 0
+            );
             return;
         };
         let (node, entries) = (self.clone(), effect == HeartbeatEffect::EntriesMissing);
@@ -269,7 +288,7 @@
             self.directory().mark_expired(&node, boot_clock::now());
         }
         if let Some(document) = updates.document {
-            apply_site_document(self, &Bytes::from(document));
+            apply_site_document(self, &Bytes::from(document), "domain reader");
         }
     }
 
