Add packed documents and a limit on uploads beside requests

- pack_document compresses a document with zstd, as a difference if the receiver has an earlier one, and unpack_document yields exactly the document whose digest the header names, or an error.
Tests: any document from any base, damaged and truncated packets, forged headers, data that expands beyond its header.
- UploadPacer admits such data as long as the VM's link can send it within 100 ms, so that requests and heartbeats do not wait longer behind it.

--- a/crates/anvilrack-core/src/lib.rs
+++ b/crates/anvilrack-core/src/lib.rs
@@ -44,6 +44,7 @@
 mod standby_state;
 mod target_health;
 mod target_selector;
+mod upload_pacer;
 
 pub use admission_queue::{AdmissionQueue, AdmissionRequest, AdmissionStep, TicketId};
 pub use at_most_once_record::{
@@ -89,3 +90,4 @@
 pub use standby_state::{StandbyState, TakeoverStep};
 pub use target_health::{HealthOutcome, TargetHealth};
 pub use target_selector::{ChoiceDraws, TargetDistance, TargetLoad, TargetSelector};
+pub use upload_pacer::UploadPacer;
--- a/crates/anvilrack-wire/src/lib.rs
+++ b/crates/anvilrack-wire/src/lib.rs
@@ -11,11 +11,16 @@
 //! ```
 
 mod body_bytes;
+mod document_packet;
 mod forward_message;
 mod peer_message;
 mod wire_codec;
 
 pub use body_bytes::BodyBytes;
+pub use document_packet::{
+    DocumentDigest, MAX_DOCUMENT_BYTES, PacketError, PacketHeader, document_digest, pack_document,
+    unpack_document,
+};
 pub use forward_message::{ForwardReply, ForwardRequest};
 pub use peer_message::{
     HeartbeatReply, HeartbeatRequest, PeerReply, PeerRequest, RecordEntry, RecordHandover,
