Fetch site documents packed, on request and without a fixed time limit

Cause: the reader pushed the whole raw document to each router of its failure domain and gave up on a copy after 400 ms; a router that missed it asked for all of it again, at each heartbeat, for 400 ms each. On a link of 10 Mbit/s the copies of 240 KB slowed each other down, none was complete in time, and each attempt began at zero. The class: a time limit that does not know the size of what it limits, with retries that add to the load.

Now a heartbeat only names the version, and so does every message between routers. A router that is behind fetches the document once at a time (follow_site): packed, as a difference from the document that it has, with a limit on each pause while it is received instead of one on the whole. The sender admits as much as its link sends in 100 ms (UploadPacer) and names routers that were sent the document before, so they share the upload.

The same cause elsewhere: the list of all directory entries had the same 400 ms, and calls to the store had a fixed limit too; both follow progress now. Heartbeats, grants and cell records are small and keep theirs.

The tests of a heartbeat that names a newer or older version moved from domain_reader to site_progress, since the decision did.

--- a/crates/anvilrack-core/src/lib.rs
+++ b/crates/anvilrack-core/src/lib.rs
@@ -40,6 +40,7 @@
 mod service_time_meter;
 mod shard_hash;
 mod shard_meter;
+mod site_progress;
 mod site_routes;
 mod standby_state;
 mod target_health;
@@ -86,6 +87,7 @@
 pub use service_time_meter::ServiceTimeMeter;
 pub use shard_hash::ShardHash;
 pub use shard_meter::{ShardLoad, ShardMeter};
+pub use site_progress::{SiteProgress, SiteSource};
 pub use site_routes::{CallerLimits, RouteRules, RoutedService, SiteRoutes, SiteVersion};
 pub use standby_state::{StandbyState, TakeoverStep};
 pub use target_health::{HealthOutcome, TargetHealth};
--- /dev/null
+++ b/crates/anvilrack-core/src/site_progress.rs
@@ -0,0 +1,103 @@
+//! Knows whether a router's site document is the newest, and whom to ask for a newer one.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::{BootTime, SiteVersion};
+
+/// The version of a router's site document, and the newest version that another router has named.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct SiteProgress {
+    version: Option<SiteVersion>,
+    applied_at: BootTime,
+    newest: Option<SiteVersion>,
+    named_by: Option<SocketAddr>,
+    /// When this router learned that it is behind; `None` while it is not.
+    behind_since: Option<BootTime>,
+    /// Number of attempts since then.
+    attempts: u32,
+}
+
+/// Where to fetch a newer site document from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SiteSource {
+    /// The router that named the newest version.
+    Router(SocketAddr),
+    /// Any other router of the failure domain.
+    SameDomain,
+}
+
+impl SiteProgress {
+    /// Records that another router has the document of a version; `router` is its address if known.
+    ///
+    /// Returns whether this router has just learned that it is behind that version.
+    pub fn on_named(
+        &mut self,
+        version: SiteVersion,
+        router: Option<SocketAddr>,
+        now: BootTime,
+    ) -> bool {
+        if Some(version) <= self.version || Some(version) < self.newest {
+            return false;
+        }
+        let is_new = Some(version) > self.newest;
+        if is_new {
+            self.newest = Some(version);
+            self.named_by = None;
+        }
+        self.named_by = self.named_by.or(router);
+        self.behind_since.get_or_insert(now);
+        is_new
+    }
+
+    /// Records that this router applied the document of a version.
+    pub fn on_applied(&mut self, version: SiteVersion, now: BootTime) {
+        if Some(version) <= self.version {
+            return;
+        }
+        self.version = Some(version);
+        self.applied_at = now;
+        self.attempts = 0;
+        if self.newest <= self.version {
+            self.newest = self.version;
+            self.named_by = None;
+            self.behind_since = None;
+        }
+    }
+
+    /// Returns the version of this router's document; `None` if it has none.
+    #[must_use]
+    pub fn version(&self) -> Option<SiteVersion> {
+        self.version
+    }
+
+    /// Returns the newest version known to this router.
+    #[must_use]
+    pub fn newest(&self) -> Option<SiteVersion> {
+        self.newest.max(self.version)
+    }
+
+    /// Returns how long this router has known of a newer document; `None` if it knows of none.
+    #[must_use]
+    pub fn behind_for(&self, now: BootTime) -> Option<Duration> {
+        Some(now.saturating_sub(self.behind_since?))
+    }
+
+    /// Returns for how long this router's document has been in force; `None` if it has none.
+    #[must_use]
+    pub fn in_force_for(&self, now: BootTime) -> Option<Duration> {
+        self.version?;
+        Some(now.saturating_sub(self.applied_at))
+    }
+
+    /// Returns where to fetch the newest document from; `None` if this router is not behind.
+    pub fn next_source(&mut self) -> Option<SiteSource> {
+        self.behind_since?;
+        let attempt = self.attempts;
+        self.attempts += 1;
+        Some(match (attempt % 2, self.named_by) {
+            (0, Some(router)) => SiteSource::Router(router),
+            _ => SiteSource::SameDomain,
+        })
+    }
+}
--- /dev/null
+++ b/crates/anvilrack-core/tests/site_progress.rs
@@ -0,0 +1,73 @@
+//! Tests of what a router knows about newer site documents, and of its sources for them.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use anvilrack_core::{SiteProgress, SiteSource};
+
+fn at(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn router(host: u8) -> SocketAddr {
+    ([10, 0, 0, host], 7000).into()
+}
+
+#[test]
+fn newer_document_is_requested_immediately() {
+    let mut progress = SiteProgress::default();
+    progress.on_applied(3, at(0));
+    assert!(progress.on_named(4, Some(router(1)), at(100)));
+    assert_eq!(progress.behind_for(at(250)), Some(at(150)));
+    assert_eq!(progress.next_source(), Some(SiteSource::Router(router(1))));
+}
+
+#[test]
+fn older_or_equal_document_is_not_requested() {
+    let mut progress = SiteProgress::default();
+    progress.on_applied(3, at(0));
+    for version in [2, 3] {
+        assert!(!progress.on_named(version, Some(router(1)), at(100)));
+        assert_eq!(progress.behind_for(at(200)), None);
+        assert_eq!(progress.next_source(), None);
+    }
+}
+
+#[test]
+fn router_without_a_document_requests_any() {
+    let mut progress = SiteProgress::default();
+    assert!(progress.on_named(1, Some(router(1)), at(0)));
+    assert!(progress.next_source().is_some());
+}
+
+#[test]
+fn version_that_is_named_again_is_reported_once() {
+    let mut progress = SiteProgress::default();
+    progress.on_applied(3, at(0));
+    assert!(progress.on_named(5, None, at(100)));
+    assert!(!progress.on_named(5, None, at(200)));
+    assert!(!progress.on_named(4, None, at(300)));
+    assert_eq!(progress.newest(), Some(5));
+    assert_eq!(progress.behind_for(at(300)), Some(at(200)));
+}
+
+#[test]
+fn router_is_behind_until_it_has_the_newest_version() {
+    let mut progress = SiteProgress::default();
+    progress.on_applied(3, at(0));
+    progress.on_named(5, None, at(100));
+    progress.on_applied(4, at(200));
+    assert_eq!(progress.behind_for(at(300)), Some(at(200)));
+    progress.on_applied(5, at(400));
+    assert_eq!(progress.behind_for(at(500)), None);
+    assert_eq!(progress.in_force_for(at(500)), Some(at(100)));
+}
+
+#[test]
+fn version_never_goes_back() {
+    let mut progress = SiteProgress::default();
+    progress.on_applied(5, at(0));
+    progress.on_applied(4, at(100));
+    assert_eq!(progress.version(), Some(5));
+    assert_eq!(progress.in_force_for(at(200)), Some(at(200)));
+}
--- a/crates/anvilrack-node/src/directory/domain_reader.rs
+++ b/crates/anvilrack-node/src/directory/domain_reader.rs
@@ -9,7 +9,7 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
-use anvilrack_core::{BootTime, NodeId, SiteVersion};
+use anvilrack_core::{BootTime, NodeId};
 use serde::{Deserialize, Serialize};
 
 use crate::directory::DirectoryEntry;
@@ -40,8 +40,6 @@
 pub struct ReaderHeartbeat {
     /// Name of the reader.
     pub reader: NodeId,
-    /// Version of the reader's site document; `None` if it has none.
-    pub site: Option<SiteVersion>,
     /// Digest of the reader's directory entries, from [`entries_digest`].
     pub digest: u64,
 }
@@ -59,8 +57,6 @@
 pub enum HeartbeatEffect {
     /// Nothing: no change is known to be missing.
     Same,
-    /// Ask for the site document, because the reader has a newer one.
-    SiteMissing,
     /// Ask for the directory entries, because the digests differed repeatedly.
     EntriesMissing,
 }
@@ -93,9 +89,7 @@
         } else {
             self.mismatches + 1
         };
-        if heartbeat.site > own.site {
-            HeartbeatEffect::SiteMissing
-        } else if self.mismatches >= MISMATCH_THRESHOLD {
+        if self.mismatches >= MISMATCH_THRESHOLD {
             self.mismatches = 0;
             HeartbeatEffect::EntriesMissing
         } else {
--- a/crates/anvilrack-node/src/directory/mod.rs
+++ b/crates/anvilrack-node/src/directory/mod.rs
@@ -5,6 +5,9 @@
 mod entry_maintainer;
 mod metadata_store;
 mod peer_catch_up;
+mod site_archive;
+mod site_fetch;
+mod site_tracker;
 mod store_watch;
 
 pub use directory_view::{DirectoryEntry, DirectoryView};
@@ -17,10 +20,11 @@
     LeaseId, MetadataStore, MetadataStoreError, StoreChange, StoreItem, StoreList, StoreRevision,
     StoreWrite, WatchUpdate, WriteResult,
 };
-pub use peer_catch_up::{
-    apply_site_document, directory_snapshot, probe_expired_routers, pull_view,
-};
-pub use store_watch::{send_reader_heartbeats, watch_entries, watch_site};
+pub use peer_catch_up::{probe_expired_routers, pull_entries};
+pub use site_archive::{ArchivedDocument, DocumentPacket, SiteArchive};
+pub use site_fetch::{follow_site, serve_site};
+pub use site_tracker::SiteTracker;
+pub use store_watch::{send_reader_heartbeat, send_reader_heartbeats, watch_entries, watch_site};
 
 /// Key prefix of the routers' directory entries.
 pub const ENTRY_PREFIX: &str = "anvilrack/router/";
--- a/crates/anvilrack-node/src/directory/peer_catch_up.rs
+++ b/crates/anvilrack-node/src/directory/peer_catch_up.rs
@@ -6,61 +6,62 @@
 
 use anvilrack_core::events;
 use anvilrack_router::boot_clock;
-use bytes::Bytes;
 use rand::seq::IndexedRandom;
 use tokio::time::sleep;
 
-use crate::peers::{DirectorySnapshot, PeerCall, PeerReply, ReaderChanges};
-use crate::{NodeState, PlatformDialect, emit_event, observe};
+use crate::directory::site_fetch::ask_router;
+use crate::peers::{PeerCall, PeerReply, ReaderChanges};
+use crate::{NodeState, PlatformDialect, emit_event};
 
-/// Number of routers that are asked in parallel.
+/// Number of routers that are asked.
 const PEERS_TO_ASK: usize = 2;
 
-/// Timeout for the reply of one router.
-const ASK_TIMEOUT: Duration = Duration::from_millis(400);
+/// Timeout for the reply to a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Interval between two probes of routers whose entries expired; two probes may get no reply before
 /// such a router counts as gone.
 const PROBE_INTERVAL: Duration = Duration::from_millis(800);
 
-/// Asks routers for the site document, and for all entries if this router knows none.
+/// Asks routers for a newer site document, and for all entries if this router knows none.
 ///
 /// A router that restarted during a store outage knows only the routers that have called it.
 pub async fn catch_up<D: PlatformDialect>(node: &Arc<NodeState<D>>) {
     let peers = node.known_router_addresses();
-    let addresses = peers.choose_multiple(&mut rand::rng(), PEERS_TO_ASK);
-    let entries = node.peer_addresses().is_empty();
-    pull_view(node, addresses.copied().collect(), entries).await;
+    let addresses: Vec<_> = peers
+        .choose_multiple(&mut rand::rng(), PEERS_TO_ASK)
+        .copied()
+        .collect();
+    let knows_no_router = node.peer_addresses().is_empty();
+    for address in addresses {
+        ask_router(node, address).await;
+        if knows_no_router {
+            pull_entries(node, address).await;
+        }
+    }
 }
 
-/// Asks the given routers for a newer site document and, if `entries` is set, for the entries that they
-/// know.
-pub async fn pull_view<D: PlatformDialect>(
-    node: &Arc<NodeState<D>>,
-    addresses: Vec<SocketAddr>,
-    entries: bool,
-) {
-    let site = node.site().map(|site| site.version);
-    let call = PeerCall::PullView { site, entries };
-    let began = boot_clock::now();
-    let replies = node
-        .links
-        .call_all(addresses.clone(), &call, ASK_TIMEOUT)
-        .await;
-    for (address, reply) in addresses.into_iter().zip(replies) {
-        match reply {
-            Ok(PeerReply::View(snapshot)) => {
-                apply_snapshot(node, *snapshot, entries, &address.to_string());
-            }
-            Ok(_) => {}
-            Err(error) => emit_event!(
-                Warn,
-                events::SITE_FETCH_FAILED,
-                source = address.to_string(),
-                fault = error.to_string(),
-                took_ms = observe::millis(boot_clock::now().saturating_sub(began))
-            ),
+/// Asks a router for all directory entries that it knows; the entries that it does not know expire.
+pub async fn pull_entries<D: PlatformDialect>(node: &Arc<NodeState<D>>, address: SocketAddr) {
+    let entries = match node.links.fetch(address, &PeerCall::PullEntries).await {
+        Ok((PeerReply::Entries(entries), _)) => entries,
+        Ok(_) => return,
+        Err(error) => {
+            emit_event!(
+                Info,
+                events::PEER_LOST,
+                peer = address.to_string(),
+                about = "directory entries",
+                fault = error.to_string()
+            );
+            return;
         }
+    };
+    let names: Vec<_> = entries.iter().map(|e| e.place.node.clone()).collect();
+    node.directory()
+        .mark_unlisted_expired(&names, boot_clock::now());
+    for entry in entries {
+        node.store_entry(entry);
     }
 }
 
@@ -76,7 +77,7 @@
             continue;
         }
         let call = PeerCall::PullEntry;
-        let replies = node.links.call_all(expired, &call, ASK_TIMEOUT).await;
+        let replies = node.links.call_all(expired, &call, PROBE_TIMEOUT).await;
         let entries = replies.into_iter().filter_map(|reply| match reply {
             Ok(PeerReply::Entry(entry)) => Some(*entry),
             // A router that does not reply is gone, or is probed again in the next round.
@@ -94,61 +95,3 @@
         }
     }
 }
-
-/// Returns the site document, if it is newer than `site`, and all known entries, if `entries` is set.
-#[must_use]
-pub fn directory_snapshot<D: PlatformDialect>(
-    node: &NodeState<D>,
-    site: Option<u64>,
-    entries: bool,
-) -> DirectorySnapshot {
-    let newer = node.site().map(|site| site.version) > site;
-    let own = entries.then(|| node.own_entry());
-    let others: Vec<_> = if entries {
-        node.directory().entries().cloned().collect()
-    } else {
-        Vec::new()
-    };
-    DirectorySnapshot {
-        document: node.site_document().filter(|_| newer).map(|d| d.to_vec()),
-        entries: others.into_iter().chain(own).collect(),
-    }
-}
-
-/// Applies a snapshot; if it lists all routers, the entries that are not in it expire.
-fn apply_snapshot<D: PlatformDialect>(
-    node: &Arc<NodeState<D>>,
-    snapshot: DirectorySnapshot,
-    lists_all: bool,
-    source: &str,
-) {
-    if lists_all {
-        let names: Vec<_> = snapshot
-            .entries
-            .iter()
-            .map(|e| e.place.node.clone())
-            .collect();
-        node.directory()
-            .mark_unlisted_expired(&names, boot_clock::now());
-    }
-    for entry in snapshot.entries {
-        node.store_entry(entry);
-    }
-    if let Some(document) = snapshot.document {
-        apply_site_document(node, &Bytes::from(document), source);
-    }
-}
-
-/// Applies a site document; if it cannot be read, the previous one stays in force.
-///
-/// `source` names where the document came from.
-pub fn apply_site_document<D: PlatformDialect>(
-    node: &Arc<NodeState<D>>,
-    document: &Bytes,
-    source: &str,
-) {
-    match node.dialect.read_site(document) {
-        Ok(site) => node.store_site_document(site, document.clone(), source),
-        Err(error) => emit_event!(Warn, events::SITE_REFUSED, fault = error.to_string()),
-    }
-}
--- a/crates/anvilrack-node/src/directory/store_watch.rs
+++ b/crates/anvilrack-node/src/directory/store_watch.rs
@@ -8,7 +8,7 @@
 use tokio::time::sleep;
 
 use crate::directory::READER_HEARTBEAT_INTERVAL;
-use crate::directory::peer_catch_up::{apply_site_document, catch_up};
+use crate::directory::peer_catch_up::catch_up;
 use crate::directory::{
     DirectoryEntry, ENTRY_PREFIX, MetadataStore, MetadataStoreError, StoreChange, StoreRevision,
     WatchUpdate,
@@ -172,7 +172,7 @@
     // the list.
     let list = node.store.list(key).await?;
     if let Some(item) = list.items.iter().find(|item| *item.key == *key) {
-        apply_site_document(node, &item.value, "store");
+        node.apply_stored_document(&item.value);
     }
     *after = list.revision.max(*after);
     *pauses = RETRY_PAUSES;
@@ -192,11 +192,7 @@
                 for change in changes {
                     match change {
                         StoreChange::Written(item) if *item.key == *key => {
-                            apply_site_document(node, &item.value, "store");
-                            node.broadcast_to_domain(ReaderChanges {
-                                document: Some(item.value.to_vec()),
-                                ..ReaderChanges::default()
-                            });
+                            node.apply_stored_document(&item.value);
                         }
                         _ => {}
                     }
@@ -213,13 +209,18 @@
 pub async fn send_reader_heartbeats<D: PlatformDialect>(node: Arc<NodeState<D>>) {
     loop {
         sleep(READER_HEARTBEAT_INTERVAL).await;
-        // A router that cannot reach the store sends none, so that another router takes over the watch.
-        if node.watches_store() && node.is_store_reachable() {
-            let call = PeerCall::ReaderBeat(node.reader_heartbeat());
-            let links = &node.links;
-            links
-                .call_all(node.domain_peers(), &call, HEARTBEAT_TIMEOUT)
-                .await;
-        }
+        send_reader_heartbeat(&node).await;
+    }
+}
+
+/// Sends one heartbeat to the failure domain if this router watches the store for it.
+pub async fn send_reader_heartbeat<D: PlatformDialect>(node: &NodeState<D>) {
+    // A router that cannot reach the store sends none, so that another router takes over the watch.
+    if node.watches_store() && node.is_store_reachable() {
+        let call = PeerCall::ReaderBeat(node.reader_heartbeat());
+        let links = &node.links;
+        links
+            .call_all(node.domain_peers(), &call, HEARTBEAT_TIMEOUT)
+            .await;
     }
 }
--- a/crates/anvilrack-node/src/http_pool.rs
+++ b/crates/anvilrack-node/src/http_pool.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{CONNECTION, HOST, HeaderMap, HeaderValue};
 use hyper::{Request, Response};
@@ -14,6 +14,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout, timeout_at};
 
+use crate::body_collector::{BodyDeadline, BodyError, collect_body};
 use crate::socket_options;
 
 /// Maximum size of a response body.
@@ -37,6 +38,7 @@
 pub struct HttpPool {
     address: SocketAddr,
     connect_timeout: Duration,
+    stall_timeout: Option<Duration>,
     idle: Arc<Mutex<Vec<IdleConnection>>>,
 }
 
@@ -94,10 +96,21 @@
         Self {
             address,
             connect_timeout,
+            stall_timeout: None,
             idle: Arc::default(),
         }
     }
 
+    /// Lets a response whose body is being received exceed its time limit, until no part of it arrives
+    /// for this long.
+    #[must_use]
+    pub fn with_stall_timeout(self, stall_timeout: Duration) -> Self {
+        Self {
+            stall_timeout: Some(stall_timeout),
+            ..self
+        }
+    }
+
     /// Returns the server's address.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
@@ -154,12 +167,15 @@
         deadline: Instant,
     ) -> Result<Response<Bytes>, SendError> {
         let (parts, body) = response.into_parts();
-        let body =
-            match timeout_at(deadline, Limited::new(body, MAX_RESPONSE_BYTES).collect()).await {
-                Err(_) => return Err(SendError::Timeout),
-                Ok(Err(error)) => return Err(SendError::Broken(error.to_string().into())),
-                Ok(Ok(body)) => body.to_bytes(),
-            };
+        let deadline = BodyDeadline {
+            at: deadline,
+            stall: self.stall_timeout,
+        };
+        let body = match collect_body(body, MAX_RESPONSE_BYTES, deadline).await {
+            Ok(body) => body,
+            Err(BodyError::Timeout) => return Err(SendError::Timeout),
+            Err(error) => return Err(SendError::Broken(error.to_string().into())),
+        };
         self.put_idle(sender, &parts.headers);
         Ok(Response::from_parts(parts, body))
     }
--- a/crates/anvilrack-node/src/lib.rs
+++ b/crates/anvilrack-node/src/lib.rs
@@ -13,6 +13,7 @@
 //! The protocols of callers, targets, operators and the store are implemented behind
 //! [`PlatformDialect`] and [`directory::MetadataStore`]. The decisions are made in `anvilrack-core`.
 
+mod body_collector;
 pub mod callers;
 pub mod directory;
 mod end_to_end_headers;
--- a/crates/anvilrack-node/src/node_process.rs
+++ b/crates/anvilrack-node/src/node_process.rs
@@ -22,7 +22,8 @@
 
 use crate::callers::serve_callers;
 use crate::directory::{
-    maintain_entry, probe_expired_routers, send_reader_heartbeats, watch_entries, watch_site,
+    follow_site, maintain_entry, probe_expired_routers, send_reader_heartbeats, watch_entries,
+    watch_site,
 };
 use crate::guard::serve_control;
 use crate::ownership::{maintain_grants, resign, run_member};
@@ -94,6 +95,7 @@
     tokio::spawn(serve_status(metrics, node.clone(), metrics_response));
     tokio::spawn(serve_control(control, node.clone()));
     tokio::spawn(watch_site(node.clone()));
+    tokio::spawn(follow_site(node.clone()));
     tokio::spawn(watch_entries(node.clone()));
     tokio::spawn(send_reader_heartbeats(node.clone()));
     tokio::spawn(maintain_entry(node.clone()));
@@ -219,12 +221,19 @@
     let (running, waiting) = node.gateway.load();
     let mut text = node.metrics.text();
     let site = node.site().map_or(0, |site| site.version);
+    let (newest, behind_for) = {
+        let progress = node.site_tracker.progress();
+        let behind_for = progress.behind_for(boot_clock::now()).unwrap_or_default();
+        (progress.newest(), behind_for)
+    };
     let gauges = [
         ("requests_open", node.open_request_count() as u64),
         ("target_running", running as u64),
         ("target_waiting", waiting as u64),
         ("shards_held", node.owner().held().count() as u64),
         ("routes_version", site),
+        ("routes_version_newest", newest.unwrap_or(0)),
+        ("routes_behind_ms", observe::millis(behind_for)),
         ("peers", node.peer_addresses().len() as u64),
     ];
     for (name, value) in gauges {
--- a/crates/anvilrack-node/src/node_shared/mod.rs
+++ b/crates/anvilrack-node/src/node_shared/mod.rs
@@ -10,13 +10,12 @@
 
 use anvilrack_core::{
     BootTime, CellRecord, CoordinatorState, LeaseTerms, OwnerState, RecordDelta, RetryBudget,
-    ServiceName, SiteRoutes, StandbyState, TargetSelector,
+    ServiceName, SiteRoutes, StandbyState, TargetSelector, UploadPacer,
 };
 use anvilrack_router::boot_clock;
-use bytes::Bytes;
 use tokio::sync::{Notify, watch};
 
-use crate::directory::{DirectoryEntry, DirectoryView, ReaderMonitor};
+use crate::directory::{DirectoryEntry, DirectoryView, ReaderMonitor, SiteArchive, SiteTracker};
 use crate::guard::TargetGateway;
 use crate::mutex_lock::lock;
 use crate::observe::NodeMetrics;
@@ -43,6 +42,8 @@
     pub store: D::Store,
     /// Links to other routers.
     pub links: PeerLinks,
+    /// Versions of the site document that this router and others have.
+    pub site_tracker: Arc<SiteTracker>,
     /// The gateway to the local target.
     pub gateway: TargetGateway,
     /// The grants that the local target holds.
@@ -71,7 +72,8 @@
     entry_version: AtomicU64,
     own_entry: Mutex<Option<DirectoryEntry>>,
     site: Mutex<Option<Arc<SiteRoutes>>>,
-    document: Mutex<Option<Bytes>>,
+    site_archive: Mutex<SiteArchive>,
+    upload_pacer: Mutex<UploadPacer>,
     /// Addresses of routers that have opened a link to this one.
     linked_routers: Mutex<BTreeSet<IpAddr>>,
     reader: Mutex<ReaderMonitor>,
@@ -95,11 +97,13 @@
         let terms = lease_terms();
         let node = settings.node.clone();
         let now = boot_clock::now();
+        let site_tracker = Arc::new(SiteTracker::default());
         Self {
             gateway: TargetGateway::new(settings.target, settings.link_mbps),
             dialect,
             store,
-            links: PeerLinks::default(),
+            links: PeerLinks::new(site_tracker.clone()),
+            site_tracker,
             grants: TargetGrants::default(),
             lease_terms: terms,
             run: boot_clock::unix_ms(),
@@ -117,7 +121,8 @@
             entry_version: AtomicU64::new(0),
             own_entry: Mutex::default(),
             site: Mutex::default(),
-            document: Mutex::default(),
+            site_archive: Mutex::default(),
+            upload_pacer: Mutex::new(UploadPacer::new(settings.link_mbps)),
             linked_routers: Mutex::default(),
             reader: Mutex::new(ReaderMonitor::new(now)),
             directory: Mutex::default(),
@@ -152,6 +157,16 @@
         lock(&self.coordinator)
     }
 
+    /// Locks the site documents that are sent to other routers.
+    pub fn site_archive(&self) -> MutexGuard<'_, SiteArchive> {
+        lock(&self.site_archive)
+    }
+
+    /// Locks the limit on data that is sent in addition to requests.
+    pub fn upload_pacer(&self) -> MutexGuard<'_, UploadPacer> {
+        lock(&self.upload_pacer)
+    }
+
     /// Locks the directory of the other routers.
     pub fn directory(&self) -> MutexGuard<'_, DirectoryView> {
         lock(&self.directory)
--- a/crates/anvilrack-node/src/node_shared/router_directory.rs
+++ b/crates/anvilrack-node/src/node_shared/router_directory.rs
@@ -11,8 +11,8 @@
 
 use super::NodeState;
 use crate::directory::{
-    DirectoryEntry, DirectoryView, HeartbeatEffect, ReaderHeartbeat, apply_site_document,
-    entries_digest, pull_view, reader_rank,
+    DirectoryEntry, DirectoryView, HeartbeatEffect, ReaderHeartbeat, entries_digest, pull_entries,
+    reader_rank, send_reader_heartbeat,
 };
 use crate::guard::IncarnationState;
 use crate::mutex_lock::lock;
@@ -37,32 +37,44 @@
 
     /// Stores a site document unless one of the same or a later version is known; `source` names where
     /// it came from.
-    pub fn store_site_document(&self, site: SiteRoutes, document: Bytes, source: &str) {
-        let mut known = lock(&self.site);
+    pub fn store_site_document(self: &Arc<Self>, site: SiteRoutes, document: Bytes, source: &str) {
         let version = site.version;
-        if known.as_ref().is_some_and(|known| known.version >= version) {
-            return;
+        {
+            let mut known = lock(&self.site);
+            if known.as_ref().is_some_and(|known| known.version >= version) {
+                return;
+            }
+            emit_event!(
+                Info,
+                events::SITE_TAKEN,
+                version = version,
+                routes = site.route_count(),
+                services = site.services.len(),
+                bytes = document.len(),
+                source = source
+            );
+            *known = Some(Arc::new(site));
         }
-        emit_event!(
-            Info,
-            events::SITE_TAKEN,
-            version = version,
-            routes = site.route_count(),
-            services = site.services.len(),
-            bytes = document.len(),
-            source = source
-        );
-        *known = Some(Arc::new(site));
-        drop(known);
-        *lock(&self.document) = Some(document);
+        self.site_archive().insert(version, document);
+        self.site_tracker.on_applied(version);
         self.member_updates.notify_one();
+        let node = self.clone();
+        // A heartbeat names the new version at once.
+        tokio::spawn(async move { send_reader_heartbeat(&node).await });
     }
 
-    /// Returns the current site document as read from the store, for routers that cannot reach the
-    /// store.
-    #[must_use]
-    pub fn site_document(&self) -> Option<Bytes> {
-        lock(&self.document).clone()
+    /// Applies a site document from the store; if it is invalid, the previous one stays in force.
+    pub fn apply_stored_document(self: &Arc<Self>, document: &Bytes) {
+        let archive = self.site_archive();
+        let is_known = archive.current().is_some_and(|d| d.content == *document);
+        drop(archive);
+        if is_known {
+            return;
+        }
+        match self.dialect.read_site(document) {
+            Ok(site) => self.store_site_document(site, document.clone(), "store"),
+            Err(error) => emit_event!(Warn, events::SITE_REFUSED, fault = error.to_string()),
+        }
     }
 
     /// Returns true if each key of a service is owned by a single target.
@@ -216,7 +228,6 @@
         let directory = self.directory();
         ReaderHeartbeat {
             reader: self.settings.node.clone(),
-            site: self.site().map(|site| site.version),
             digest: entries_digest(directory.entries().chain([&own])),
         }
     }
@@ -232,6 +243,14 @@
         domain_entries.map(|entry| entry.place.address).collect()
     }
 
+    /// Returns all known directory entries, this router's own included.
+    #[must_use]
+    pub fn known_entries(&self) -> Vec<DirectoryEntry> {
+        let own = self.own_entry();
+        let directory = self.directory();
+        directory.entries().cloned().chain([own]).collect()
+    }
+
     /// Sends updates to the failure domain if this router watches the store for it.
     pub fn broadcast_to_domain(self: &Arc<Self>, updates: ReaderChanges) {
         if !self.watches_store() {
@@ -246,34 +265,17 @@
         });
     }
 
-    /// Handles a heartbeat of the failure domain's reader, and requests what this router is missing.
+    /// Handles a heartbeat of the failure domain's reader, and requests entries that this router lacks.
     pub fn handle_reader_heartbeat(self: &Arc<Self>, heartbeat: &ReaderHeartbeat) {
         let own = self.reader_heartbeat();
         let effect = lock(&self.reader).on_heartbeat(heartbeat, &own, boot_clock::now());
-        if effect == HeartbeatEffect::Same {
-            return;
-        }
-        if effect == HeartbeatEffect::SiteMissing {
-            emit_event!(
-                Info,
-                events::SITE_BEHIND,
-                version = own.site,
-                newest = heartbeat.site,
-                named_by = &*heartbeat.reader
-            );
-        }
         let Some(reader) = self.directory().address(&heartbeat.reader) else {
-            emit_event!(
-                Warn,
-                events::SITE_FETCH_FAILED,
-                source = &*heartbeat.reader,
-                fault = "the directory has no entry for this router",
-                took_ms = 0
-            );
             return;
         };
-        let (node, entries) = (self.clone(), effect == HeartbeatEffect::EntriesMissing);
-        tokio::spawn(async move { pull_view(&node, vec![reader], entries).await });
+        if effect == HeartbeatEffect::EntriesMissing {
+            let node = self.clone();
+            tokio::spawn(async move { pull_entries(&node, reader).await });
+        }
     }
 
     /// Applies updates that the failure domain's reader has read from the store.
@@ -287,9 +289,6 @@
         for node in updates.lapsed {
             self.directory().mark_expired(&node, boot_clock::now());
         }
-        if let Some(document) = updates.document {
-            apply_site_document(self, &Bytes::from(document), "domain reader");
-        }
     }
 
     /// Returns the addresses of the routers in the directory.
--- a/crates/anvilrack-node/src/observe/node_metrics.rs
+++ b/crates/anvilrack-node/src/observe/node_metrics.rs
@@ -32,6 +32,11 @@
 impl NodeMetrics {
     /// Increments a counter; `labels` are written as `key="value",…`.
     pub fn count(&self, name: &'static str, labels: String) {
+        self.add(name, labels, 1);
+    }
+
+    /// Adds `amount` to a counter; `labels` are written as `key="value",…`.
+    pub fn add(&self, name: &'static str, labels: String, amount: u64) {
         let mut series = self.series();
         let full = series.counters.len() >= MAX_SERIES;
         let labels = if full && !series.counters.contains_key(&(name, labels.clone())) {
@@ -39,7 +44,7 @@
         } else {
             labels
         };
-        *series.counters.entry((name, labels)).or_default() += 1;
+        *series.counters.entry((name, labels)).or_default() += amount;
     }
 
     /// Records the latency of a request to a service.
--- a/crates/anvilrack-node/src/ownership/cell_calls.rs
+++ b/crates/anvilrack-node/src/ownership/cell_calls.rs
@@ -42,7 +42,8 @@
         | PeerCall::Entry(_)
         | PeerCall::PullEntry
         | PeerCall::Resign(..)
-        | PeerCall::PullView { .. }
+        | PeerCall::PullSite(_)
+        | PeerCall::PullEntries
         | PeerCall::ReaderBeat(_)
         | PeerCall::ReaderNews(_) => PeerReply::Done,
     }
--- a/crates/anvilrack-node/src/peers/mod.rs
+++ b/crates/anvilrack-node/src/peers/mod.rs
@@ -5,11 +5,11 @@
 mod peer_message;
 mod peer_server;
 
-pub use peer_frame::{FrameError, pack, unpack};
+pub use peer_frame::{FrameError, PeerFrame, pack, unpack};
 pub use peer_links::{CallError, PeerLinks};
 pub use peer_message::{
-    BodyCapacityCall, CellUpdate, DirectorySnapshot, MemberHeartbeat, MemberHeartbeatReply,
-    PeerCall, PeerLocation, PeerReply, ReaderChanges, RecordVersion, RunCall, RunReply,
+    BodyCapacityCall, CellUpdate, MemberHeartbeat, MemberHeartbeatReply, PeerCall, PeerLocation,
+    PeerReply, ReaderChanges, RecordVersion, RunCall, RunReply, SitePacket, SiteReply, SiteRequest,
     TargetStatus,
 };
 pub use peer_server::serve_peers;
--- a/crates/anvilrack-node/src/peers/peer_frame.rs
+++ b/crates/anvilrack-node/src/peers/peer_frame.rs
@@ -1,5 +1,6 @@
 //! Framing of a message and the body that follows it.
 
+use anvilrack_core::SiteVersion;
 use anvilrack_wire::{WireError, decode, encode};
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use serde::Serialize;
@@ -20,13 +21,28 @@
     Wire(#[from] WireError),
 }
 
-/// Packs a message and its body into a frame.
+/// A message between routers with what accompanies it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PeerFrame<M> {
+    /// Version of the sender's site document; `None` if it has none.
+    pub site: Option<SiteVersion>,
+    /// The message.
+    pub message: M,
+    /// The body that follows the message.
+    pub body: Bytes,
+}
+
+/// Packs a message and its body into a frame that names the sender's site version.
 ///
 /// # Errors
 ///
 /// [`FrameError`] if the message cannot be encoded or is too long for the length prefix.
-pub fn pack<M: Serialize>(message: &M, body: &[u8]) -> Result<Bytes, FrameError> {
-    let message = encode(message)?;
+pub fn pack<M: Serialize>(
+    site: Option<SiteVersion>,
+    message: &M,
+    body: &[u8],
+) -> Result<Bytes, FrameError> {
+    let message = encode(&(site, message))?;
     let length = u32::try_from(message.len()).map_err(|_| FrameError::Short)?;
     let mut frame = BytesMut::with_capacity(LENGTH_BYTES + message.len() + body.len());
     frame.put_u32(length);
@@ -35,12 +51,12 @@
     Ok(frame.freeze())
 }
 
-/// Unpacks a frame into its message and its body.
+/// Unpacks a frame.
 ///
 /// # Errors
 ///
 /// [`FrameError`] if the bytes are not a valid frame.
-pub fn unpack<M: DeserializeOwned>(mut frame: Bytes) -> Result<(M, Bytes), FrameError> {
+pub fn unpack<M: DeserializeOwned>(mut frame: Bytes) -> Result<PeerFrame<M>, FrameError> {
     if frame.len() < LENGTH_BYTES {
         return Err(FrameError::Short);
     }
@@ -49,5 +65,10 @@
         return Err(FrameError::Short);
     }
     let message = frame.split_to(length);
-    Ok((decode(&message)?, frame))
+    let (site, message) = decode(&message)?;
+    Ok(PeerFrame {
+        site,
+        message,
+        body: frame,
+    })
 }
--- a/crates/anvilrack-node/src/peers/peer_links.rs
+++ b/crates/anvilrack-node/src/peers/peer_links.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http2::{self, SendRequest};
 use hyper::{Request, StatusCode};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
@@ -15,8 +15,10 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
+use crate::body_collector::{BodyDeadline, BodyError, collect_body};
+use crate::directory::SiteTracker;
 use crate::mutex_lock::lock;
-use crate::peers::{FrameError, PeerCall, PeerReply, pack, unpack};
+use crate::peers::{FrameError, PeerCall, PeerFrame, PeerReply, pack, unpack};
 use crate::socket_options;
 
 /// Timeout of opening a connection.
@@ -39,6 +41,11 @@
 /// saturated link.
 const PING_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Timeout for the first bytes of a fetched reply, and for each pause while it is received.
+///
+/// On a link of 10 Mbit/s, uploads alone delay other packets by half a second.
+const STALL_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Maximum size of a reply, in bytes.
 const MAX_REPLY_BYTES: usize = 96 * 1024 * 1024;
 
@@ -84,6 +91,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct PeerLinks {
     links: Arc<Mutex<HashMap<SocketAddr, Arc<PeerLink>>>>,
+    tracker: Arc<SiteTracker>,
 }
 
 #[derive(Debug)]
@@ -107,6 +115,16 @@
 }
 
 impl PeerLinks {
+    /// Creates links whose calls name the site version of `tracker`, and which record the versions that
+    /// replies name.
+    #[must_use]
+    pub fn new(tracker: Arc<SiteTracker>) -> Self {
+        Self {
+            links: Arc::default(),
+            tracker,
+        }
+    }
+
     /// Calls a router and returns its reply with the body that follows it.
     ///
     /// Dropping the future resets the stream, which makes the other router cancel the work.
@@ -122,8 +140,39 @@
         body: &[u8],
         limit: Duration,
     ) -> Result<(PeerReply, Bytes), CallError> {
-        let until = Instant::now() + limit;
-        let mut frame = pack(call, body)?;
+        let deadline = BodyDeadline {
+            at: Instant::now() + limit,
+            stall: None,
+        };
+        self.exchange(address, call, body, deadline).await
+    }
+
+    /// Calls a router for a reply of any size, which may take any time as long as it is being received.
+    ///
+    /// # Errors
+    ///
+    /// [`CallError`] if there is no valid reply.
+    pub async fn fetch(
+        &self,
+        address: SocketAddr,
+        call: &PeerCall,
+    ) -> Result<(PeerReply, Bytes), CallError> {
+        let deadline = BodyDeadline {
+            at: Instant::now() + STALL_TIMEOUT,
+            stall: Some(STALL_TIMEOUT),
+        };
+        self.exchange(address, call, &[], deadline).await
+    }
+
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        call: &PeerCall,
+        body: &[u8],
+        deadline: BodyDeadline,
+    ) -> Result<(PeerReply, Bytes), CallError> {
+        let until = deadline.at;
+        let mut frame = pack(self.tracker.version(), call, body)?;
         for is_last in [false, true] {
             let mut sender = self.sender(address, until).await?;
             let request = Request::post(format!("http://{address}/"))
@@ -142,7 +191,9 @@
                     None => return Err(CallError::Lost(error.error().to_string().into())),
                 },
             };
-            return read_reply(response, until).await;
+            let reply = read_reply(response, deadline).await?;
+            self.tracker.on_named(reply.site, Some(address));
+            return Ok((reply.message, reply.body));
         }
         Err(CallError::NotSent)
     }
@@ -267,14 +318,13 @@
 
 async fn read_reply(
     response: hyper::Response<hyper::body::Incoming>,
-    until: Instant,
-) -> Result<(PeerReply, Bytes), CallError> {
+    deadline: BodyDeadline,
+) -> Result<PeerFrame<PeerReply>, CallError> {
     let status = response.status();
-    let body = Limited::new(response.into_body(), MAX_REPLY_BYTES).collect();
-    let body = match timeout_at(until, body).await {
-        Err(_) => return Err(CallError::Timeout),
-        Ok(Err(error)) => return Err(CallError::Lost(error.to_string().into())),
-        Ok(Ok(body)) => body.to_bytes(),
+    let body = match collect_body(response.into_body(), MAX_REPLY_BYTES, deadline).await {
+        Ok(body) => body,
+        Err(BodyError::Timeout) => return Err(CallError::Timeout),
+        Err(error) => return Err(CallError::Lost(error.to_string().into())),
     };
     if status != StatusCode::OK {
         return Err(CallError::Lost(format!("status {status}").into()));
--- a/crates/anvilrack-node/src/peers/peer_message.rs
+++ b/crates/anvilrack-node/src/peers/peer_message.rs
@@ -8,6 +8,7 @@
     CellRecord, CellVersion, DomainName, Epoch, Incarnation, MemberReport, NodeId, RefusalReason,
     RegionName, RenewalAnswer, RequestClass, ServiceName, SiteVersion, TargetLoad, UncertainReason,
 };
+use anvilrack_wire::{DocumentDigest, PacketHeader};
 use serde::{Deserialize, Serialize};
 
 use crate::directory::{DirectoryEntry, ReaderHeartbeat};
@@ -35,14 +36,10 @@
     Resign(ServiceName, Epoch),
     /// Asks for the receiver's record of a cell.
     PullCell(ServiceName),
-    /// Asks for the receiver's site document, if it is newer than `site`, and for directory entries.
-    PullView {
-        /// Version of the sender's site document; `None` if it has none.
-        site: Option<SiteVersion>,
-        /// Whether to include the directory entries, for example because the sender knows no other
-        /// router.
-        entries: bool,
-    },
+    /// Asks for the receiver's site document, if it is newer than the sender's.
+    PullSite(SiteRequest),
+    /// Asks for the directory entries that the receiver knows, its own included.
+    PullEntries,
     /// Heartbeat of the router that watches the store for the receiver's failure domain.
     ReaderBeat(ReaderHeartbeat),
     /// Passes on changes that the sender has read from the store or confirmed with other routers.
@@ -72,8 +69,10 @@
     Promised(bool),
     /// Whether the standby accepted the coordinator role.
     Resigned(bool),
-    /// The requested site document and directory entries.
-    View(Box<DirectorySnapshot>),
+    /// The reply to a request for a newer site document; the packed document follows a packet.
+    Site(SiteReply),
+    /// The requested directory entries.
+    Entries(Vec<DirectoryEntry>),
     /// The sender's own directory entry.
     Entry(Box<DirectoryEntry>),
     /// The requested record; `None` if the sender has none.
@@ -163,13 +162,40 @@
     pub update: Option<CellUpdate>,
 }
 
-/// Site document and directory entries, for a router that cannot reach the store.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
-pub struct DirectorySnapshot {
-    /// Site document as it was in the store; `None` if there is no newer one or none was read.
-    pub document: Option<Vec<u8>>,
-    /// Directory entries of the known routers; empty if they were not asked for.
-    pub entries: Vec<DirectoryEntry>,
+/// Asks for a newer site document.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SiteRequest {
+    /// Address at which other routers reach the sender.
+    pub router: SocketAddr,
+    /// Version of the sender's document; `None` if it has none.
+    pub version: Option<SiteVersion>,
+    /// Digest of the sender's document, from which a difference may be sent.
+    pub digest: Option<DocumentDigest>,
+}
+
+/// The reply to a [`SiteRequest`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum SiteReply {
+    /// The document is in the body of the reply.
+    Packet(SitePacket),
+    /// The sender has no newer document.
+    NotNewer,
+    /// The sender's link is occupied by other documents.
+    Busy {
+        /// Time after which a retry is worthwhile.
+        retry_after: Duration,
+        /// Routers that were sent the document and may pass it on.
+        receivers: Vec<SocketAddr>,
+    },
+}
+
+/// A packed site document.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SitePacket {
+    /// Version of the document.
+    pub version: SiteVersion,
+    /// Describes the packed document.
+    pub header: PacketHeader,
 }
 
 /// Changes that the reader of a failure domain passes on to the domain's routers.
@@ -179,8 +205,6 @@
     pub entries: Vec<DirectoryEntry>,
     /// Routers whose entries are gone from the store.
     pub lapsed: Vec<NodeId>,
-    /// Site document as it is in the store; `None` if it has not changed.
-    pub document: Option<Vec<u8>>,
     /// Entries that expired in the store, as confirmed by their routers, which still reply.
     pub confirmed: Vec<DirectoryEntry>,
 }
--- a/crates/anvilrack-node/src/peers/peer_server.rs
+++ b/crates/anvilrack-node/src/peers/peer_server.rs
@@ -14,9 +14,9 @@
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::directory::directory_snapshot;
+use crate::directory::serve_site;
 use crate::ownership::cell_calls;
-use crate::peers::{PeerCall, PeerReply, pack, unpack};
+use crate::peers::{PeerCall, PeerFrame, PeerReply, pack, unpack};
 use crate::{NodeState, PlatformDialect, accept_loop, socket_options};
 
 /// Maximum size of a call, in bytes.
@@ -90,12 +90,13 @@
         Ok(frame) => frame.to_bytes(),
         Err(error) => return Ok(refuse(StatusCode::BAD_REQUEST, &error.to_string())),
     };
-    let (call, body) = match unpack(frame) {
+    let call: PeerFrame<PeerCall> = match unpack(frame) {
         Ok(call) => call,
         Err(error) => return Ok(refuse(StatusCode::BAD_REQUEST, &error.to_string())),
     };
-    let (reply, body) = dispatch(call, body, &node).await;
-    Ok(match pack(&reply, &body) {
+    node.site_tracker.on_named(call.site, None);
+    let (reply, body) = dispatch(call.message, call.body, &node).await;
+    Ok(match pack(node.site_tracker.version(), &reply, &body) {
         Ok(frame) => Response::new(Full::new(frame)),
         Err(error) => refuse(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string()),
     })
@@ -133,9 +134,11 @@
             node.apply_reader_updates(updates);
             PeerReply::Done
         }
-        PeerCall::PullView { site, entries } => {
-            PeerReply::View(Box::new(directory_snapshot(node, site, entries)))
+        PeerCall::PullSite(request) => {
+            let (reply, body) = serve_site(node, &request);
+            return (PeerReply::Site(reply), body);
         }
+        PeerCall::PullEntries => PeerReply::Entries(node.known_entries()),
         call => cell_calls::handle_call(node, call),
     };
     (reply, Bytes::new())
