Fetch a newer site document from any router or the store if the reader does not reply

Cause: the heartbeats of a live reader were taken as proof that its failure domain is up to date. A router that heard them did not watch the store, and asked nobody else, although its requests to the reader could not be sent or got no reply. The class: a single way for a change to arrive, whose failure nobody notices.

Evidence: cordoba-b-11 kept version 68 from 10.97 s to 19.57 s, got heartbeats of cordoba-b-1 that named 90, and made no call to the store but lease renewals.

Now a router that is behind asks the router that named the version, one of its own failure domain and one of another in turn, and from 0.8 s on reads the store itself. With the 0.5 s that an attempt may take, the document is there within the two seconds of the shortest bound. Since each message names a version, a router whose whole domain is behind learns it from the other domains.

--- a/crates/anvilrack-core/src/site_progress.rs
+++ b/crates/anvilrack-core/src/site_progress.rs
@@ -5,6 +5,11 @@
 
 use crate::{BootTime, SiteVersion};
 
+/// A router that is behind for this long reads the document from the store itself.
+///
+/// Until then, one router of each failure domain reads it for all.
+const STORE_READ_AFTER: Duration = Duration::from_millis(800);
+
 /// The version of a router's site document, and the newest version that another router has named.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct SiteProgress {
@@ -25,6 +30,10 @@
     Router(SocketAddr),
     /// Any other router of the failure domain.
     SameDomain,
+    /// Any router of another failure domain.
+    OtherDomain,
+    /// The store.
+    Store,
 }
 
 impl SiteProgress {
@@ -91,13 +100,19 @@
     }
 
     /// Returns where to fetch the newest document from; `None` if this router is not behind.
-    pub fn next_source(&mut self) -> Option<SiteSource> {
-        self.behind_since?;
+    ///
+    /// Consecutive attempts use different sources, so that none of them is indispensable.
+    pub fn next_source(&mut self, now: BootTime) -> Option<SiteSource> {
+        let behind_for = self.behind_for(now)?;
         let attempt = self.attempts;
         self.attempts += 1;
-        Some(match (attempt % 2, self.named_by) {
-            (0, Some(router)) => SiteSource::Router(router),
-            _ => SiteSource::SameDomain,
+        if behind_for >= STORE_READ_AFTER && attempt.is_multiple_of(2) {
+            return Some(SiteSource::Store);
+        }
+        Some(match (attempt % 4, self.named_by) {
+            (0 | 2, Some(router)) => SiteSource::Router(router),
+            (0 | 1, _) => SiteSource::SameDomain,
+            _ => SiteSource::OtherDomain,
         })
     }
 }
--- a/crates/anvilrack-core/tests/site_progress.rs
+++ b/crates/anvilrack-core/tests/site_progress.rs
@@ -13,13 +13,22 @@
     ([10, 0, 0, host], 7000).into()
 }
 
+fn sources(progress: &mut SiteProgress, now: Duration, count: usize) -> Vec<SiteSource> {
+    (0..count)
+        .map(|_| progress.next_source(now).unwrap())
+        .collect()
+}
+
 #[test]
 fn newer_document_is_requested_immediately() {
     let mut progress = SiteProgress::default();
     progress.on_applied(3, at(0));
     assert!(progress.on_named(4, Some(router(1)), at(100)));
     assert_eq!(progress.behind_for(at(250)), Some(at(150)));
-    assert_eq!(progress.next_source(), Some(SiteSource::Router(router(1))));
+    assert_eq!(
+        progress.next_source(at(100)),
+        Some(SiteSource::Router(router(1)))
+    );
 }
 
 #[test]
@@ -29,7 +38,7 @@
     for version in [2, 3] {
         assert!(!progress.on_named(version, Some(router(1)), at(100)));
         assert_eq!(progress.behind_for(at(200)), None);
-        assert_eq!(progress.next_source(), None);
+        assert_eq!(progress.next_source(at(200)), None);
     }
 }
 
@@ -37,7 +46,7 @@
 fn router_without_a_document_requests_any() {
     let mut progress = SiteProgress::default();
     assert!(progress.on_named(1, Some(router(1)), at(0)));
-    assert!(progress.next_source().is_some());
+    assert!(progress.next_source(at(0)).is_some());
 }
 
 #[test]
@@ -71,3 +80,28 @@
     assert_eq!(progress.version(), Some(5));
     assert_eq!(progress.in_force_for(at(200)), Some(at(200)));
 }
+
+#[test]
+fn consecutive_attempts_use_different_sources() {
+    let mut progress = SiteProgress::default();
+    progress.on_named(4, Some(router(1)), at(0));
+    let namer = SiteSource::Router(router(1));
+    assert_eq!(
+        sources(&mut progress, at(0), 4),
+        [
+            namer,
+            SiteSource::SameDomain,
+            namer,
+            SiteSource::OtherDomain
+        ]
+    );
+}
+
+#[test]
+fn store_is_read_within_the_bound_whatever_the_other_sources_do() {
+    let mut progress = SiteProgress::default();
+    progress.on_named(4, Some(router(1)), at(0));
+    assert!(!sources(&mut progress, at(700), 8).contains(&SiteSource::Store));
+    // A document has to be in force within two seconds; each attempt may take half a second.
+    assert!(sources(&mut progress, at(1_000), 2).contains(&SiteSource::Store));
+}
--- a/crates/anvilrack-node/src/directory/site_fetch.rs
+++ b/crates/anvilrack-node/src/directory/site_fetch.rs
@@ -1,4 +1,4 @@
-//! Fetches newer site documents from other routers, and serves them to other routers.
+//! Fetches newer site documents from other routers or the store, and serves them to other routers.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -12,6 +12,7 @@
 use thiserror::Error;
 use tokio::time::sleep;
 
+use crate::directory::{MetadataStore, MetadataStoreError};
 use crate::peers::{CallError, PeerCall, PeerReply, SitePacket, SiteReply, SiteRequest};
 use crate::retry_backoff::RetryBackoff;
 use crate::{NodeState, PlatformDialect, SiteDocumentError, emit_event, observe};
@@ -33,6 +34,10 @@
     WrongReply,
     #[error(transparent)]
     Packet(#[from] PacketError),
+    #[error(transparent)]
+    Store(#[from] MetadataStoreError),
+    #[error("the store has no site document")]
+    NotStored,
     #[error("{0}")]
     Document(#[from] SiteDocumentError),
 }
@@ -65,14 +70,18 @@
     loop {
         let source = {
             let mut progress = node.site_tracker.progress();
-            progress.next_source()
+            progress.next_source(boot_clock::now())
         };
         let Some(source) = source else {
             return;
         };
         let outcome = match source {
+            SiteSource::Store => fetch_from_store(node).await,
             SiteSource::Router(router) => fetch_from_router(node, Some(router)).await,
             SiteSource::SameDomain => fetch_from_router(node, pick(&node.domain_peers())).await,
+            SiteSource::OtherDomain => {
+                fetch_from_router(node, pick(&node.other_domain_peers())).await
+            }
         };
         match outcome {
             Some(FetchOutcome::Applied) => pauses = RETRY_PAUSES,
@@ -152,6 +161,19 @@
     routers.choose(&mut rand::rng()).copied()
 }
 
+async fn fetch_from_store<D: PlatformDialect>(node: &Arc<NodeState<D>>) -> Option<FetchOutcome> {
+    let began = boot_clock::now();
+    let read = async {
+        let item = node.store.read(node.dialect.site_key()).await?;
+        let item = item.ok_or(FetchError::NotStored)?;
+        let site = node.dialect.read_site(&item.value)?;
+        node.store_site_document(site, item.value, "store");
+        Ok(FetchOutcome::Applied)
+    };
+    let outcome = read.await;
+    logged(outcome, "store", began)
+}
+
 async fn fetch_from_router<D: PlatformDialect>(
     node: &Arc<NodeState<D>>,
     router: Option<SocketAddr>,
--- a/crates/anvilrack-node/src/node_shared/router_directory.rs
+++ b/crates/anvilrack-node/src/node_shared/router_directory.rs
@@ -243,6 +243,17 @@
         domain_entries.map(|entry| entry.place.address).collect()
     }
 
+    /// Returns the addresses of the routers in other failure domains.
+    #[must_use]
+    pub fn other_domain_peers(&self) -> Vec<SocketAddr> {
+        let directory = self.directory();
+        let domain = &self.settings.failure_domain;
+        let others = directory
+            .entries()
+            .filter(|e| e.place.failure_domain != *domain);
+        others.map(|entry| entry.place.address).collect()
+    }
+
     /// Returns all known directory entries, this router's own included.
     #[must_use]
     pub fn known_entries(&self) -> Vec<DirectoryEntry> {
