Send the reader's directory entry with its heartbeats

Cause: while the store turns a reader away, its directory entry expires. When the store takes it back, the router that stood in for it stops watching at the reader's first heartbeat, and often before the new entry was passed on. The domain then followed a reader that was not in its directory: it had no address to ask for the missing entries or the site document, and no way to the reader's target.

The heartbeat carries the reader's own entry, about 100 bytes, and the receiver keeps it as confirmed.

--- a/crates/anvilrack-node/src/directory/domain_reader.rs
+++ b/crates/anvilrack-node/src/directory/domain_reader.rs
@@ -9,7 +9,7 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
-use anvilrack_core::{BootTime, NodeId};
+use anvilrack_core::BootTime;
 use serde::{Deserialize, Serialize};
 
 use crate::directory::DirectoryEntry;
@@ -38,8 +38,8 @@
 /// Content of a reader's heartbeat.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReaderHeartbeat {
-    /// Name of the reader.
-    pub reader: NodeId,
+    /// The reader's own directory entry, without which its failure domain could not call it.
+    pub entry: DirectoryEntry,
     /// Digest of the reader's directory entries, from [`entries_digest`].
     pub digest: u64,
 }
@@ -80,7 +80,7 @@
         own: &ReaderHeartbeat,
         now: BootTime,
     ) -> HeartbeatEffect {
-        if heartbeat.reader > own.reader {
+        if heartbeat.entry.place.node > own.entry.place.node {
             return HeartbeatEffect::Same;
         }
         self.heard_at = now;
--- a/crates/anvilrack-node/src/node_shared/router_directory.rs
+++ b/crates/anvilrack-node/src/node_shared/router_directory.rs
@@ -227,8 +227,8 @@
         let own = self.own_entry();
         let directory = self.directory();
         ReaderHeartbeat {
-            reader: self.settings.node.clone(),
             digest: entries_digest(directory.entries().chain([&own])),
+            entry: own,
         }
     }
 
@@ -278,13 +278,12 @@
 
     /// Handles a heartbeat of the failure domain's reader, and requests entries that this router lacks.
     pub fn handle_reader_heartbeat(self: &Arc<Self>, heartbeat: &ReaderHeartbeat) {
+        // The store may have expired the entry, and the reader may be new.
+        self.store_confirmed_entry(heartbeat.entry.clone());
         let own = self.reader_heartbeat();
         let effect = lock(&self.reader).on_heartbeat(heartbeat, &own, boot_clock::now());
-        let Some(reader) = self.directory().address(&heartbeat.reader) else {
-            return;
-        };
         if effect == HeartbeatEffect::EntriesMissing {
-            let node = self.clone();
+            let (node, reader) = (self.clone(), heartbeat.entry.place.address);
             tokio::spawn(async move { pull_entries(&node, reader).await });
         }
     }
--- a/crates/anvilrack-node/tests/domain_reader.rs
+++ b/crates/anvilrack-node/tests/domain_reader.rs
@@ -33,7 +33,7 @@
 
 fn heartbeat_of(reader: &str, digest: u64) -> ReaderHeartbeat {
     ReaderHeartbeat {
-        reader: reader.into(),
+        entry: entry(reader, "norte-a", 1, false),
         digest,
     }
 }
