Refuse unknown routes with 503 while a newer site document is known

Cause: a router looked only at its own document, although a newer one had been named to it. Whether the route exists is not known then, and a 404 says that it does not.

Routes that the router knows are served as before, since most of them do not change; a 404 is given again once the newest document is in force.

--- a/crates/anvilrack-node/src/callers/caller_request.rs
+++ b/crates/anvilrack-node/src/callers/caller_request.rs
@@ -17,8 +17,8 @@
 use crate::routing::{CallerRequest, ForwardOutcome, forward};
 use crate::{CallerRequestInfo, NodeState, PlatformDialect, RequestId, emit_event, observe};
 
-/// `Retry-After` time while this router has no routes.
-const NO_SITE_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// `Retry-After` time while this router has no routes, or not the newest ones.
+const SITE_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// Timeout of a request that states none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(10);
@@ -85,7 +85,7 @@
         if self.status == StatusCode::SERVICE_UNAVAILABLE {
             let headers = response.headers_mut();
             node.dialect
-                .set_retry_headers(headers, request, NO_SITE_RETRY_AFTER);
+                .set_retry_headers(headers, request, SITE_RETRY_AFTER);
         }
         response
     }
@@ -113,7 +113,7 @@
     ))?;
     let route = site
         .find(&host, parts.uri.path())
-        .ok_or(EarlyRefusal::new(StatusCode::NOT_FOUND, "no route matches"))?
+        .ok_or_else(|| no_route_refusal(node))?
         .clone();
     let id = head.request.clone();
     let id = id.ok_or(EarlyRefusal::new(
@@ -142,6 +142,18 @@
     })
 }
 
+/// The refusal of a request that matches no route; the newest document may have one.
+fn no_route_refusal<D: PlatformDialect>(node: &NodeState<D>) -> EarlyRefusal {
+    if node.site_tracker.is_behind() {
+        EarlyRefusal::new(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no route matches, and a newer site document exists",
+        )
+    } else {
+        EarlyRefusal::new(StatusCode::NOT_FOUND, "no route matches")
+    }
+}
+
 async fn read_body(body: Incoming, site: &SiteRoutes) -> Result<Bytes, EarlyRefusal> {
     let limit = site.limits.body_bytes;
     let body_too_long = || EarlyRefusal::new(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long");
