Ask the reader that named a site version first, and a busy router again

The pause after a failure grows with the time for which a router is behind, up to 1 s, so that a router that stays behind costs the store half a call a second.

--- a/crates/anvilrack-core/src/site_progress.rs
+++ b/crates/anvilrack-core/src/site_progress.rs
@@ -10,6 +10,15 @@
 /// Until then, one router of each failure domain reads it for all.
 const STORE_READ_AFTER: Duration = Duration::from_millis(800);
 
+/// Minimum pause after a failure.
+const MIN_RETRY_PAUSE: Duration = Duration::from_millis(40);
+
+/// Maximum pause after a failure, which bounds the calls of a router that stays behind.
+const MAX_RETRY_PAUSE: Duration = Duration::from_secs(1);
+
+/// The pause after a failure is the time for which the router has been behind, divided by this.
+const RETRY_PAUSE_DIVISOR: u32 = 8;
+
 /// The version of a router's site document, and the newest version that another router has named.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct SiteProgress {
@@ -19,8 +28,8 @@
     named_by: Option<SocketAddr>,
     /// When this router learned that it is behind; `None` while it is not.
     behind_since: Option<BootTime>,
-    /// Number of attempts since then.
-    attempts: u32,
+    /// Number of failures that failed since then.
+    failures: u32,
 }
 
 /// Where to fetch a newer site document from.
@@ -66,7 +75,7 @@
         }
         self.version = Some(version);
         self.applied_at = now;
-        self.attempts = 0;
+        self.failures = 0;
         if self.newest <= self.version {
             self.newest = self.version;
             self.named_by = None;
@@ -101,18 +110,38 @@
 
     /// Returns where to fetch the newest document from; `None` if this router is not behind.
     ///
-    /// Consecutive attempts use different sources, so that none of them is indispensable.
-    pub fn next_source(&mut self, now: BootTime) -> Option<SiteSource> {
+    /// After a failure the next source is another one, so that none of them is indispensable.
+    #[must_use]
+    pub fn next_source(&self, now: BootTime) -> Option<SiteSource> {
         let behind_for = self.behind_for(now)?;
-        let attempt = self.attempts;
-        self.attempts += 1;
-        if behind_for >= STORE_READ_AFTER && attempt.is_multiple_of(2) {
+        if behind_for >= STORE_READ_AFTER && !self.failures.is_multiple_of(2) {
             return Some(SiteSource::Store);
         }
-        Some(match (attempt % 4, self.named_by) {
+        Some(match (self.failures % 4, self.named_by) {
             (0 | 2, Some(router)) => SiteSource::Router(router),
             (0 | 1, _) => SiteSource::SameDomain,
             _ => SiteSource::OtherDomain,
         })
     }
+
+    /// Records that a source did not provide a newer document.
+    pub fn on_failure(&mut self) {
+        self.failures += 1;
+    }
+
+    /// Records that a source asked for a later attempt, because its link is occupied.
+    ///
+    /// It may be asked again, unless that has already taken long.
+    pub fn on_busy(&mut self, now: BootTime) {
+        if self.behind_for(now) >= Some(STORE_READ_AFTER) {
+            self.failures += 1;
+        }
+    }
+
+    /// Returns the pause after a failure; it grows with the time for which this router has been behind.
+    #[must_use]
+    pub fn retry_pause(&self, now: BootTime) -> Duration {
+        let behind_for = self.behind_for(now).unwrap_or_default();
+        (behind_for / RETRY_PAUSE_DIVISOR).clamp(MIN_RETRY_PAUSE, MAX_RETRY_PAUSE)
+    }
 }
--- a/crates/anvilrack-core/tests/site_progress.rs
+++ b/crates/anvilrack-core/tests/site_progress.rs
@@ -13,10 +13,14 @@
     ([10, 0, 0, host], 7000).into()
 }
 
+/// The sources of consecutive attempts that fail.
 fn sources(progress: &mut SiteProgress, now: Duration, count: usize) -> Vec<SiteSource> {
-    (0..count)
-        .map(|_| progress.next_source(now).unwrap())
-        .collect()
+    let attempt = |_| {
+        let source = progress.next_source(now).unwrap();
+        progress.on_failure();
+        source
+    };
+    (0..count).map(attempt).collect()
 }
 
 #[test]
@@ -105,3 +109,26 @@
     // A document has to be in force within two seconds; each attempt may take half a second.
     assert!(sources(&mut progress, at(1_000), 2).contains(&SiteSource::Store));
 }
+
+#[test]
+fn busy_source_is_asked_again_until_the_store_is_due() {
+    let mut progress = SiteProgress::default();
+    let namer = Some(SiteSource::Router(router(1)));
+    progress.on_named(4, Some(router(1)), at(0));
+    for ms in [0, 300, 700] {
+        assert_eq!(progress.next_source(at(ms)), namer);
+        progress.on_busy(at(ms));
+    }
+    assert_eq!(progress.next_source(at(850)), namer);
+    progress.on_busy(at(850));
+    assert_eq!(progress.next_source(at(900)), Some(SiteSource::Store));
+}
+
+#[test]
+fn pauses_are_short_within_the_bound_and_long_after_it() {
+    let mut progress = SiteProgress::default();
+    progress.on_named(4, None, at(0));
+    assert_eq!(progress.retry_pause(at(100)), at(40));
+    assert_eq!(progress.retry_pause(at(2_000)), at(250));
+    assert_eq!(progress.retry_pause(at(60_000)), at(1_000));
+}
--- a/crates/anvilrack-node/src/directory/site_fetch.rs
+++ b/crates/anvilrack-node/src/directory/site_fetch.rs
@@ -14,12 +14,8 @@
 
 use crate::directory::{MetadataStore, MetadataStoreError};
 use crate::peers::{CallError, PeerCall, PeerReply, SitePacket, SiteReply, SiteRequest};
-use crate::retry_backoff::RetryBackoff;
 use crate::{NodeState, PlatformDialect, SiteDocumentError, emit_event, observe};
 
-/// Pauses between attempts that failed.
-const RETRY_PAUSES: RetryBackoff = RetryBackoff::new(40, 250);
-
 /// Maximum pause after a router replied that its link is occupied.
 const MAX_BUSY_PAUSE: Duration = Duration::from_millis(150);
 
@@ -66,12 +62,8 @@
 
 /// Tries one source after the other until this router has the newest site document.
 async fn catch_up_with_newest<D: PlatformDialect>(node: &Arc<NodeState<D>>) {
-    let mut pauses = RETRY_PAUSES;
     loop {
-        let source = {
-            let mut progress = node.site_tracker.progress();
-            progress.next_source(boot_clock::now())
-        };
+        let source = node.site_tracker.progress().next_source(boot_clock::now());
         let Some(source) = source else {
             return;
         };
@@ -84,7 +76,7 @@
             }
         };
         match outcome {
-            Some(FetchOutcome::Applied) => pauses = RETRY_PAUSES,
+            Some(FetchOutcome::Applied) => {}
             Some(FetchOutcome::Busy {
                 retry_after,
                 receivers,
@@ -94,10 +86,18 @@
                     None => None,
                 };
                 if !matches!(from_receiver, Some(FetchOutcome::Applied)) {
+                    node.site_tracker.progress().on_busy(boot_clock::now());
                     sleep(retry_after.min(MAX_BUSY_PAUSE)).await;
                 }
             }
-            Some(FetchOutcome::NotNewer) | None => sleep(pauses.next()).await,
+            Some(FetchOutcome::NotNewer) | None => {
+                let pause = {
+                    let mut progress = node.site_tracker.progress();
+                    progress.on_failure();
+                    progress.retry_pause(boot_clock::now())
+                };
+                sleep(pause.mul_f64(rand::random_range(0.7..1.3))).await;
+            }
         }
     }
 }
