Refuse requests at the target that were routed by an outdated site document

Cause: the router beside the target, the only way to it, looked at the service of a request and not at its route.

A request names the version by which it was routed. If it is older than that of the target's router, and that one has been in force for a second, the route is looked up again; if it does not lead to the service, the request is refused as not run, with Retry-After. Within the second requests run as before, since other routers may still apply the document.

--- a/crates/anvilrack-cli/src/request_trace.rs
+++ b/crates/anvilrack-cli/src/request_trace.rs
@@ -96,6 +96,11 @@
                 "refused while key {} of {service} was between two owners",
                 outcome_event.text_field("key")
             ),
+            (_, "not-run", "outdated-route") => format!(
+                "refused: {} routed by site document {}, and {place} has a newer one",
+                outcome_event.text_field("node"),
+                outcome_event.text_field("routes_version")
+            ),
             (_, "not-run", why) => format!("refused, {why}: no target of {service} accepted it"),
             (_, "may-have-run", "connection-lost") => {
                 format!("uncertain: the connection to {place} or its target was lost after sending")
@@ -135,7 +140,7 @@
     let mut fields: Map<String, Value> = serde_json::from_str(json).ok()?;
     let at_ms = fields.get("at_ms")?.as_u64()?;
     // `cause` reads these fields as text, so numbers are converted to strings.
-    for name in ["key", "waited_ms"] {
+    for name in ["key", "routes_version", "waited_ms"] {
         if let Some(number) = fields.get(name).and_then(Value::as_u64) {
             fields.insert(name.to_owned(), number.to_string().into());
         }
--- a/crates/anvilrack-cli/tests/request_trace.rs
+++ b/crates/anvilrack-cli/tests/request_trace.rs
@@ -11,6 +11,7 @@
 {"at_ms":1000,"node":"router-a","event":2401,"name":"request.answered","request":"c3.1","outcome":"ran","why":null,"place":"router-c","service":"bookings"}
 {"at_ms":1500,"node":"router-a","event":2404,"name":"request.left","request":"d4","waited_ms":420}
 {"at_ms":1500,"node":"router-a","event":2002,"name":"request.refused","request":"e5","why":"no routes are known yet"}
+{"at_ms":1500,"node":"router-a","event":2401,"name":"request.answered","request":"f6","outcome":"not-run","why":"outdated-route","place":"router-b","service":"bookings","routes_version":68}
 {"at_ms":1,"node":"router-a","event":1304,"name":"cell.written"}
 not a line of ours, request a1
 "#;
@@ -33,6 +34,8 @@
     target_responded: "c3.1" => "the target of router-c responded";
     caller_disconnected: "d4" => "the caller disconnected after 420 ms";
     refused_by_callers_router: "e5" => "refused by the caller's router: no routes are known yet";
+    routed_by_an_outdated_document:
+        "f6" => "refused: router-a routed by site document 68, and router-b has a newer one";
     unknown_request: "zz" => "no log line records the outcome; the logs may cover another time";
 }
 
--- a/crates/anvilrack-core/src/request_verdict.rs
+++ b/crates/anvilrack-core/src/request_verdict.rs
@@ -102,6 +102,8 @@
     RecordFull,
     /// The idempotency key was already used for a different request.
     KeyReused,
+    /// The route no longer leads to this service; the router that took the request has an old document.
+    OutdatedRoute,
 }
 
 impl RefusalReason {
@@ -124,6 +126,7 @@
             Self::Stopping => "stopping",
             Self::RecordFull => "record-full",
             Self::KeyReused => "key-reused",
+            Self::OutdatedRoute => "outdated-route",
         }
     }
 
--- a/crates/anvilrack-node/src/callers/caller_request.rs
+++ b/crates/anvilrack-node/src/callers/caller_request.rs
@@ -138,6 +138,7 @@
         objective: began + route.latency_objective,
         deadline: began + timeout,
         route,
+        site: site.version,
         service,
     })
 }
@@ -245,7 +246,7 @@
         places = outcome.routers_tried,
         place = outcome.last_router.as_deref(),
         took_ms = observe::millis(duration),
-        routes_version = node.site().map(|site| site.version),
+        routes_version = request.site,
         cell_version = node.cell(service).map(|cell| cell.version)
     );
 }
--- a/crates/anvilrack-node/src/guard/target_gateway.rs
+++ b/crates/anvilrack-node/src/guard/target_gateway.rs
@@ -43,6 +43,9 @@
 /// `Retry-After` time for a shard that is moving between two owners.
 const MOVING_RETRY_AFTER: Duration = Duration::from_millis(150);
 
+/// `Retry-After` time for a request whose router has to fetch the newest site document first.
+const OUTDATED_RETRY_AFTER: Duration = Duration::from_millis(300);
+
 /// Minimum time left until the deadline for a request to be sent to the target.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(2);
 
@@ -257,6 +260,9 @@
         deadline: Duration,
     ) -> Result<(SlotTicket<'_>, TargetIncarnation), Refusal> {
         self.check_may_run(node, call)?;
+        if node.is_outdated_route(call) {
+            return Err((RefusalReason::OutdatedRoute, OUTDATED_RETRY_AFTER));
+        }
         let request = AdmissionRequest {
             class: call.class,
             kind: call.route.clone(),
--- a/crates/anvilrack-node/src/node_shared/router_directory.rs
+++ b/crates/anvilrack-node/src/node_shared/router_directory.rs
@@ -17,7 +17,7 @@
 use crate::guard::IncarnationState;
 use crate::mutex_lock::lock;
 use crate::ownership::SHARD_COUNT;
-use crate::peers::{PeerCall, PeerLocation, ReaderChanges, TargetStatus};
+use crate::peers::{PeerCall, PeerLocation, ReaderChanges, RunCall, TargetStatus};
 use crate::{KEY_SPACE, KeyNumber, PlatformDialect, emit_event};
 
 /// Maximum number of remembered addresses of routers that have opened a link to this one.
@@ -26,6 +26,11 @@
 /// Timeout for messages to other routers that are sent in the background.
 const BACKGROUND_CALL_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Time for which requests that were routed by the previous site document are still run.
+///
+/// It is half of the two seconds within which a document has to be in force.
+const MAX_ROUTE_LAG: Duration = Duration::from_secs(1);
+
 impl<D: PlatformDialect> NodeState<D> {
     // --- site document ---------------------------------------------------------------------------
 
@@ -77,6 +82,32 @@
         }
     }
 
+    /// Returns whether a request was routed by an old site document to a service to which its route does
+    /// not lead any more.
+    ///
+    /// Other routers may take [`MAX_ROUTE_LAG`] to apply the newest document.
+    #[must_use]
+    pub fn is_outdated_route(&self, call: &RunCall) -> bool {
+        let in_force_for = {
+            let progress = self.site_tracker.progress();
+            progress.in_force_for(boot_clock::now())
+        };
+        let Some(site) = self.site().filter(|site| site.version > call.site) else {
+            return false;
+        };
+        if in_force_for < Some(MAX_ROUTE_LAG) {
+            return false;
+        }
+        let host = call.headers.iter().find(|(name, _)| name == "host");
+        let Some(host) = host.and_then(|(_, host)| std::str::from_utf8(host).ok()) else {
+            return false;
+        };
+        let host = host.split(':').next().unwrap_or(host);
+        let path = call.path.split('?').next().unwrap_or(&call.path);
+        let route = site.find(host, path);
+        !route.is_some_and(|route| route.splits.iter().any(|split| split.0 == call.service))
+    }
+
     /// Returns true if each key of a service is owned by a single target.
     #[must_use]
     pub fn is_divided_by_key(&self, service: &str) -> bool {
--- a/crates/anvilrack-node/src/peers/peer_message.rs
+++ b/crates/anvilrack-node/src/peers/peer_message.rs
@@ -90,6 +90,8 @@
     pub service: ServiceName,
     /// Name of the matched route.
     pub route: Arc<str>,
+    /// Version of the site document by which the request was routed.
+    pub site: SiteVersion,
     /// HTTP method of the request.
     pub method: String,
     /// Path and query, as the caller sent them.
--- a/crates/anvilrack-node/src/routing/forward.rs
+++ b/crates/anvilrack-node/src/routing/forward.rs
@@ -7,7 +7,7 @@
 
 use anvilrack_core::{
     BootTime, HealthOutcome, NodeId, RefusalReason, RetryBudget, RouteRules, ServiceName, ShardId,
-    TargetLoad, UncertainReason, events, retry_backoff,
+    SiteVersion, TargetLoad, UncertainReason, events, retry_backoff,
 };
 use anvilrack_router::boot_clock;
 use bytes::Bytes;
@@ -61,6 +61,8 @@
     pub request: RequestId,
     /// The route that matches the request.
     pub route: Arc<RouteRules>,
+    /// Version of the site document that the route is from.
+    pub site: SiteVersion,
     /// The service selected by the route's traffic split.
     pub service: ServiceName,
     /// HTTP method.
@@ -368,6 +370,7 @@
             request: request.request.clone(),
             service: request.service.clone(),
             route: request.route.name.clone(),
+            site: request.site,
             method: request.method.clone(),
             path: request.path.clone(),
             headers: request.headers.clone(),
