--- a/crates/anvilrack-bench/src/slopes/mod.rs
+++ b/crates/anvilrack-bench/src/slopes/mod.rs
@@ -11,6 +11,8 @@
 mod idle_control;
 mod log_line;
 mod request_path;
+mod site_document;
+mod site_spread;
 mod store_calls;
 mod table;
 
@@ -20,7 +22,7 @@
 /// A group of slopes: its name and the function that measures it.
 type SlopeGroup = (&'static str, fn() -> eyre::Result<Vec<MeasuredSlope>>);
 
-const GROUPS: [SlopeGroup; 9] = [
+const GROUPS: [SlopeGroup; 11] = [
     ("heartbeat", heartbeat::measure),
     ("coordinator", || Ok(coordinator::measure())),
     ("table", table::measure),
@@ -30,6 +32,8 @@
     ("request-path", request_path::measure),
     ("connections", connections::measure),
     ("store-calls", store_calls::measure),
+    ("site-document", site_document::measure),
+    ("site-spread", || Ok(site_spread::measure())),
 ];
 
 /// Measures the group of slopes named by `only`, or all groups.
