Record only the reader of the failure domain as the source of a site version

Any reply could become the source that a router asks first, and that is mostly a router of another region, where bytes are dear. Only the heartbeat of the failure domain's reader counts now; other messages just name the version.

From reading the change again: the directory entries of a reader are fetched once at a time, since a fetch may outlast the next heartbeats; a reply to a different call and a document that cannot be packed are logged; a comment that described a result that the function does not have is right.

--- a/crates/anvilrack-bench/src/slopes/site_spread.rs
+++ b/crates/anvilrack-bench/src/slopes/site_spread.rs
@@ -110,7 +110,7 @@
         }
         let source = match routers[index].progress.next_source(now) {
             None => continue,
-            Some(SiteSource::Router(_)) => 0,
+            Some(SiteSource::Reader(_)) => 0,
             // Other domains and the store are not simulated.
             Some(_) => draw(count),
         };
--- a/crates/anvilrack-core/src/site_progress.rs
+++ b/crates/anvilrack-core/src/site_progress.rs
@@ -25,7 +25,8 @@
     version: Option<SiteVersion>,
     applied_at: BootTime,
     newest: Option<SiteVersion>,
-    named_by: Option<SocketAddr>,
+    /// The failure domain's reader, if it has the newest version.
+    reader: Option<SocketAddr>,
     /// When this router learned that it is behind; `None` while it is not.
     behind_since: Option<BootTime>,
     /// Number of failures that failed since then.
@@ -35,8 +36,8 @@
 /// Where to fetch a newer site document from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SiteSource {
-    /// The router that named the newest version.
-    Router(SocketAddr),
+    /// The reader of the failure domain.
+    Reader(SocketAddr),
     /// Any other router of the failure domain.
     SameDomain,
     /// Any router of another failure domain.
@@ -46,13 +47,14 @@
 }
 
 impl SiteProgress {
-    /// Records that another router has the document of a version; `router` is its address if known.
+    /// Records that another router has the document of a version; `reader` is its address if it is the
+    /// failure domain's reader.
     ///
     /// Returns whether this router has just learned that it is behind that version.
     pub fn on_named(
         &mut self,
         version: SiteVersion,
-        router: Option<SocketAddr>,
+        reader: Option<SocketAddr>,
         now: BootTime,
     ) -> bool {
         if Some(version) <= self.version || Some(version) < self.newest {
@@ -61,9 +63,9 @@
         let is_new = Some(version) > self.newest;
         if is_new {
             self.newest = Some(version);
-            self.named_by = None;
+            self.reader = None;
         }
-        self.named_by = self.named_by.or(router);
+        self.reader = self.reader.or(reader);
         self.behind_since.get_or_insert(now);
         is_new
     }
@@ -78,7 +80,7 @@
         self.failures = 0;
         if self.newest <= self.version {
             self.newest = self.version;
-            self.named_by = None;
+            self.reader = None;
             self.behind_since = None;
         }
     }
@@ -117,8 +119,8 @@
         if behind_for >= STORE_READ_AFTER && !self.failures.is_multiple_of(2) {
             return Some(SiteSource::Store);
         }
-        Some(match (self.failures % 4, self.named_by) {
-            (0 | 2, Some(router)) => SiteSource::Router(router),
+        Some(match (self.failures % 4, self.reader) {
+            (0 | 2, Some(reader)) => SiteSource::Reader(reader),
             (0 | 1, _) => SiteSource::SameDomain,
             _ => SiteSource::OtherDomain,
         })
--- a/crates/anvilrack-core/tests/site_progress.rs
+++ b/crates/anvilrack-core/tests/site_progress.rs
@@ -31,7 +31,7 @@
     assert_eq!(progress.behind_for(at(250)), Some(at(150)));
     assert_eq!(
         progress.next_source(at(100)),
-        Some(SiteSource::Router(router(1)))
+        Some(SiteSource::Reader(router(1)))
     );
 }
 
@@ -89,13 +89,13 @@
 fn consecutive_attempts_use_different_sources() {
     let mut progress = SiteProgress::default();
     progress.on_named(4, Some(router(1)), at(0));
-    let namer = SiteSource::Router(router(1));
+    let reader = SiteSource::Reader(router(1));
     assert_eq!(
         sources(&mut progress, at(0), 4),
         [
-            namer,
+            reader,
             SiteSource::SameDomain,
-            namer,
+            reader,
             SiteSource::OtherDomain
         ]
     );
@@ -113,13 +113,13 @@
 #[test]
 fn busy_source_is_asked_again_until_the_store_is_due() {
     let mut progress = SiteProgress::default();
-    let namer = Some(SiteSource::Router(router(1)));
+    let reader = Some(SiteSource::Reader(router(1)));
     progress.on_named(4, Some(router(1)), at(0));
     for ms in [0, 300, 700] {
-        assert_eq!(progress.next_source(at(ms)), namer);
+        assert_eq!(progress.next_source(at(ms)), reader);
         progress.on_busy(at(ms));
     }
-    assert_eq!(progress.next_source(at(850)), namer);
+    assert_eq!(progress.next_source(at(850)), reader);
     progress.on_busy(at(850));
     assert_eq!(progress.next_source(at(900)), Some(SiteSource::Store));
 }
--- a/crates/anvilrack-node/src/directory/peer_catch_up.rs
+++ b/crates/anvilrack-node/src/directory/peer_catch_up.rs
@@ -9,6 +9,7 @@
 use rand::seq::IndexedRandom;
 use tokio::time::sleep;
 
+use crate::directory::DirectoryEntry;
 use crate::directory::site_fetch::ask_router;
 use crate::peers::{PeerCall, PeerReply, ReaderChanges};
 use crate::{NodeState, PlatformDialect, emit_event};
@@ -41,22 +42,24 @@
     }
 }
 
-/// Asks a router for all directory entries that it knows; the entries that it does not know expire.
+/// Asks a router for all directory entries that it knows, and applies them.
 pub async fn pull_entries<D: PlatformDialect>(node: &Arc<NodeState<D>>, address: SocketAddr) {
-    let entries = match node.links.fetch(address, &PeerCall::PullEntries).await {
-        Ok((PeerReply::Entries(entries), _)) => entries,
-        Ok(_) => return,
-        Err(error) => {
-            emit_event!(
-                Info,
-                events::PEER_LOST,
-                peer = address.to_string(),
-                about = "directory entries",
-                fault = error.to_string()
-            );
-            return;
-        }
+    let fault = match node.links.fetch(address, &PeerCall::PullEntries).await {
+        Ok((PeerReply::Entries(entries), _)) => return apply_entries(node, entries),
+        Ok(_) => "the reply belongs to a different call".to_owned(),
+        Err(error) => error.to_string(),
     };
+    emit_event!(
+        Info,
+        events::PEER_LOST,
+        peer = address.to_string(),
+        about = "directory entries",
+        fault = fault
+    );
+}
+
+/// Applies a full list of entries; the entries that are not in it expire.
+fn apply_entries<D: PlatformDialect>(node: &Arc<NodeState<D>>, entries: Vec<DirectoryEntry>) {
     let names: Vec<_> = entries.iter().map(|e| e.place.node.clone()).collect();
     node.directory()
         .mark_unlisted_expired(&names, boot_clock::now());
--- a/crates/anvilrack-node/src/directory/site_fetch.rs
+++ b/crates/anvilrack-node/src/directory/site_fetch.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anvilrack_core::{SiteSource, events};
+use anvilrack_core::{BootTime, SiteSource, events};
 use anvilrack_router::boot_clock;
 use anvilrack_wire::{PacketError, unpack_document};
 use bytes::Bytes;
@@ -69,7 +69,7 @@
         };
         let outcome = match source {
             SiteSource::Store => fetch_from_store(node).await,
-            SiteSource::Router(router) => fetch_from_router(node, Some(router)).await,
+            SiteSource::Reader(reader) => fetch_from_router(node, Some(reader)).await,
             SiteSource::SameDomain => fetch_from_router(node, pick(&node.domain_peers())).await,
             SiteSource::OtherDomain => {
                 fetch_from_router(node, pick(&node.other_domain_peers())).await
@@ -102,7 +102,7 @@
     }
 }
 
-/// Asks one router for a newer site document and applies it; returns `None` if that failed.
+/// Asks one router for a newer site document and applies it.
 pub async fn ask_router<D: PlatformDialect>(node: &Arc<NodeState<D>>, router: SocketAddr) {
     fetch_from_router(node, Some(router)).await;
 }
@@ -122,7 +122,7 @@
         Ok(Some(packet)) => packet,
         Ok(None) => return (SiteReply::NotNewer, Bytes::new()),
         Err(error) => {
-            emit_event!(Warn, events::SITE_REFUSED, fault = error.to_string());
+            log::warn!("cannot pack the site document: {error}");
             return (SiteReply::NotNewer, Bytes::new());
         }
     };
@@ -171,7 +171,7 @@
         Ok(FetchOutcome::Applied)
     };
     let outcome = read.await;
-    logged(outcome, "store", began)
+    log_error(outcome, "store", began)
 }
 
 async fn fetch_from_router<D: PlatformDialect>(
@@ -184,7 +184,7 @@
         Some(router) => try_router(node, router, &source).await,
         None => Err(FetchError::NoRouter),
     };
-    logged(outcome, &source, began)
+    log_error(outcome, &source, began)
 }
 
 async fn try_router<D: PlatformDialect>(
@@ -224,11 +224,11 @@
     Ok(FetchOutcome::Applied)
 }
 
-/// Logs the error of an attempt.
-fn logged(
+/// Returns the outcome of an attempt, or `None` after logging its error.
+fn log_error(
     outcome: Result<FetchOutcome, FetchError>,
     source: &str,
-    began: anvilrack_core::BootTime,
+    began: BootTime,
 ) -> Option<FetchOutcome> {
     let error = match outcome {
         Ok(outcome) => return Some(outcome),
--- a/crates/anvilrack-node/src/directory/site_tracker.rs
+++ b/crates/anvilrack-node/src/directory/site_tracker.rs
@@ -37,13 +37,14 @@
         self.progress().behind_for(boot_clock::now()).is_some()
     }
 
-    /// Records the version that another router has; `router` is its address if known.
-    pub fn on_named(&self, version: Option<SiteVersion>, router: Option<SocketAddr>) {
+    /// Records the version that another router has; `reader` is its address if it is the failure domain's
+    /// reader.
+    pub fn on_named(&self, version: Option<SiteVersion>, reader: Option<SocketAddr>) {
         let Some(version) = version else {
             return;
         };
         let mut progress = self.progress();
-        if !progress.on_named(version, router, boot_clock::now()) {
+        if !progress.on_named(version, reader, boot_clock::now()) {
             return;
         }
         let own_version = progress.version();
@@ -53,7 +54,7 @@
             events::SITE_BEHIND,
             version = own_version,
             newest = version,
-            named_by = router.map(|router| router.to_string())
+            reader = reader.map(|reader| reader.to_string())
         );
         self.behind.notify_one();
     }
--- a/crates/anvilrack-node/src/node_shared/mod.rs
+++ b/crates/anvilrack-node/src/node_shared/mod.rs
@@ -78,6 +78,8 @@
     linked_routers: Mutex<BTreeSet<IpAddr>>,
     reader: Mutex<ReaderMonitor>,
     directory: Mutex<DirectoryView>,
+    /// Whether the reader's directory entries are being fetched.
+    pulling_entries: AtomicBool,
     cells: Mutex<HashMap<ServiceName, Arc<CellRecord>>>,
     last_delta: Mutex<Option<RecordDelta>>,
     report_count: AtomicU64,
@@ -126,6 +128,7 @@
             linked_routers: Mutex::default(),
             reader: Mutex::new(ReaderMonitor::new(now)),
             directory: Mutex::default(),
+            pulling_entries: AtomicBool::new(false),
             cells: Mutex::default(),
             last_delta: Mutex::default(),
             report_count: AtomicU64::new(0),
--- a/crates/anvilrack-node/src/node_shared/router_directory.rs
+++ b/crates/anvilrack-node/src/node_shared/router_directory.rs
@@ -313,9 +313,15 @@
         self.store_confirmed_entry(heartbeat.entry.clone());
         let own = self.reader_heartbeat();
         let effect = lock(&self.reader).on_heartbeat(heartbeat, &own, boot_clock::now());
-        if effect == HeartbeatEffect::EntriesMissing {
+        // A large directory may take longer than the next heartbeats.
+        if effect == HeartbeatEffect::EntriesMissing
+            && !self.pulling_entries.swap(true, Ordering::Relaxed)
+        {
             let (node, reader) = (self.clone(), heartbeat.entry.place.address);
-            tokio::spawn(async move { pull_entries(&node, reader).await });
+            tokio::spawn(async move {
+                pull_entries(&node, reader).await;
+                node.pulling_entries.store(false, Ordering::Relaxed);
+            });
         }
     }
 
--- a/crates/anvilrack-node/src/peers/peer_links.rs
+++ b/crates/anvilrack-node/src/peers/peer_links.rs
@@ -192,7 +192,7 @@
                 },
             };
             let reply = read_reply(response, deadline).await?;
-            self.tracker.on_named(reply.site, Some(address));
+            self.tracker.on_named(reply.site, None);
             return Ok((reply.message, reply.body));
         }
         Err(CallError::NotSent)
--- a/crates/anvilrack-node/src/peers/peer_server.rs
+++ b/crates/anvilrack-node/src/peers/peer_server.rs
@@ -94,11 +94,11 @@
         Ok(call) => call,
         Err(error) => return Ok(refuse(StatusCode::BAD_REQUEST, &error.to_string())),
     };
-    let sender = match &call.message {
+    let reader = match &call.message {
         PeerCall::ReaderBeat(heartbeat) => Some(heartbeat.entry.place.address),
         _ => None,
     };
-    node.site_tracker.on_named(call.site, sender);
+    node.site_tracker.on_named(call.site, reader);
     let (reply, body) = dispatch(call.message, call.body, &node).await;
     Ok(match pack(node.site_tracker.version(), &reply, &body) {
         Ok(frame) => Response::new(Full::new(frame)),
