--- a/crates/anvilrack-core/src/event_catalogue.rs
+++ b/crates/anvilrack-core/src/event_catalogue.rs
@@ -66,8 +66,8 @@
     CONFIG_PUT_BACK = 1503, "config.put-back", "The store held an older configuration; the newest one was written again.";
     SITE_TAKEN = 1504, "site.taken", "A newer site document was applied; reports its version, routes, size and source.";
     SITE_REFUSED = 1505, "site.refused", "A site document is invalid; the previous one stays in use.";
-    SITE_BEHIND = 1506, "site.behind", "Another router has a newer site document; reports both versions and the router.";
-    SITE_FETCH_FAILED = 1507, "site.fetch-failed", "A newer site document could not be fetched; reports the source, the reason and the elapsed time.";
+    SITE_BEHIND = 1506, "site.behind", "Another router has a newer site document; reports both versions, and the reader if it was named by the reader of the failure domain.";
+    SITE_FETCH_FAILED = 1507, "site.fetch-failed", "A newer site document could not be fetched from one source; reports the source, the reason and the elapsed time.";
     STORE_LOST = 1601, "store.lost", "The platform's store does not respond to this router.";
     STORE_BACK = 1602, "store.back", "The platform's store responds to this router again; reports the duration of the outage.";
     ENTRY_WRITTEN = 1603, "entry.written", "This router's directory entry was written to the store.";
