Ask the store as soon as it is due if all other sources are silent

With silent routers (0.5 s for an attempt) the store was asked first after 1.9 s, too late to have a document in force within 2 s: it took every second turn by the count of failures, and a turn at a router could come between.

From 0.8 s on the store is next unless it was the last to fail, and routers and store take turns then. A busy reply needs no count of its own any more. New tests in site_progress: if a single source replies and all others are silent, the reader, the failure domain and the store are each asked within 1.5 s. The tests of the order of sources are replaced by ones as strict: never before 0.8 s, every second turn after.

--- a/crates/anvilrack-bench/src/slopes/site_spread.rs
+++ b/crates/anvilrack-bench/src/slopes/site_spread.rs
@@ -108,11 +108,13 @@
             all_have_it = all_have_it.max(now);
             continue;
         }
-        let source = match routers[index].progress.next_source(now) {
-            None => continue,
-            Some(SiteSource::Reader(_)) => 0,
+        let Some(site_source) = routers[index].progress.next_source(now) else {
+            continue;
+        };
+        let source = match site_source {
+            SiteSource::Reader(_) => 0,
             // Other domains and the store are not simulated.
-            Some(_) => draw(count),
+            _ => draw(count),
         };
         let mut arrival = routers[source].send(bytes, now);
         if let Err(Some(retry_after)) = arrival {
@@ -124,7 +126,6 @@
                 }
             }
             if arrival.is_err() {
-                routers[index].progress.on_busy(now);
                 let pause = retry_after.min(MAX_BUSY_PAUSE) + ROUND_TRIP * 2;
                 events.push(Reverse((now + pause, index, SpreadEvent::Ask)));
                 continue;
@@ -135,7 +136,7 @@
         if let Ok(at) = arrival {
             events.push(Reverse((at + apply_time, index, SpreadEvent::Applied)));
         } else {
-            routers[index].progress.on_failure();
+            routers[index].progress.on_failure(site_source);
             let pause = routers[index].progress.retry_pause(now) + ROUND_TRIP;
             events.push(Reverse((now + pause, index, SpreadEvent::Ask)));
         }
--- a/crates/anvilrack-core/src/site_progress.rs
+++ b/crates/anvilrack-core/src/site_progress.rs
@@ -29,8 +29,10 @@
     reader: Option<SocketAddr>,
     /// When this router learned that it is behind; `None` while it is not.
     behind_since: Option<BootTime>,
-    /// Number of failures that failed since then.
-    failures: u32,
+    /// Number of attempts at routers that failed since then.
+    router_failures: u32,
+    /// Whether the latest attempt that failed was at the store.
+    has_store_failed: bool,
 }
 
 /// Where to fetch a newer site document from.
@@ -77,7 +79,8 @@
         }
         self.version = Some(version);
         self.applied_at = now;
-        self.failures = 0;
+        self.router_failures = 0;
+        self.has_store_failed = false;
         if self.newest <= self.version {
             self.newest = self.version;
             self.reader = None;
@@ -116,10 +119,10 @@
     #[must_use]
     pub fn next_source(&self, now: BootTime) -> Option<SiteSource> {
         let behind_for = self.behind_for(now)?;
-        if behind_for >= STORE_READ_AFTER && !self.failures.is_multiple_of(2) {
+        if behind_for >= STORE_READ_AFTER && !self.has_store_failed {
             return Some(SiteSource::Store);
         }
-        Some(match (self.failures % 4, self.reader) {
+        Some(match (self.router_failures % 4, self.reader) {
             (0 | 2, Some(reader)) => SiteSource::Reader(reader),
             (0 | 1, _) => SiteSource::SameDomain,
             _ => SiteSource::OtherDomain,
@@ -127,16 +130,10 @@
     }
 
     /// Records that a source did not provide a newer document.
-    pub fn on_failure(&mut self) {
-        self.failures += 1;
-    }
-
-    /// Records that a source asked for a later attempt, because its link is occupied.
-    ///
-    /// It may be asked again, unless that has already taken long.
-    pub fn on_busy(&mut self, now: BootTime) {
-        if self.behind_for(now) >= Some(STORE_READ_AFTER) {
-            self.failures += 1;
+    pub fn on_failure(&mut self, source: SiteSource) {
+        self.has_store_failed = source == SiteSource::Store;
+        if !self.has_store_failed {
+            self.router_failures += 1;
         }
     }
 
--- a/crates/anvilrack-core/tests/site_progress.rs
+++ b/crates/anvilrack-core/tests/site_progress.rs
@@ -17,7 +17,7 @@
 fn sources(progress: &mut SiteProgress, now: Duration, count: usize) -> Vec<SiteSource> {
     let attempt = |_| {
         let source = progress.next_source(now).unwrap();
-        progress.on_failure();
+        progress.on_failure(source);
         source
     };
     (0..count).map(attempt).collect()
@@ -102,26 +102,62 @@
 }
 
 #[test]
-fn store_is_read_within_the_bound_whatever_the_other_sources_do() {
+fn busy_source_is_asked_again_until_the_store_is_due() {
     let mut progress = SiteProgress::default();
     progress.on_named(4, Some(router(1)), at(0));
-    assert!(!sources(&mut progress, at(700), 8).contains(&SiteSource::Store));
-    // A document has to be in force within two seconds; each attempt may take half a second.
-    assert!(sources(&mut progress, at(1_000), 2).contains(&SiteSource::Store));
+    // A reply that the link is occupied is no failure.
+    for ms in [0, 300, 700] {
+        let source = progress.next_source(at(ms));
+        assert_eq!(source, Some(SiteSource::Reader(router(1))));
+    }
+    assert_eq!(progress.next_source(at(900)), Some(SiteSource::Store));
 }
 
 #[test]
-fn busy_source_is_asked_again_until_the_store_is_due() {
+fn store_and_routers_take_turns_once_the_store_is_due() {
     let mut progress = SiteProgress::default();
-    let reader = Some(SiteSource::Reader(router(1)));
     progress.on_named(4, Some(router(1)), at(0));
-    for ms in [0, 300, 700] {
-        assert_eq!(progress.next_source(at(ms)), reader);
-        progress.on_busy(at(ms));
-    }
-    assert_eq!(progress.next_source(at(850)), reader);
-    progress.on_busy(at(850));
-    assert_eq!(progress.next_source(at(900)), Some(SiteSource::Store));
+    assert!(!sources(&mut progress, at(700), 8).contains(&SiteSource::Store));
+    let taken = sources(&mut progress, at(1_000), 6);
+    let is_store: Vec<_> = taken.iter().map(|s| *s == SiteSource::Store).collect();
+    assert_eq!(is_store, [true, false, true, false, true, false]);
+}
+
+/// A document has to be in force within two seconds; reading and applying it takes part of that.
+const MAX_WAIT: Duration = Duration::from_millis(1_500);
+
+/// Additional time if the store does not reply, as the deployments allow.
+const MAX_SKEW: Duration = Duration::from_secs(5);
+
+/// The time that an attempt takes if the source is silent.
+const SILENT_ATTEMPT: Duration = Duration::from_millis(500);
+
+macro_rules! single_source_tests {
+    ($($name:ident: $source:pat, $max_wait:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut progress = SiteProgress::default();
+            progress.on_named(4, Some(router(1)), at(0));
+            let mut now = at(0);
+            loop {
+                let source = progress.next_source(now).unwrap();
+                if matches!(source, $source) {
+                    break;
+                }
+                progress.on_failure(source);
+                now += SILENT_ATTEMPT + progress.retry_pause(now);
+            }
+            assert!(now <= $max_wait, "asked after {now:?}");
+        }
+    )*};
+}
+
+// All other sources are silent.
+single_source_tests! {
+    only_the_reader_replies: SiteSource::Reader(_), at(0);
+    only_the_failure_domain_replies: SiteSource::SameDomain, MAX_WAIT;
+    only_the_store_replies: SiteSource::Store, MAX_WAIT;
+    only_other_failure_domains_reply: SiteSource::OtherDomain, MAX_WAIT + MAX_SKEW;
 }
 
 #[test]
--- a/crates/anvilrack-node/src/directory/site_fetch.rs
+++ b/crates/anvilrack-node/src/directory/site_fetch.rs
@@ -86,14 +86,13 @@
                     None => None,
                 };
                 if !matches!(from_receiver, Some(FetchOutcome::Applied)) {
-                    node.site_tracker.progress().on_busy(boot_clock::now());
                     sleep(retry_after.min(MAX_BUSY_PAUSE)).await;
                 }
             }
             Some(FetchOutcome::NotNewer) | None => {
                 let pause = {
                     let mut progress = node.site_tracker.progress();
-                    progress.on_failure();
+                    progress.on_failure(source);
                     progress.retry_pause(boot_clock::now())
                 };
                 sleep(pause.mul_f64(rand::random_range(0.7..1.3))).await;
