Call the difference between two documents a delta, as between two records

One idea, one word: the glossary has delta for what a receiver applies to the version that it has. Names, log labels and pages only; no decision changes.

--- a/crates/anvilrack-bench/src/slopes/site_document.rs
+++ b/crates/anvilrack-bench/src/slopes/site_document.rs
@@ -24,14 +24,14 @@
 /// Measures the bytes of a document and of its packets, the processor time of packing and unpacking, and
 /// that of a lookup, by routes.
 pub(super) fn measure() -> eyre::Result<Vec<MeasuredSlope>> {
-    let (mut raw, mut whole, mut difference) = (Vec::new(), Vec::new(), Vec::new());
+    let (mut raw, mut whole, mut delta) = (Vec::new(), Vec::new(), Vec::new());
     for routes in ROUTES {
         let document = sample_document(routes);
         let changed = sample_document(routes + ADDED_ROUTES);
         raw.push(point(routes, document.len()));
         whole.push(point(routes, pack_document(&document, None)?.1.len()));
         let packet = pack_document(&changed, Some(&document))?;
-        difference.push(point(routes, packet.1.len()));
+        delta.push(point(routes, packet.1.len()));
     }
     let by_routes = |name: &str, y_label: &str, work: fn(u32) -> f64| {
         let points = median_points(&ROUTES, ROUNDS, work);
@@ -41,16 +41,16 @@
         MeasuredSlope::new("site-document.raw", "routes", "bytes in the store", raw),
         MeasuredSlope::new("site-document.whole", "routes", "bytes, packed", whole),
         MeasuredSlope::new(
-            "site-document.difference",
+            "site-document.delta",
             "routes",
             "bytes, 5 routes added",
-            difference,
+            delta,
         ),
         by_routes("site-document.pack", "pack, us", pack_us),
         by_routes(
-            "site-document.pack-difference",
-            "pack a difference, us",
-            pack_difference_us,
+            "site-document.pack-delta",
+            "pack a delta, us",
+            pack_delta_us,
         ),
         by_routes("site-document.unpack", "unpack, us", unpack_us),
         by_routes("site-document.look-up", "one look-up, ns", lookup_ns),
@@ -98,7 +98,7 @@
     micros(thread_cpu_time().saturating_sub(before))
 }
 
-fn pack_difference_us(routes: u32) -> f64 {
+fn pack_delta_us(routes: u32) -> f64 {
     let document = sample_document(routes);
     let changed = sample_document(routes + ADDED_ROUTES);
     let before = thread_cpu_time();
--- a/crates/anvilrack-node/src/directory/site_archive.rs
+++ b/crates/anvilrack-node/src/directory/site_archive.rs
@@ -7,13 +7,13 @@
 use anvilrack_wire::{DocumentDigest, PacketError, PacketHeader, document_digest, pack_document};
 use bytes::Bytes;
 
-/// Maximum number of earlier documents from which differences are sent.
+/// Maximum number of earlier documents from which deltas are sent.
 const MAX_EARLIER: usize = 4;
 
 /// Maximum total size of the earlier documents but the latest, in bytes.
 const MAX_EARLIER_BYTES: usize = 1024 * 1024;
 
-/// Maximum number of remembered routers that have asked for the current document.
+/// Maximum number of remembered routers that were sent the current document.
 const MAX_RECEIVERS: usize = 64;
 
 /// The current site document, and earlier ones that other routers may still have.
@@ -44,7 +44,7 @@
 pub struct DocumentPacket {
     /// Describes the data.
     pub header: PacketHeader,
-    /// The packed document or difference.
+    /// The packed document or delta.
     pub data: Bytes,
 }
 
--- a/crates/anvilrack-node/src/directory/site_fetch.rs
+++ b/crates/anvilrack-node/src/directory/site_fetch.rs
@@ -138,7 +138,7 @@
     }
     archive.add_receiver(request.router);
     let kind = if packet.header.base.is_some() {
-        "difference"
+        "delta"
     } else {
         "whole"
     };
--- a/crates/anvilrack-node/src/peers/peer_message.rs
+++ b/crates/anvilrack-node/src/peers/peer_message.rs
@@ -171,7 +171,7 @@
     pub router: SocketAddr,
     /// Version of the sender's document; `None` if it has none.
     pub version: Option<SiteVersion>,
-    /// Digest of the sender's document, from which a difference may be sent.
+    /// Digest of the sender's document, from which a delta may be sent.
     pub digest: Option<DocumentDigest>,
 }
 
--- a/crates/anvilrack-wire/src/document_packet.rs
+++ b/crates/anvilrack-wire/src/document_packet.rs
@@ -1,4 +1,4 @@
-//! Documents as routers send them to each other: compressed, and as a difference where possible.
+//! Documents as routers send them to each other: compressed, and as a delta where possible.
 
 use std::io::{self, Read, Write};
 
@@ -34,8 +34,8 @@
 /// Why a packet was refused.
 #[derive(Debug, Error)]
 pub enum PacketError {
-    /// The packet is a difference from a document that the receiver does not have.
-    #[error("packet is a difference from document {0:032x}, which this router does not have")]
+    /// The packet is a delta from a document that the receiver does not have.
+    #[error("packet is a delta from document {0:032x}, which this router does not have")]
     UnknownBase(DocumentDigest),
     /// The document is too long.
     #[error("document has {0} bytes, the maximum is {MAX_DOCUMENT_BYTES}")]
@@ -54,7 +54,7 @@
     xxh3_128(document)
 }
 
-/// Packs a document, as a difference from `base` if there is one.
+/// Packs a document, as a delta from `base` if there is one.
 ///
 /// # Errors
 ///
--- a/crates/anvilrack-wire/tests/document_packet.rs
+++ b/crates/anvilrack-wire/tests/document_packet.rs
@@ -47,19 +47,19 @@
 }
 
 #[test]
-fn difference_is_as_small_as_the_change() {
+fn delta_is_as_small_as_the_change() {
     let mut rng = StdRng::seed_from_u64(2);
     let base = document(&mut rng, 6_000);
     let mut changed = base.clone();
     changed.splice(200_000..200_010, document(&mut rng, 5));
     let (_, whole) = pack_document(&changed, None).unwrap();
-    let (_, difference) = pack_document(&changed, Some(&base)).unwrap();
+    let (_, delta) = pack_document(&changed, Some(&base)).unwrap();
     assert!(whole.len() < changed.len() / 4, "{} bytes", whole.len());
-    assert!(difference.len() < 1_000, "{} bytes", difference.len());
+    assert!(delta.len() < 1_000, "{} bytes", delta.len());
 }
 
 #[test]
-fn difference_from_another_document_is_refused() {
+fn delta_from_another_document_is_refused() {
     let mut rng = StdRng::seed_from_u64(3);
     let base = document(&mut rng, 100);
     let changed = edit(&mut rng, &base);
