--- a/crates/anvilrack-bench/src/slopes/site_document.rs
+++ b/crates/anvilrack-bench/src/slopes/site_document.rs
@@ -57,10 +57,9 @@
     ])
 }
 
-/// Returns a document with as many routes, with the fields and names of the users' platform.
+/// Returns a document with as many routes, with as many fields as those of the users' platform.
 fn sample_document(routes: u32) -> Vec<u8> {
-    let mut document =
-        String::from(r#"{"version":7,"virtual-hosts":[{"host":"a.example","path-routes":["#);
+    let mut document = String::from(r#"{"version":7,"hosts":[{"name":"a.example","routes":["#);
     for route in 0..routes {
         // Writing to a `String` cannot fail.
         let _ = write!(
