--- a/crates/anvilrack-node/src/node_shared/router_directory.rs
+++ b/crates/anvilrack-node/src/node_shared/router_directory.rs
@@ -85,7 +85,8 @@
     /// Returns whether a request was routed by an old site document to a service to which its route does
     /// not lead any more.
     ///
-    /// Other routers may take [`MAX_ROUTE_LAG`] to apply the newest document.
+    /// For a second after this router applied its document, no request counts as such: other routers may
+    /// still be applying it.
     #[must_use]
     pub fn is_outdated_route(&self, call: &RunCall) -> bool {
         let in_force_for = {
