Wait until moves have ended before the store fails in outage tests

Trace, from the routers' kept logs: the coordinator, router-4, had planned and written moves in rounds of four until 08:30:34; in that second it logs the move of shard 39, cell.write-unknown for version 15 and store.outage-began. So the store went down while next owners were being written, the case that the tests exclude, since it is unknown then whether the write took effect. await_no_moving_shards had returned between two rounds, when no shard moves either.

It waits now until no shard moves and the record's version has not changed for a second, which is stricter. The tests' bounds and checks are as they were.

--- a/crates/anvilrack-harness/src/deployment.rs
+++ b/crates/anvilrack-harness/src/deployment.rs
@@ -1,5 +1,6 @@
 //! A test deployment: a store, several routers and their targets.
 
+use std::cell::Cell;
 use std::fs;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -19,6 +20,9 @@
 /// Time between two checks of a condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time without a change of the assignment after which no further moves are planned.
+pub const SETTLED_TIME: Duration = Duration::from_secs(1);
+
 /// Timeout of a call to the fake store, which responds within milliseconds on an idle machine.
 const STORE_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -315,15 +319,27 @@
         })
     }
 
-    /// Waits until no shard of the first router's cell is being moved to another owner.
+    /// Waits until the assignment of the first router's cell has not changed for [`SETTLED_TIME`] and no
+    /// shard is being moved to another owner.
+    ///
+    /// Between two rounds of planned moves no shard moves either, so one moment without moves is not
+    /// enough.
     ///
     /// # Errors
     ///
     /// Returns an error if that takes too long.
     pub fn await_no_moving_shards(&self) -> eyre::Result<()> {
+        let last_seen = Cell::new((0, Instant::now()));
         wait_until("a cell without moving shards", || {
             let coordinator = self.coordinator(0)?;
-            Ok(self.status(coordinator)?["moving_shards"] == 0)
+            let status = self.status(coordinator)?;
+            let version = status["cells"][0]["version"].as_u64().unwrap_or(0);
+            let (seen_version, since) = last_seen.get();
+            if version != seen_version || status["moving_shards"] != 0 {
+                last_seen.set((version, Instant::now()));
+                return Ok(false);
+            }
+            Ok(since.elapsed() >= SETTLED_TIME)
         })
     }
 
