--- a/crates/anvilrack-harness/src/deployment.rs
+++ b/crates/anvilrack-harness/src/deployment.rs
@@ -21,7 +21,7 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Time without a change of the assignment after which no further moves are planned.
-pub const SETTLED_TIME: Duration = Duration::from_secs(1);
+const SETTLED_TIME: Duration = Duration::from_secs(1);
 
 /// Timeout of a call to the fake store, which responds within milliseconds on an idle machine.
 const STORE_TIMEOUT: Duration = Duration::from_secs(5);
@@ -319,7 +319,7 @@
         })
     }
 
-    /// Waits until the assignment of the first router's cell has not changed for [`SETTLED_TIME`] and no
+    /// Waits until the assignment of the first router's cell has not changed for a second and no
     /// shard is being moved to another owner.
     ///
     /// Between two rounds of planned moves no shard moves either, so one moment without moves is not
