Refuse requests at the entry if a service that they need is overloaded

Of 56,423 runs 12,199 ended with a 500.

Cause: targets call each other while they run a request and keep their slot meanwhile. Each service shed load on its own, so runs died half done; calls waited behind requests that hold a slot six times as long, and up to four routers refused the same request in turn.

Ruled out: imbalance (busiest/mean 1.25 to 1.44 before and after); faults (the share is as low in the first seconds, before any).

Change: targets publish the share of new requests that they can serve, by priority, from the work offered in the last second. Routers refuse by these shares before a request is sent anywhere. Calls are recognized by where their route's requests enter, go before new requests, and have slots in reserve. A request that was refused as overloaded is not sent to a second router while its whole service is overloaded.

What binds now: the slots. Runs of freerack-app hold theirs for 180 ms, 64 of them for calls, so its 176 slots do about 1,000 of 1,450 look-ups a second; all four services were full in the plays.

--- a/crates/anvilrack-core/src/admission_queue.rs
+++ b/crates/anvilrack-core/src/admission_queue.rs
@@ -7,9 +7,18 @@
 use crate::moving_average::moving_average;
 use crate::{BootTime, LatencyLimit, RefusalReason, RequestClass};
 
+/// Share of calls in the work, in percent, from which slots are reserved for them.
+const MIN_CALL_SHARE_PERCENT: u32 = 10;
+
+/// Minimum number of slots of a target that reserves some for calls.
+const MIN_SLOTS_FOR_RESERVE: u32 = 3;
+
 /// Number of requests that may wait per slot.
 const WAITING_PER_SLOT: usize = 4;
 
+/// A waiting claim is started next after this many calls were started first.
+const MAX_CLAIM_SKIPS: u32 = 8;
+
 /// A waiting read is started next after this many requests of other classes were started first.
 const MAX_READ_SKIPS: u32 = 4;
 
@@ -78,6 +87,8 @@
 #[derive(Clone, Debug)]
 pub struct AdmissionQueue {
     limit: LatencyLimit,
+    /// Slots that only calls may use.
+    call_slots: u32,
     last_ticket: TicketId,
     running: BTreeMap<TicketId, RunningRequest>,
     waiting: BTreeMap<TicketId, AdmissionRequest>,
@@ -99,6 +110,7 @@
 
 #[derive(Clone, Debug)]
 struct RunningRequest {
+    class: RequestClass,
     kind: Arc<str>,
     caller: Arc<str>,
     started_at: BootTime,
@@ -110,6 +122,7 @@
     pub fn new(limit: LatencyLimit) -> Self {
         Self {
             limit,
+            call_slots: 0,
             last_ticket: 0,
             running: BTreeMap::new(),
             waiting: BTreeMap::new(),
@@ -125,6 +138,19 @@
         self.limit.set_slots(slots);
     }
 
+    /// Reserves slots for calls in proportion to their share of the work, in percent.
+    ///
+    /// A call is short, and the run that waits for it holds a slot elsewhere; without a reserve it would
+    /// wait for one of the long requests to finish.
+    pub fn set_call_share(&mut self, percent: u32) {
+        let slots = self.limit.limit();
+        self.call_slots = if percent < MIN_CALL_SHARE_PERCENT || slots < MIN_SLOTS_FOR_RESERVE {
+            0
+        } else {
+            (slots * percent / 100).clamp(1, slots / 2)
+        };
+    }
+
     // --- request lifecycle ----------------------------------------------------------------------
 
     /// Decides whether a new request starts, waits or is refused.
@@ -139,7 +165,7 @@
                 .values()
                 .filter(|r| (r.class, self.urgency(r, now)) <= rank)
         };
-        let wait = if self.has_free_slot() && ahead().next().is_none() {
+        let wait = if self.has_free_slot(request.class) && ahead().next().is_none() {
             Duration::ZERO
         } else {
             self.estimate_wait(ahead(), now)
@@ -152,7 +178,7 @@
         if made_late && !self.may_miss_objective(&request, now) {
             return AdmissionStep::Refuse(RefusalReason::Overloaded, self.drain_time(now));
         }
-        if !self.has_free_slot() && !self.ensure_queue_capacity(&request) {
+        if !self.has_free_slot(request.class) && !self.ensure_queue_capacity(&request) {
             return AdmissionStep::Refuse(RefusalReason::Overloaded, self.drain_time(now));
         }
         self.last_ticket += 1;
@@ -209,15 +235,13 @@
 
     fn start_waiting(&mut self, now: BootTime) {
         self.refuse_late(now);
-        while self.has_free_slot() {
-            let Some(ticket) = self.choose_next(now) else {
-                break;
-            };
+        while let Some(ticket) = self.choose_next(now) {
             let Some(request) = self.waiting.remove(&ticket) else {
                 break;
             };
             self.count_skips(request.class);
             let running = RunningRequest {
+                class: request.class,
                 kind: request.kind,
                 caller: request.caller,
                 started_at: now,
@@ -241,7 +265,12 @@
     }
 
     fn choose_next(&self, now: BootTime) -> Option<TicketId> {
-        let classes: BTreeSet<RequestClass> = self.waiting.values().map(|r| r.class).collect();
+        let classes: BTreeSet<RequestClass> = self
+            .waiting
+            .values()
+            .map(|r| r.class)
+            .filter(|class| self.has_free_slot(*class))
+            .collect();
         let starved = classes.iter().rev().find(|class| self.is_starved(**class));
         let class = *starved.or(classes.first())?;
         let share = self.fair_share();
@@ -257,7 +286,8 @@
     fn is_starved(&self, class: RequestClass) -> bool {
         let skips = self.skips.get(&class).copied().unwrap_or(0);
         match class {
-            RequestClass::Claim => false,
+            RequestClass::Call => false,
+            RequestClass::Claim => skips >= MAX_CLAIM_SKIPS,
             RequestClass::Read => skips >= MAX_READ_SKIPS,
             RequestClass::Archive => skips >= MAX_ARCHIVE_SKIPS,
         }
@@ -307,6 +337,7 @@
             RequestClass::Archive,
             RequestClass::Read,
             RequestClass::Claim,
+            RequestClass::Call,
         ]
         .into_iter()
         .filter(|class| *class != request.class)
@@ -331,8 +362,18 @@
         self.limit.limit() as usize * WAITING_PER_SLOT
     }
 
-    fn has_free_slot(&self) -> bool {
-        self.running.len() < self.limit.limit() as usize
+    fn has_free_slot(&self, class: RequestClass) -> bool {
+        let limit = self.limit.limit() as usize;
+        if class == RequestClass::Call {
+            return self.running.len() < limit;
+        }
+        let calls = self
+            .running
+            .values()
+            .filter(|r| r.class == RequestClass::Call)
+            .count();
+        let unused_reserve = (self.call_slots as usize).saturating_sub(calls);
+        self.running.len() + unused_reserve < limit
     }
 
     fn held_per_caller(&self) -> BTreeMap<Arc<str>, usize> {
@@ -372,7 +413,8 @@
 
     /// Returns the estimated service time of a kind, or the moving average of all requests if
     /// the kind is not known.
-    fn service_time(&self, kind: &str, now: BootTime) -> Duration {
+    #[must_use]
+    pub fn service_time(&self, kind: &str, now: BootTime) -> Duration {
         let known = self
             .service_times
             .get(kind)
@@ -400,7 +442,7 @@
     /// Returns true for requests that are run even if they miss their objective.
     fn may_miss_objective(&self, request: &AdmissionRequest, now: BootTime) -> bool {
         let short = self.service_time(&request.kind, now) * SHORT_KIND_DIVISOR <= self.limit.mean();
-        short || request.class == RequestClass::Claim
+        short || request.class <= RequestClass::Claim
     }
 
     /// Returns true if a request that starts at `start` should be answered within its objective.
--- a/crates/anvilrack-core/src/lib.rs
+++ b/crates/anvilrack-core/src/lib.rs
@@ -13,12 +13,16 @@
 //! * [`StandbyState`] decides whether this router may replace its coordinator.
 
 mod admission_queue;
+mod admitted_shares;
 mod at_most_once_record;
+mod call_routes;
 mod cell_history;
 mod cell_record;
 mod clock;
 mod coordinator_state;
 mod crash_quarantine;
+mod demand_meter;
+mod entry_admission;
 mod event_catalogue;
 mod fair_share;
 mod ids;
@@ -48,10 +52,12 @@
 mod upload_pacer;
 
 pub use admission_queue::{AdmissionQueue, AdmissionRequest, AdmissionStep, TicketId};
+pub use admitted_shares::{AdmittedShares, PRIORITY_COUNT, ShareMilli, WHOLE_SHARE};
 pub use at_most_once_record::{
     AtMostOnceKey, AtMostOnceLimits, AtMostOnceRecord, AtMostOnceRequest, ExportedRun,
     ExportedShard, RunDecision, RunOutcome,
 };
+pub use call_routes::CallRoutes;
 pub use cell_record::{CellMember, CellRecord, ShardOwner, WriterStamp};
 pub use clock::BootTime;
 pub use coordinator_state::{
@@ -60,6 +66,8 @@
 pub use crash_quarantine::{
     CrashId, CrashObservation, CrashQuarantine, CrashReport, RequestFingerprint,
 };
+pub use demand_meter::{DemandMeter, OfferedRequest};
+pub use entry_admission::{AdmissionHint, EntryAdmission, RunAdmission};
 pub use event_catalogue::{EVENT_CATALOGUE, LogEvent, events};
 pub use fair_share::FairShare;
 pub use ids::{
--- a/crates/anvilrack-core/src/request_verdict.rs
+++ b/crates/anvilrack-core/src/request_verdict.rs
@@ -102,6 +102,8 @@
     RecordFull,
     /// The idempotency key was already used for a different request.
     KeyReused,
+    /// A service that the target calls for such a request has no capacity.
+    CalledServiceOverloaded,
     /// The route no longer leads to this service; the router that took the request has an old document.
     OutdatedRoute,
 }
@@ -126,6 +128,7 @@
             Self::Stopping => "stopping",
             Self::RecordFull => "record-full",
             Self::KeyReused => "key-reused",
+            Self::CalledServiceOverloaded => "called-service-overloaded",
             Self::OutdatedRoute => "outdated-route",
         }
     }
--- a/crates/anvilrack-core/src/service_rules.rs
+++ b/crates/anvilrack-core/src/service_rules.rs
@@ -86,6 +86,8 @@
 )]
 #[serde(rename_all = "kebab-case")]
 pub enum RequestClass {
+    /// Calls that a target makes for a request that it already runs elsewhere.
+    Call,
     /// Claims, confirmations and queries between internal services.
     Claim,
     /// Reads for interactive users.
@@ -100,6 +102,7 @@
     #[must_use]
     pub fn as_str(self) -> &'static str {
         match self {
+            Self::Call => "call",
             Self::Claim => "claim",
             Self::Read => "read",
             Self::Archive => "archive",
--- a/crates/anvilrack-core/src/target_selector.rs
+++ b/crates/anvilrack-core/src/target_selector.rs
@@ -32,6 +32,10 @@
 /// Slot usage in percent up to which a target's load does not raise its cost.
 const BUSY_THRESHOLD_PERCENT: u128 = 75;
 
+/// Factor of the cost of a target that refuses a share of new requests, so that farther targets are
+/// chosen while they can take all.
+const OVERLOAD_FACTOR: u128 = 4;
+
 /// Time over which the share of a newly added target rises to its full share.
 const SLOW_START_DURATION: Duration = Duration::from_secs(10);
 
@@ -93,6 +97,8 @@
     pub busy: u32,
     /// Requests that the target can run concurrently.
     pub slots: u32,
+    /// Whether the target refuses a share of new requests.
+    pub overloaded: bool,
 }
 
 /// Distance between a target and the router that chooses.
@@ -190,6 +196,12 @@
         Some(self.targets[chosen].node.clone())
     }
 
+    /// Returns the number of targets.
+    #[must_use]
+    pub fn target_count(&self) -> usize {
+        self.targets.len()
+    }
+
     /// Chooses a target at random, regardless of load and health: a baseline for comparisons.
     #[must_use]
     pub fn choose_random(&self, draw: u64) -> Option<NodeId> {
@@ -371,7 +383,8 @@
             Some((load, _)) if load.slots > 0 => {
                 let used = 100 * u128::from(load.busy.max(self.in_flight) + 1);
                 let threshold = u128::from(load.slots) * BUSY_THRESHOLD_PERCENT;
-                latency * used.max(threshold) / threshold
+                let overload = if load.overloaded { OVERLOAD_FACTOR } else { 1 };
+                latency * overload * used.max(threshold) / threshold
             }
             _ => latency * (u128::from(self.in_flight) + 1),
         }
--- a/crates/anvilrack-core/tests/admission_queue.rs
+++ b/crates/anvilrack-core/tests/admission_queue.rs
@@ -118,6 +118,9 @@
         [source(RequestClass::Claim, "a", 4), source(RequestClass::Read, "b", 4),
          source(RequestClass::Archive, "c", 4)]
             => |ran| ran[0] > 700 && ran[1] > 150 && ran[2] > 60;
+    calls_go_first_and_do_not_starve_claims:
+        [source(RequestClass::Call, "a", 2), source(RequestClass::Claim, "b", 2)]
+            => |ran| ran[0] > 900 && ran[1] > 100;
     heavy_caller_does_not_displace_a_light_one:
         [source(RequestClass::Read, "heavy", 10), source(RequestClass::Read, "light", 1)]
             => |ran| ran[1] > 500 && ran[0] > 500;
@@ -205,3 +208,31 @@
         queue.finish(ticket, true, now + Duration::from_millis(600));
     }
 }
+
+#[test]
+fn call_finds_a_free_slot_beside_long_requests() {
+    let mut queue = AdmissionQueue::new(LatencyLimit::new(SLOTS).with_fixed_limit());
+    queue.set_call_share(30);
+    let of_class = |class| AdmissionRequest {
+        class,
+        ..read_until(1_000)
+    };
+    for _ in 1..SLOTS {
+        let step = queue.offer(of_class(RequestClass::Claim), BootTime::ZERO);
+        assert!(matches!(step, AdmissionStep::Enter(_)), "{step:?}");
+    }
+    let step = queue.offer(of_class(RequestClass::Claim), BootTime::ZERO);
+    assert!(matches!(step, AdmissionStep::Wait(..)), "{step:?}");
+    let step = queue.offer(of_class(RequestClass::Call), BootTime::ZERO);
+    assert!(matches!(step, AdmissionStep::Enter(_)), "{step:?}");
+}
+
+#[test]
+fn all_slots_are_used_while_there_are_few_calls() {
+    let mut queue = AdmissionQueue::new(LatencyLimit::new(SLOTS).with_fixed_limit());
+    queue.set_call_share(9);
+    for _ in 0..SLOTS {
+        let step = queue.offer(read_until(1_000), BootTime::ZERO);
+        assert!(matches!(step, AdmissionStep::Enter(_)), "{step:?}");
+    }
+}
--- a/crates/anvilrack-node/src/guard/target_gateway.rs
+++ b/crates/anvilrack-node/src/guard/target_gateway.rs
@@ -5,8 +5,10 @@
 use std::time::Duration;
 
 use anvilrack_core::{
-    AdmissionQueue, AdmissionRequest, AdmissionStep, LatencyLimit, RefusalReason, ServiceTimeMeter,
-    ShardId, ShardMeter, TargetLoad, TicketId, UncertainReason, events,
+    AdmissionHint, AdmissionQueue, AdmissionRequest, AdmissionStep, AdmittedShares, BootTime,
+    CallRoutes, DemandMeter, LatencyLimit, OfferedRequest, RefusalReason, RequestClass,
+    RunAdmission, ServiceTimeMeter, ShardId, ShardMeter, TargetLoad, TicketId, UncertainReason,
+    events,
 };
 use anvilrack_router::boot_clock;
 use bytes::Bytes;
@@ -43,6 +45,9 @@
 /// `Retry-After` time for a shard that is moving between two owners.
 const MOVING_RETRY_AFTER: Duration = Duration::from_millis(150);
 
+/// `Retry-After` time while a service that the target calls is overloaded.
+const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// `Retry-After` time for a request whose router has to fetch the newest site document first.
 const OUTDATED_RETRY_AFTER: Duration = Duration::from_millis(300);
 
@@ -58,6 +63,8 @@
     pool: HttpPool,
     incarnations: Mutex<IncarnationTracker>,
     queue: Mutex<AdmissionQueue>,
+    demand: Mutex<DemandMeter>,
+    call_routes: Mutex<CallRoutes>,
     waiters: Mutex<HashMap<TicketId, Arc<Notify>>>,
     started: Mutex<StartedRequests>,
     capacity: Mutex<BodyCapacity>,
@@ -95,6 +102,8 @@
             queue: Mutex::new(AdmissionQueue::new(
                 LatencyLimit::new(DEFAULT_SLOTS).with_fixed_limit(),
             )),
+            demand: Mutex::default(),
+            call_routes: Mutex::default(),
             waiters: Mutex::default(),
             started: Mutex::default(),
             capacity: Mutex::new(BodyCapacity::new(link_mbps)),
@@ -230,6 +239,30 @@
         TargetLoad {
             busy: u32::try_from(running + waiting + expected).unwrap_or(u32::MAX),
             slots: self.current_incarnation().map_or(0, |target| target.slots),
+            overloaded: !self.admitted_shares(boot_clock::now()).is_all(),
+        }
+    }
+
+    /// Returns the shares of new requests that the target can serve.
+    #[must_use]
+    pub fn admitted_shares(&self, now: BootTime) -> AdmittedShares {
+        let slots = self.queue().limit().limit();
+        lock(&self.demand).shares(slots, now)
+    }
+
+    /// Returns what the reply to a request of this route tells about the load that can be taken.
+    #[must_use]
+    pub fn admission_hint<D: PlatformDialect>(
+        &self,
+        node: &NodeState<D>,
+        route: &str,
+    ) -> AdmissionHint {
+        let now = boot_clock::now();
+        let limited = |shares: AdmittedShares| (!shares.is_all()).then_some(shares);
+        AdmissionHint {
+            own: limited(self.admitted_shares(now)),
+            called: limited(node.entry_admission().called_shares(now)),
+            is_call: lock(&self.call_routes).is_call(route),
         }
     }
 
@@ -263,8 +296,20 @@
         if node.is_outdated_route(call) {
             return Err((RefusalReason::OutdatedRoute, OUTDATED_RETRY_AFTER));
         }
+        let is_call = self.is_call(node, call);
+        let now = boot_clock::now();
+        let RunAdmission { priority, admitted } = call.admission;
+        self.record_demand(call, is_call, now);
+        let called_shares = node.entry_admission().called_shares(now);
+        if !is_call && !called_shares.admits_again(priority, AdmittedShares::draw(&call.request)) {
+            return Err((RefusalReason::CalledServiceOverloaded, OVERLOAD_RETRY_AFTER));
+        }
         let request = AdmissionRequest {
-            class: call.class,
+            class: if is_call {
+                RequestClass::Call
+            } else {
+                call.class
+            },
             kind: call.route.clone(),
             objective: (boot_clock::now() + call.objective_left).min(deadline),
             deadline,
@@ -282,6 +327,12 @@
                     let slot = slot.unwrap_or_else(|| self.ticket(ticket));
                     // Ownership or the target's state may have changed while the request waited.
                     let target = self.check_may_run(node, call)?;
+                    if !is_call {
+                        node.entry_admission().on_run(RunAdmission {
+                            priority,
+                            admitted: admitted.min(called_shares.share(priority)),
+                        });
+                    }
                     return Ok((slot, target));
                 }
                 AdmissionStep::Wait(ticket, until) => (ticket, until),
@@ -296,6 +347,28 @@
         }
     }
 
+    fn record_demand(&self, call: &RunCall, is_call: bool, now: BootTime) {
+        let request = OfferedRequest {
+            work: self.queue().service_time(&call.route, now),
+            admission: call.admission,
+            is_call,
+        };
+        let call_share = {
+            let mut meter = lock(&self.demand);
+            meter.record(&request, now);
+            meter.call_share_percent(now)
+        };
+        self.queue().set_call_share(call_share);
+    }
+
+    /// Records where a request entered, and returns whether it is a call of another target.
+    fn is_call<D: PlatformDialect>(&self, node: &NodeState<D>, call: &RunCall) -> bool {
+        let mut routes = lock(&self.call_routes);
+        let service = &call.caller_service;
+        routes.record(&call.route, service, || node.router_share(service));
+        routes.is_call(&call.route)
+    }
+
     fn ticket(&self, ticket: TicketId) -> SlotTicket<'_> {
         SlotTicket {
             gateway: self,
--- a/crates/anvilrack-node/src/node_process.rs
+++ b/crates/anvilrack-node/src/node_process.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anvilrack_core::events;
+use anvilrack_core::{WHOLE_SHARE, events};
 use anvilrack_router::boot_clock;
 use bytes::Bytes;
 use eyre::{Result, WrapErr};
@@ -240,5 +240,29 @@
         // Writing to a `String` cannot fail.
         let _ = writeln!(text, "anvilrack_{name} {value}");
     }
+    write_admission_metrics(node, &mut text);
     Response::new(Full::from(text))
 }
+
+/// Adds the shares of requests that the target admits, and the services that it calls.
+fn write_admission_metrics<D: PlatformDialect>(node: &NodeState<D>, text: &mut String) {
+    let now = boot_clock::now();
+    let admission = node.entry_admission();
+    let own = node.gateway.admitted_shares(now);
+    let shares = own.min(admission.called_shares(now));
+    for (priority, share) in shares.by_priority().into_iter().enumerate() {
+        let share = f64::from(share) / f64::from(WHOLE_SHARE);
+        // Writing to a `String` cannot fail.
+        let _ = writeln!(
+            text,
+            "anvilrack_admitted_share{{priority=\"{priority}\"}} {share}"
+        );
+    }
+    for (service, calls) in admission.called_services() {
+        let calls = f64::from(calls) / 100.0;
+        let _ = writeln!(
+            text,
+            "anvilrack_calls_per_run{{service=\"{service}\"}} {calls}"
+        );
+    }
+}
--- a/crates/anvilrack-node/src/node_shared/mod.rs
+++ b/crates/anvilrack-node/src/node_shared/mod.rs
@@ -9,8 +9,8 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use anvilrack_core::{
-    BootTime, CellRecord, CoordinatorState, LeaseTerms, OwnerState, RecordDelta, RetryBudget,
-    ServiceName, SiteRoutes, StandbyState, TargetSelector, UploadPacer,
+    BootTime, CellRecord, CoordinatorState, EntryAdmission, LeaseTerms, OwnerState, RecordDelta,
+    RetryBudget, ServiceName, SiteRoutes, StandbyState, TargetSelector, UploadPacer,
 };
 use anvilrack_router::boot_clock;
 use tokio::sync::{Notify, watch};
@@ -85,6 +85,7 @@
     report_count: AtomicU64,
     store_seen_at: Mutex<BootTime>,
     target_choices: Mutex<HashMap<ServiceName, TargetSelector>>,
+    entry_admission: Mutex<EntryAdmission>,
     budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
     refresh_times: Mutex<HashMap<ServiceName, RefreshTimes>>,
     owner: Mutex<OwnerState>,
@@ -134,6 +135,7 @@
             report_count: AtomicU64::new(0),
             store_seen_at: Mutex::default(),
             target_choices: Mutex::default(),
+            entry_admission: Mutex::default(),
             budgets: Mutex::default(),
             refresh_times: Mutex::default(),
             owner: Mutex::new(OwnerState::new(node.clone(), 0, terms)),
@@ -180,6 +182,21 @@
         lock(&self.target_choices)
     }
 
+    /// Locks what is known about the load that services can take.
+    pub fn entry_admission(&self) -> MutexGuard<'_, EntryAdmission> {
+        lock(&self.entry_admission)
+    }
+
+    /// Returns the share of all ready routers that stand beside targets of a service, from 0 to 1.
+    #[must_use]
+    pub fn router_share(&self, service: &str) -> f64 {
+        let count = |selector: &TargetSelector| u32::try_from(selector.target_count()).unwrap_or(0);
+        let selectors = self.target_choices();
+        let total: u32 = selectors.values().map(count).sum();
+        let of_service = selectors.get(service).map_or(0, count);
+        f64::from(of_service.max(1)) / f64::from(total.max(1))
+    }
+
     /// Calls `update` with the retry budget of a service.
     pub fn with_retry_budget<T>(
         &self,
--- a/crates/anvilrack-node/src/peers/peer_message.rs
+++ b/crates/anvilrack-node/src/peers/peer_message.rs
@@ -5,8 +5,9 @@
 use std::time::Duration;
 
 use anvilrack_core::{
-    CellRecord, CellVersion, DomainName, Epoch, Incarnation, MemberReport, NodeId, RefusalReason,
-    RegionName, RenewalAnswer, RequestClass, ServiceName, SiteVersion, TargetLoad, UncertainReason,
+    AdmissionHint, CellRecord, CellVersion, DomainName, Epoch, Incarnation, MemberReport, NodeId,
+    RefusalReason, RegionName, RenewalAnswer, RequestClass, RunAdmission, ServiceName, SiteVersion,
+    TargetLoad, UncertainReason,
 };
 use anvilrack_wire::{DocumentDigest, PacketHeader};
 use serde::{Deserialize, Serialize};
@@ -53,8 +54,8 @@
 /// The reply to a [`PeerCall`]; the body of a response follows the message.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum PeerReply {
-    /// The outcome of the request, and the target's load.
-    Run(RunReply, TargetLoad),
+    /// The outcome of the request, the target's load, and the shares of requests that it can take.
+    Run(RunReply, TargetLoad, AdmissionHint),
     /// Whether the body may be sent, or else why the request was not run; and the target's load.
     Room(Result<(), RunReply>, TargetLoad),
     /// Whether the request was cancelled: true if it has not started and never will.
@@ -104,8 +105,11 @@
     pub objective_left: Duration,
     /// Key of the request, used if the service is divided by key; `None` if the caller named none.
     pub key: Option<KeyNumber>,
-    /// Class that determines the request's priority.
+    /// Class that determines the request's order at the target.
     pub class: RequestClass,
+    /// Priority of the request and the share of such requests that the sender admits; those of the run
+    /// that it belongs to if it is a call.
+    pub admission: RunAdmission,
     /// Whether the request must not run more than once.
     pub run_once: bool,
     /// Service of the router that received the request from its caller.
--- a/crates/anvilrack-node/src/peers/peer_server.rs
+++ b/crates/anvilrack-node/src/peers/peer_server.rs
@@ -114,8 +114,11 @@
     let reply = match call {
         PeerCall::Run(run) => {
             node.gateway.release_body_reservation(&run.request);
+            let route = run.route.clone();
             let (reply, body) = node.gateway.run(node, run, body).await;
-            return (PeerReply::Run(reply, node.gateway.target_load()), body);
+            let hint = node.gateway.admission_hint(node, &route);
+            let load = node.gateway.target_load();
+            return (PeerReply::Run(reply, load, hint), body);
         }
         PeerCall::Room(call) => {
             let reserved = node.gateway.reserve_body(node, &call);
--- a/crates/anvilrack-node/src/routing/forward.rs
+++ b/crates/anvilrack-node/src/routing/forward.rs
@@ -6,8 +6,9 @@
 use std::time::Duration;
 
 use anvilrack_core::{
-    BootTime, HealthOutcome, NodeId, RefusalReason, RetryBudget, RouteRules, ServiceName, ShardId,
-    SiteVersion, TargetLoad, UncertainReason, events, retry_backoff,
+    AdmissionHint, AdmittedShares, BootTime, HealthOutcome, NodeId, RefusalReason, RetryBudget,
+    RouteRules, RunAdmission, ServiceName, ShardId, SiteVersion, TargetLoad, UncertainReason,
+    WHOLE_SHARE, events, retry_backoff,
 };
 use anvilrack_router::boot_clock;
 use bytes::Bytes;
@@ -39,6 +40,11 @@
 /// `Retry-After` time when no target is available.
 const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Average `Retry-After` time while a service that the request needs is overloaded.
+///
+/// Shares are measured over a second, so they have changed by then if the load has.
+const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(600);
+
 /// Timeout of the call that cancels a request before it starts.
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(350);
 
@@ -99,6 +105,8 @@
     node: &'a Arc<NodeState<D>>,
     request: &'a CallerRequest,
     shard: Option<ShardId>,
+    /// Whether the request is a call of the local target.
+    is_call: bool,
     routers_tried: u32,
     /// Attempts whose outcome is unknown: the target may have run the request.
     uncertain_attempts: u32,
@@ -121,6 +129,7 @@
         node,
         request,
         shard: node.shard_of(&request.service, request.key),
+        is_call: node.entry_admission().is_call(&request.route.name),
         routers_tried: 0,
         uncertain_attempts: 0,
         waited: Duration::ZERO,
@@ -150,6 +159,11 @@
         let Some((router, address)) = self.find_router() else {
             return self.await_router().await;
         };
+        if !self.is_admitted(&router) {
+            let labels = format!("service=\"{}\"", self.request.service);
+            self.node.metrics.count("refused_at_entry", labels);
+            return self.refuse(RefusalReason::Overloaded, overload_retry_after());
+        }
         self.routers_tried += 1;
         self.last_router = Some(router.clone());
         let mut open_attempt = OpenAttempt::new(self.node, self.request, &router);
@@ -172,6 +186,33 @@
         }
     }
 
+    /// Returns whether the services that the request needs can take it, as far as this router knows.
+    fn is_admitted(&self, router: &NodeId) -> bool {
+        let draw = AdmittedShares::draw(&self.request.request);
+        let priority = self.request.route.priority;
+        self.is_call || self.admitted_shares(router).admits(priority, draw)
+    }
+
+    /// Returns the shares of requests like this one that are admitted now.
+    fn admitted_shares(&self, router: &NodeId) -> AdmittedShares {
+        let owner = self.shard.map(|_| &**router);
+        let admission = self.node.entry_admission();
+        admission.shares(&self.request.service, owner, boot_clock::now())
+    }
+
+    /// Returns the priority of the request and the share of such requests that is admitted; those of
+    /// the run that it belongs to if it is a call.
+    fn run_admission(&self, router: &NodeId) -> RunAdmission {
+        let priority = self.request.route.priority;
+        let latest_run = self.node.entry_admission().latest_run();
+        latest_run
+            .filter(|_| self.is_call)
+            .unwrap_or_else(|| RunAdmission {
+                priority,
+                admitted: self.admitted_shares(router).share(priority),
+            })
+    }
+
     fn time_left(&self) -> Duration {
         self.request.deadline.saturating_sub(boot_clock::now())
     }
@@ -226,7 +267,7 @@
     // --- attempts --------------------------------------------------------------------------------
 
     async fn run_at(&mut self, router: &NodeId, address: SocketAddr) -> (RunReply, Bytes) {
-        let call = self.run_call();
+        let call = self.run_call(router);
         let timeout = self.time_left() + RESPONSE_MARGIN;
         if *router == self.node.settings.node {
             let execution = self
@@ -234,10 +275,15 @@
                 .gateway
                 .run(self.node, call, self.request.body.clone());
             let cancel = async { self.node.gateway.cancel_before_start(&self.request.request) };
-            return match self
+            let result = self
                 .unless_cancelled(within(timeout, execution), cancel)
-                .await
-            {
+                .await;
+            let gateway = &self.node.gateway;
+            self.apply_hint(
+                router,
+                &gateway.admission_hint(self.node, &self.request.route.name),
+            );
+            return match result {
                 Some(Some(reply)) => reply,
                 Some(None) => (
                     RunReply::MayHaveRun(UncertainReason::TimedOut),
@@ -262,8 +308,9 @@
             return (not_started(RefusalReason::Stopping), Bytes::new());
         };
         let error = match result {
-            Ok((PeerReply::Run(reply, load), body)) => {
+            Ok((PeerReply::Run(reply, load, hint), body)) => {
                 self.record_load(router, load);
+                self.apply_hint(router, &hint);
                 return (reply, body);
             }
             Ok(_) => CallError::Lost("reply to a different call".into()),
@@ -331,6 +378,13 @@
         }
     }
 
+    fn apply_hint(&self, router: &NodeId, hint: &AdmissionHint) {
+        let request = self.request;
+        let now = boot_clock::now();
+        let mut admission = self.node.entry_admission();
+        admission.apply_hint(&request.service, &request.route.name, router, hint, now);
+    }
+
     /// Called after the link to a router broke: cancels the request there over a new link, unless it
     /// has started.
     async fn resolve_lost_connection(&self, address: SocketAddr) -> RunReply {
@@ -364,7 +418,7 @@
         cancelled
     }
 
-    fn run_call(&self) -> RunCall {
+    fn run_call(&self, router: &NodeId) -> RunCall {
         let request = self.request;
         RunCall {
             request: request.request.clone(),
@@ -378,6 +432,7 @@
             objective_left: request.objective.saturating_sub(boot_clock::now()),
             key: request.key,
             class: request.route.class(),
+            admission: self.run_admission(router),
             run_once: !request.route.idempotent,
             caller_service: self.node.settings.service.clone(),
         }
@@ -410,6 +465,15 @@
             || unreachable
             || reason == RefusalReason::Overloaded
             || reason == RefusalReason::DeadlineTooShort;
+        let overloaded = matches!(
+            reason,
+            RefusalReason::Overloaded | RefusalReason::DeadlineTooShort
+        );
+        let priority = self.request.route.priority;
+        if overloaded && self.admitted_shares(router).share(priority) < WHOLE_SHARE {
+            // The other targets of the service are as busy.
+            return self.refuse(reason, retry_after);
+        }
         if self.shard.is_some() || !other_target_may_accept || self.routers_tried >= MAX_ROUTERS {
             return self.refuse(reason, retry_after);
         }
@@ -463,6 +527,12 @@
     }
 }
 
+/// Returns the time after which a request that was refused by share may return, spread so that not all
+/// return at once.
+fn overload_retry_after() -> Duration {
+    OVERLOAD_RETRY_AFTER.mul_f64(0.5 + rand::random::<f64>())
+}
+
 /// The reply for a request that has not started anywhere and never will.
 fn not_started(reason: RefusalReason) -> RunReply {
     RunReply::NotRun {
