Do not ping idle links between routers every second

Cause: the server side of HTTP/2 pings idle connections as well, each second, and the kernel probed them each second. Each router has a link to almost each other, so 295 routers exchanged some ten thousand pings a second; the number grows with the square of the deployment.

Change: the accepting side pings, and the kernel probes, every ten seconds. The router that waits for a reply still pings every 250 ms, so a lost link is found as fast as before where a call depends on it. Connections to the store keep their probes, since a watch waits in silence.

--- a/crates/anvilrack-node/src/http_pool.rs
+++ b/crates/anvilrack-node/src/http_pool.rs
@@ -20,6 +20,11 @@
 /// Maximum size of a response body.
 const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
 
+/// Idle time after which the kernel probes whether the other end of a connection is still there.
+///
+/// A watch of the store waits for a response without any traffic.
+const IDLE_PROBE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Idle time after which a pooled connection is not reused, unless the server states a shorter one.
 ///
 /// It is well below the usual idle timeouts of servers.
@@ -217,7 +222,7 @@
             .await
             .map_err(|_| SendError::ConnectTimeout(self.address))?
             .map_err(|error| SendError::NoConnection(self.address, error))?;
-        socket_options::set(&stream);
+        socket_options::set(&stream, IDLE_PROBE_INTERVAL);
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|_| SendError::NotSent)?;
--- a/crates/anvilrack-node/src/peers/peer_links.rs
+++ b/crates/anvilrack-node/src/peers/peer_links.rs
@@ -35,6 +35,9 @@
 /// Interval between two pings while a reply is awaited.
 const PING_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Idle time after which the kernel probes whether the other end of a link is still there.
+const IDLE_PROBE_INTERVAL: Duration = Duration::from_secs(10);
+
 /// A link is closed if a ping is not acknowledged for this long.
 ///
 /// All calls on the link are lost with it, so the timeout must exceed the delay of packets on a
@@ -293,7 +296,7 @@
 
 async fn connect(address: SocketAddr) -> Option<PeerSender> {
     let stream = TcpStream::connect(address).await.ok()?;
-    socket_options::set(&stream);
+    socket_options::set(&stream, IDLE_PROBE_INTERVAL);
     let (sender, connection) = http2::Builder::new(TokioExecutor::new())
         .timer(TokioTimer::new())
         .keep_alive_interval(PING_INTERVAL)
--- a/crates/anvilrack-node/src/peers/peer_server.rs
+++ b/crates/anvilrack-node/src/peers/peer_server.rs
@@ -22,8 +22,12 @@
 /// Maximum size of a call, in bytes.
 const MAX_CALL_BYTES: usize = 96 * 1024 * 1024;
 
-/// Interval between two pings on a link with calls in progress.
-const PING_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval between two pings on a link without other traffic.
+///
+/// Most links of a large deployment are idle, and each router has one to almost each other, so short
+/// intervals would cost more than the requests. The calling router, which waits for replies, pings more
+/// often.
+const PING_INTERVAL: Duration = Duration::from_secs(10);
 
 /// A link is closed and its calls are cancelled if a ping is not acknowledged for this long.
 const PING_TIMEOUT: Duration = Duration::from_secs(1);
@@ -47,7 +51,7 @@
 }
 
 async fn serve_link<D: PlatformDialect>(stream: TcpStream, node: Arc<NodeState<D>>) {
-    socket_options::set(&stream);
+    socket_options::set(&stream, PING_INTERVAL);
     let from = match stream.peer_addr() {
         Ok(address) => address.ip(),
         Err(error) => {
