Apply directory entries in batches, and share the watch for the first site document

Cause: each router without a site document watched the store itself; each entry was applied on its own, with a log line and a rebuild of all targets of its service. A reader also passed on a removed and rewritten entry as removed, because it sorted changes by kind.

Change: a router reads the document once, then relies on the reader of its failure domain, which names the version in its heartbeats. Entries are applied together, with one line `directory.updated` for a batch. Of several changes of an entry only the latest counts.

Test: whole_path::routers_that_wait_for_a_site_document_share_a_watch (8 watches for 8 routers before).

--- a/crates/anvilrack-node/src/directory/peer_catch_up.rs
+++ b/crates/anvilrack-node/src/directory/peer_catch_up.rs
@@ -63,9 +63,7 @@
     let names: Vec<_> = entries.iter().map(|e| e.place.node.clone()).collect();
     node.directory()
         .mark_unlisted_expired(&names, boot_clock::now());
-    for entry in entries {
-        node.store_entry(entry);
-    }
+    node.store_entries(entries);
 }
 
 /// Probes routers whose entries in the store expired, until the process ends.
@@ -90,9 +88,7 @@
             confirmed: entries.collect(),
             ..ReaderChanges::default()
         };
-        for entry in &updates.confirmed {
-            node.store_confirmed_entry(entry.clone());
-        }
+        node.store_confirmed_entries(updates.confirmed.iter().cloned());
         if !updates.confirmed.is_empty() {
             node.broadcast_to_domain(updates);
         }
--- a/crates/anvilrack-node/src/directory/store_watch.rs
+++ b/crates/anvilrack-node/src/directory/store_watch.rs
@@ -1,5 +1,6 @@
 //! Watches the site document and the other routers' entries in the store.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -68,13 +69,17 @@
 pub async fn watch_site<D: PlatformDialect>(node: Arc<NodeState<D>>) {
     let mut after = 0;
     let mut pauses = RETRY_PAUSES;
+    let mut read = false;
     loop {
-        if node.site().is_some() && !node.watches_store() {
+        if read && !node.watches_store() {
             sleep(ROLE_CHECK_INTERVAL).await;
             continue;
         }
         match sync_site(&node, &mut after, &mut pauses).await {
-            Ok(()) => pauses = RETRY_PAUSES,
+            Ok(()) => {
+                pauses = RETRY_PAUSES;
+                read = true;
+            }
             Err(error) => {
                 log::debug!("cannot watch the site document: {error}");
                 catch_up(&node).await;
@@ -99,9 +104,8 @@
         .filter_map(|item| item.key.strip_prefix(ENTRY_PREFIX))
         .map(Into::into)
         .collect();
-    for item in &list.items {
-        apply_entry(node, &item.key, &item.value);
-    }
+    let entries = list.items.iter();
+    node.store_entries(entries.filter_map(|item| read_entry(&item.key, &item.value)));
     node.directory()
         .mark_unlisted_expired(&names, boot_clock::now());
     *listed = true;
@@ -116,39 +120,48 @@
         if changes.is_empty() {
             continue;
         }
-        let mut updates = ReaderChanges::default();
-        for change in changes {
-            match change {
-                StoreChange::Written(item) => {
-                    updates
-                        .entries
-                        .extend(apply_entry(node, &item.key, &item.value));
-                }
-                StoreChange::Removed(key) => {
-                    if let Some(name) = key.strip_prefix(ENTRY_PREFIX) {
-                        node.directory().mark_expired(name, boot_clock::now());
-                        updates.lapsed.push(name.into());
-                    }
-                }
+        let updates = latest_changes(changes);
+        {
+            let mut directory = node.directory();
+            for name in &updates.lapsed {
+                directory.mark_expired(name, boot_clock::now());
             }
         }
+        node.store_entries(updates.entries.iter().cloned());
         node.broadcast_to_domain(updates);
         sleep(COALESCE_PAUSE).await;
     }
     Ok(())
 }
 
-/// Applies an entry from the store; returns `None` if it is not a valid entry for its key.
-fn apply_entry<D: PlatformDialect>(
-    node: &Arc<NodeState<D>>,
-    key: &str,
-    value: &[u8],
-) -> Option<DirectoryEntry> {
-    match decode::<DirectoryEntry>(value) {
-        Ok(entry) if key.strip_prefix(ENTRY_PREFIX) == Some(&*entry.place.node) => {
-            node.store_entry(entry.clone());
-            Some(entry)
+/// Returns the latest change of each entry, as a reader passes it on.
+fn latest_changes(changes: Vec<StoreChange>) -> ReaderChanges {
+    let mut latest = BTreeMap::new();
+    for change in changes {
+        match change {
+            StoreChange::Written(item) => {
+                latest.insert(item.key, Some(item.value));
+            }
+            StoreChange::Removed(key) => {
+                latest.insert(key, None);
+            }
+        }
+    }
+    let mut updates = ReaderChanges::default();
+    for (key, value) in latest {
+        if let Some(value) = value {
+            updates.entries.extend(read_entry(&key, &value));
+        } else if let Some(name) = key.strip_prefix(ENTRY_PREFIX) {
+            updates.lapsed.push(name.into());
         }
+    }
+    updates
+}
+
+/// Reads an entry from the store; returns `None` if it is not a valid entry for its key.
+fn read_entry(key: &str, value: &[u8]) -> Option<DirectoryEntry> {
+    match decode::<DirectoryEntry>(value) {
+        Ok(entry) if key.strip_prefix(ENTRY_PREFIX) == Some(&*entry.place.node) => Some(entry),
         Ok(_) => {
             log::warn!("entry {key} names another router");
             None
@@ -160,8 +173,7 @@
     }
 }
 
-/// Reads the site document, then applies its changes while this router watches the store or has no
-/// document yet.
+/// Reads the site document, then applies its changes while this router watches the store.
 async fn sync_site<D: PlatformDialect>(
     node: &Arc<NodeState<D>>,
     after: &mut StoreRevision,
@@ -176,7 +188,11 @@
     }
     *after = list.revision.max(*after);
     *pauses = RETRY_PAUSES;
-    while node.site().is_none() || node.watches_store() {
+    if node.site().is_none() {
+        // Until the directory is known, every router takes itself for the reader.
+        sleep(START_DELAY * 2).await;
+    }
+    while node.watches_store() {
         match node.store.watch(key, *after, WATCH_WAIT).await? {
             WatchUpdate::HistoryGone => {
                 sleep(SITE_COALESCE_PAUSE).await;
--- a/crates/anvilrack-node/src/node_shared/router_directory.rs
+++ b/crates/anvilrack-node/src/node_shared/router_directory.rs
@@ -1,5 +1,6 @@
 //! The other routers known to this one, and the site document.
 
+use std::collections::BTreeSet;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -126,37 +127,61 @@
 
     // --- directory -------------------------------------------------------------------------------
 
-    /// Stores another router's entry as read from the store.
+    /// Stores an entry unless a newer one is known.
     pub fn store_entry(&self, entry: DirectoryEntry) {
-        self.update_directory(entry, DirectoryView::insert_newer);
+        self.store_entries([entry]);
     }
 
-    /// Stores an entry that its router has confirmed itself after its lease in the store expired.
-    pub fn store_confirmed_entry(&self, entry: DirectoryEntry) {
+    /// Stores entries unless newer ones are known.
+    pub fn store_entries(&self, entries: impl IntoIterator<Item = DirectoryEntry>) {
+        self.update_directory(entries, DirectoryView::insert_newer);
+    }
+
+    /// Stores entries that their routers have confirmed themselves after their leases in the store
+    /// expired.
+    pub fn store_confirmed_entries(&self, entries: impl IntoIterator<Item = DirectoryEntry>) {
         let now = boot_clock::now();
-        self.update_directory(entry, |directory, entry| directory.confirm(entry, now));
+        self.update_directory(entries, |directory, entry| directory.confirm(entry, now));
     }
 
+    /// Applies entries together: the cost of a change does not grow with the number of routers.
     fn update_directory(
         &self,
-        entry: DirectoryEntry,
-        apply: impl FnOnce(&mut DirectoryView, DirectoryEntry) -> bool,
+        entries: impl IntoIterator<Item = DirectoryEntry>,
+        apply: impl Fn(&mut DirectoryView, DirectoryEntry) -> bool,
     ) {
-        if entry.place.node == self.settings.node {
-            return;
+        let others = entries
+            .into_iter()
+            .filter(|entry| entry.place.node != self.settings.node);
+        let mut changed = Vec::new();
+        {
+            let mut directory = self.directory();
+            for entry in others {
+                if apply(&mut directory, entry.clone()) {
+                    changed.push(entry);
+                }
+            }
         }
-        let service = entry.service.clone();
-        let details = (entry.place.node.clone(), entry.is_ready(), entry.version);
-        if apply(&mut self.directory(), entry) {
-            emit_event!(
+        match &changed[..] {
+            [] => return,
+            [entry] => emit_event!(
                 Info,
                 events::ROUTER_SEEN,
-                router = &*details.0,
-                service = &*service,
-                ready = details.1,
-                version = details.2
-            );
-            self.refresh_selector(&service);
+                router = &*entry.place.node,
+                service = &*entry.service,
+                ready = entry.is_ready(),
+                version = entry.version
+            ),
+            entries => emit_event!(
+                Info,
+                events::ROUTERS_SEEN,
+                routers = entries.len(),
+                ready = entries.iter().filter(|entry| entry.is_ready()).count()
+            ),
+        }
+        let services: BTreeSet<&ServiceName> = changed.iter().map(|entry| &entry.service).collect();
+        for service in services {
+            self.refresh_selector(service);
         }
     }
 
@@ -311,7 +336,7 @@
     /// Handles a heartbeat of the failure domain's reader, and requests entries that this router lacks.
     pub fn handle_reader_heartbeat(self: &Arc<Self>, heartbeat: &ReaderHeartbeat) {
         // The store may have expired the entry, and the reader may be new.
-        self.store_confirmed_entry(heartbeat.entry.clone());
+        self.store_confirmed_entries([heartbeat.entry.clone()]);
         let own = self.reader_heartbeat();
         let effect = lock(&self.reader).on_heartbeat(heartbeat, &own, boot_clock::now());
         // A large directory may take longer than the next heartbeats.
@@ -328,12 +353,8 @@
 
     /// Applies updates that the failure domain's reader has read from the store.
     pub fn apply_reader_updates(self: &Arc<Self>, updates: ReaderChanges) {
-        for entry in updates.entries {
-            self.store_entry(entry);
-        }
-        for entry in updates.confirmed {
-            self.store_confirmed_entry(entry);
-        }
+        self.store_entries(updates.entries);
+        self.store_confirmed_entries(updates.confirmed);
         for node in updates.lapsed {
             self.directory().mark_expired(&node, boot_clock::now());
         }
