--- a/crates/anvilrack-core/src/entry_admission.rs
+++ b/crates/anvilrack-core/src/entry_admission.rs
@@ -37,6 +37,9 @@
 /// Number of runs before calls per run are known.
 const MIN_COUNTED_RUNS: u32 = 5;
 
+/// Number of overloaded owners above which those without recent news are forgotten.
+const MAX_OWNERS: usize = 256;
+
 /// Maximum number of routes known to carry calls; one more clears them all.
 const MAX_CALL_ROUTES: usize = 256;
 
@@ -141,6 +144,9 @@
         if own.is_all() {
             self.owners.remove(router);
         } else {
+            if self.owners.len() >= MAX_OWNERS {
+                self.owners.retain(|_, latest| !latest.at(now).is_all());
+            }
             let latest = ShareAverage {
                 shares: own,
                 updated_at: now,
--- a/crates/anvilrack-node/src/routing/forward.rs
+++ b/crates/anvilrack-node/src/routing/forward.rs
@@ -470,8 +470,9 @@
             RefusalReason::Overloaded | RefusalReason::DeadlineTooShort
         );
         let priority = self.request.route.priority;
-        if overloaded && self.admitted_shares(router).share(priority) < WHOLE_SHARE {
-            // The other targets of the service are as busy.
+        let service_is_overloaded = || self.admitted_shares(router).share(priority) < WHOLE_SHARE;
+        // A call belongs to a run that has begun, so it is tried elsewhere all the same.
+        if overloaded && !self.is_call && service_is_overloaded() {
             return self.refuse(reason, retry_after);
         }
         if self.shard.is_some() || !other_target_may_accept || self.routers_tried >= MAX_ROUTERS {
