--- a/crates/anvilrack-core/src/demand_meter.rs
+++ b/crates/anvilrack-core/src/demand_meter.rs
@@ -33,8 +33,9 @@
 /// The work offered to one target over the last second, by priority.
 ///
 /// Work is the time for which a request occupies a slot. A request that arrives from a router which
-/// admits only a share of its requests stands for all of them: so the meter knows the demand even while
-/// most of it is refused elsewhere.
+/// admits only a share of its requests stands for all of them, so the meter knows the demand even while
+/// most of it is refused elsewhere. What is left of the slots after the more urgent priorities is the share
+/// of the next one, unless both are limited together.
 ///
 /// ```
 /// use std::time::Duration;
@@ -140,7 +141,7 @@
 
     /// Returns the shares of new requests that a target with this number of slots can serve.
     ///
-    /// They are calculated once in each [`SHARES_PERIOD`].
+    /// They are calculated at most every 50 ms.
     pub fn shares(&mut self, slots: u32, now: BootTime) -> AdmittedShares {
         if let Some((at, shares)) = self.latest
             && now < at + SHARES_PERIOD
--- a/crates/anvilrack-core/src/entry_admission.rs
+++ b/crates/anvilrack-core/src/entry_admission.rs
@@ -20,7 +20,7 @@
 /// Time without news after which shares begin to rise to the whole again.
 const SHARE_TTL: Duration = Duration::from_millis(600);
 
-/// Time in which a share without news rises by [`RECOVERY_STEP`].
+/// Time in which a share without news rises by one [`RECOVERY_STEP`].
 const RECOVERY_PERIOD: Duration = Duration::from_millis(100);
 
 /// Rise of a share without news in each [`RECOVERY_PERIOD`].
