--- a/crates/anvilrack-node/src/directory/mod.rs
+++ b/crates/anvilrack-node/src/directory/mod.rs
@@ -24,7 +24,9 @@
 pub use site_archive::{ArchivedDocument, DocumentPacket, SiteArchive};
 pub use site_fetch::{follow_site, serve_site};
 pub use site_tracker::SiteTracker;
-pub use store_watch::{send_reader_heartbeat, send_reader_heartbeats, watch_entries, watch_site};
+pub use store_watch::{
+    latest_changes, send_reader_heartbeat, send_reader_heartbeats, watch_entries, watch_site,
+};
 
 /// Key prefix of the routers' directory entries.
 pub const ENTRY_PREFIX: &str = "anvilrack/router/";
--- a/crates/anvilrack-node/src/directory/store_watch.rs
+++ b/crates/anvilrack-node/src/directory/store_watch.rs
@@ -134,8 +134,9 @@
     Ok(())
 }
 
-/// Returns the latest change of each entry, as a reader passes it on.
-fn latest_changes(changes: Vec<StoreChange>) -> ReaderChanges {
+/// Returns the latest change of each directory entry, as a reader passes it on.
+#[must_use]
+pub fn latest_changes(changes: Vec<StoreChange>) -> ReaderChanges {
     let mut latest = BTreeMap::new();
     for change in changes {
         match change {
--- a/crates/anvilrack-node/src/node_shared/router_directory.rs
+++ b/crates/anvilrack-node/src/node_shared/router_directory.rs
@@ -144,7 +144,7 @@
         self.update_directory(entries, |directory, entry| directory.confirm(entry, now));
     }
 
-    /// Applies entries together: the cost of a change does not grow with the number of routers.
+    /// Applies entries together, so that the targets of a service are selected anew once for all of them.
     fn update_directory(
         &self,
         entries: impl IntoIterator<Item = DirectoryEntry>,
--- a/crates/anvilrack-node/tests/directory_view.rs
+++ b/crates/anvilrack-node/tests/directory_view.rs
@@ -2,8 +2,11 @@
 
 use std::time::Duration;
 
-use anvilrack_node::directory::{DirectoryEntry, DirectoryView};
+use anvilrack_node::directory::{
+    DirectoryEntry, DirectoryView, ENTRY_PREFIX, StoreChange, StoreItem, latest_changes,
+};
 use anvilrack_node::peers::{PeerLocation, TargetStatus};
+use anvilrack_wire::encode;
 
 fn entry(node: &str, run: u64, version: u64) -> DirectoryEntry {
     DirectoryEntry {
@@ -110,3 +113,21 @@
     assert!(!silent.is_ready());
     assert!(entry("a", 1, 1).is_ready());
 }
+
+/// An entry that was removed and written again at once was passed on as removed.
+#[test]
+fn latest_of_several_changes_of_an_entry_counts() {
+    let written = |node: &str| {
+        StoreChange::Written(StoreItem {
+            key: format!("{ENTRY_PREFIX}{node}").into(),
+            value: encode(&entry(node, 1, 1)).unwrap().into(),
+            revision: 1,
+        })
+    };
+    let removed = |node: &str| StoreChange::Removed(format!("{ENTRY_PREFIX}{node}").into());
+    let changes = vec![removed("a"), written("b"), written("a"), removed("b")];
+    let updates = latest_changes(changes);
+    let names: Vec<_> = updates.entries.iter().map(|e| &*e.place.node).collect();
+    assert_eq!(names, ["a"]);
+    assert_eq!(updates.lapsed, ["b".into()]);
+}
