--- a/crates/anvilrack-core/src/call_routes.rs
+++ b/crates/anvilrack-core/src/call_routes.rs
@@ -16,13 +16,13 @@
 /// Callers' requests enter at the routers of all services, while the calls of a target enter only at the
 /// router beside it. So if all requests of a route enter beside targets of a single service, they are
 /// calls of that service. How many requests this takes depends on the share of the routers that stand
-/// beside that service: with a tenth of the routers, four in a row cannot be chance.
+/// beside that service: with a tenth of the routers, five in a row cannot be chance.
 ///
 /// ```
 /// use anvilrack_core::CallRoutes;
 ///
 /// let mut routes = CallRoutes::default();
-/// for _ in 0..4 {
+/// for _ in 0..5 {
 ///     routes.record(&"check".into(), &"orders".into(), || 0.1);
 /// }
 /// assert!(routes.is_call("check"));
