Report each request that a crash of the target interrupted, with a fingerprint of its content

Lines name requests by an id that is new in each attempt, and no line said that a target had crashed.

Change: if a target breaks a connection off, its router looks whether the address refuses connections now, and logs crash.suspected with a fingerprint of service, method, host, path, key and body. Nothing is decided by it yet.

A connection that breaks without a crash costs one more connection, which is kept for the next request.

--- a/crates/anvilrack-node/src/guard/target_gateway.rs
+++ b/crates/anvilrack-node/src/guard/target_gateway.rs
@@ -431,6 +431,7 @@
         if time_left < MIN_TIME_LEFT {
             return not_run(RefusalReason::DeadlineTooShort, MIN_RETRY_AFTER);
         }
+        let content = call.content(&body).fingerprint();
         let Some(request) = build_request(node, &call, body, target, time_left) else {
             return not_run(RefusalReason::BadRequest, MIN_RETRY_AFTER);
         };
@@ -453,7 +454,21 @@
         }
         match result {
             Ok(response) => self.handle_response(node, &call, response, shard),
-            Err(error) => self.handle_send_error(node, &call, target, &error),
+            Err(error) => {
+                let reply = self.handle_send_error(node, &call, target, &error);
+                if matches!(error, SendError::Broken(_)) && self.has_crashed(target).await {
+                    emit_event!(
+                        Warn,
+                        events::CRASH_SUSPECTED,
+                        request = &*call.request,
+                        content = format!("{content:016x}"),
+                        service = &*call.service,
+                        key = call.key,
+                        target = &*target.id
+                    );
+                }
+                reply
+            }
         }
     }
 
@@ -527,6 +542,17 @@
         (reply, Bytes::new())
     }
 
+    /// Returns whether an incarnation that broke a connection has crashed.
+    async fn has_crashed(&self, target: &TargetIncarnation) -> bool {
+        let is_over = || {
+            let current = self.current_incarnation();
+            current.is_none_or(|current| {
+                current.incarnation != target.incarnation || current.state == IncarnationState::Gone
+            })
+        };
+        is_over() || self.pool.has_exited().await || is_over()
+    }
+
     fn wake(&self, tickets: &[TicketId]) {
         let waiters = lock(&self.waiters);
         for ticket in tickets {
--- a/crates/anvilrack-node/src/http_pool.rs
+++ b/crates/anvilrack-node/src/http_pool.rs
@@ -1,5 +1,6 @@
 //! Pool of HTTP/1.1 connections to one server; each connection carries one request at a time.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -12,7 +13,7 @@
 use hyper_util::rt::TokioIo;
 use thiserror::Error;
 use tokio::net::TcpStream;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::body_collector::{BodyDeadline, BodyError, collect_body};
 use crate::socket_options;
@@ -38,6 +39,12 @@
 /// A server may close an idle connection just as a request is sent on it.
 const MAX_FRESH_IDLE: Duration = Duration::from_millis(700);
 
+/// Number of checks whether a server that broke a connection has exited.
+const EXIT_CHECKS: usize = 3;
+
+/// Time between two such checks.
+const EXIT_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
 /// A pool of connections to one server.
 #[derive(Clone, Debug)]
 pub struct HttpPool {
@@ -185,6 +192,29 @@
         Ok(Response::from_parts(parts, body))
     }
 
+    /// Returns whether the server has exited, so that its address refuses connections.
+    ///
+    /// An exiting process closes its sockets one after the other, so its listener may outlive the
+    /// connection that broke for a moment.
+    pub async fn has_exited(&self) -> bool {
+        for _ in 0..EXIT_CHECKS {
+            match self.connect(Instant::now() + self.connect_timeout).await {
+                Err(SendError::NoConnection(_, error)) => {
+                    return error.kind() == ErrorKind::ConnectionRefused;
+                }
+                Err(_) => return false,
+                Ok(sender) => {
+                    sleep(EXIT_CHECK_INTERVAL).await;
+                    if !sender.is_closed() {
+                        self.put_idle(sender, &HeaderMap::new());
+                        return false;
+                    }
+                }
+            }
+        }
+        false
+    }
+
     /// Closes the idle connections.
     pub fn clear(&self) {
         self.idle_connections().clear();
--- a/crates/anvilrack-node/src/lib.rs
+++ b/crates/anvilrack-node/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod ownership;
 pub mod peers;
 mod platform_dialect;
+mod request_content;
 mod retry_backoff;
 pub mod routing;
 mod socket_options;
@@ -38,3 +39,4 @@
     CallerRequestInfo, KEY_SPACE, KeyNumber, KeyRangeGrant, NotificationError, PlatformDialect,
     RequestId, SiteDocumentError, TargetRequestInfo, TargetResponseInfo,
 };
+pub use request_content::RequestContent;
--- a/crates/anvilrack-node/src/peers/peer_message.rs
+++ b/crates/anvilrack-node/src/peers/peer_message.rs
@@ -14,7 +14,7 @@
 
 use crate::directory::{DirectoryEntry, ReaderHeartbeat};
 use crate::ownership::{PackedCell, PackedDelta};
-use crate::{KeyNumber, RequestId};
+use crate::{KeyNumber, RequestContent, RequestId};
 
 /// A call from one router to another; the body of a request follows the message.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -116,6 +116,21 @@
     pub caller_service: ServiceName,
 }
 
+impl RunCall {
+    /// Returns the content of the request with this body.
+    #[must_use]
+    pub fn content<'a>(&'a self, body: &'a [u8]) -> RequestContent<'a> {
+        RequestContent {
+            service: &self.service,
+            method: &self.method,
+            path: &self.path,
+            headers: &self.headers,
+            key: self.key,
+            body,
+        }
+    }
+}
+
 /// Asks for capacity before a long body is sent.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct BodyCapacityCall {
--- /dev/null
+++ b/crates/anvilrack-node/src/request_content.rs
@@ -0,0 +1,40 @@
+//! The content of a request, by which resends under new ids are recognized.
+
+use anvilrack_core::{RequestFingerprint, fingerprint_of};
+use hyper::header::HOST;
+
+use crate::KeyNumber;
+
+/// What stays the same each time that a request is sent.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestContent<'a> {
+    /// Service that has to run the request.
+    pub service: &'a str,
+    /// HTTP method.
+    pub method: &'a str,
+    /// Path and query.
+    pub path: &'a str,
+    /// The caller's headers; of these only `Host` counts.
+    pub headers: &'a [(String, Vec<u8>)],
+    /// The request's key; `None` if the caller named none.
+    pub key: Option<KeyNumber>,
+    /// The complete body.
+    pub body: &'a [u8],
+}
+
+impl RequestContent<'_> {
+    /// Returns a fingerprint that is the same for all resends of the request.
+    #[must_use]
+    pub fn fingerprint(&self) -> RequestFingerprint {
+        let host = self.headers.iter().find(|(name, _)| name == HOST.as_str());
+        let key = self.key.map(KeyNumber::to_le_bytes);
+        fingerprint_of(&[
+            self.service.as_bytes(),
+            self.method.as_bytes(),
+            host.map_or(&[], |(_, host)| host),
+            self.path.as_bytes(),
+            key.as_ref().map_or(&[], |key| key),
+            self.body,
+        ])
+    }
+}
