Keep requests that crash targets away from them on the users' platform

Requests for archivo were refused or late for as long as it came, and what ran beside it failed.

Cause: anvilrack-router quarantines such requests; anvilrack-node, the router of the users' platform, has its own request path and never did. One of two paths lacked a guard that the other has, and its tests ran on the other path only.

In the tests crash.suspected reports the same content at each crash, under different ids (hypothesis 1). A single attempt reached several targets as well (hypothesis 2, a part of it). Other reasons for the crashes are ruled out there: without the request no target ends.

Change: the target's router looks whether its target has crashed when a connection breaks, records what was running, and tells the routers of its service at once; all routers exchange this with one another every three seconds. A request is recognized by its content. From its second crash on it is refused where it enters and beside each target. A router that has just started asks another one before it sends anything to its target. Suspects run one at a time at a target, so that a second crash has one suspect; a completed run disproves the latest crash of its request. The latter is in the core, so anvilrack-router has it too. A crash is now also known from the broken connection, not only from the next refused one.

Why it works: the door to a target and the entry both know the request before it can come again, by content, and the number of crashes is counted over all routers, however often they start again one by one.

--- a/crates/anvilrack-core/src/crash_quarantine.rs
+++ b/crates/anvilrack-core/src/crash_quarantine.rs
@@ -1,6 +1,7 @@
 //! Quarantine for requests that crash the targets that run them.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -28,7 +29,7 @@
 /// How long the crashes of a request are kept after the latest one.
 const OBSERVATION_RETENTION: Duration = Duration::from_hours(48);
 
-/// Maximum number of crash observations kept; the oldest are removed first.
+/// Maximum number of crash observations kept; disproved ones are removed first, then the oldest.
 const MAX_OBSERVATIONS: usize = 1_024;
 
 /// Maximum number of crash observations sent in one heartbeat.
@@ -43,6 +44,8 @@
     pub crash: CrashId,
     /// Time since the crash was detected.
     pub age: Duration,
+    /// Whether a completed run of the request has shown that it did not cause the crash.
+    pub disproved: bool,
 }
 
 /// Crash observations that routers exchange in their heartbeats.
@@ -59,13 +62,19 @@
 /// Every request that a crash interrupted is a suspect, because the one that caused it cannot be identified.
 /// A request that did not cause the crash is rarely running at a second one; if it is, its quarantine is
 /// short. A request that does cause crashes is quarantined after the second one, and for longer after each
-/// further one.
+/// further one. Each completed run of a suspect disproves its latest crash.
 #[derive(Clone, Debug)]
 pub struct CrashQuarantine {
     name: Vec<u8>,
     crashes: u64,
     last_crash: Option<(BootTime, CrashId)>,
-    observations: BTreeMap<(RequestFingerprint, CrashId), BootTime>,
+    observations: BTreeMap<(RequestFingerprint, CrashId), ObservedCrash>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct ObservedCrash {
+    at: BootTime,
+    disproved: bool,
 }
 
 impl CrashQuarantine {
@@ -96,11 +105,35 @@
             _ => self.next_crash(now),
         };
         self.remove_expired(now);
-        self.observations.insert((request, crash), now);
+        let observed = ObservedCrash {
+            at: now,
+            disproved: false,
+        };
+        self.observations.insert((request, crash), observed);
         self.remove_excess();
         self.crash_times(request).count()
     }
 
+    /// Records that a target ran the request to its end, which disproves the latest crash at which it was
+    /// running.
+    ///
+    /// Returns false if there is none.
+    pub fn on_completed(&mut self, request: RequestFingerprint) -> bool {
+        let crashes = self.observations.range_mut(all_crashes(request));
+        let suspected = crashes.filter(|(_, crash)| !crash.disproved);
+        let latest = suspected.max_by_key(|(_, crash)| crash.at);
+        latest.is_some_and(|(_, crash)| {
+            crash.disproved = true;
+            true
+        })
+    }
+
+    /// Returns true if the request was running at a crash that no completed run has disproved.
+    #[must_use]
+    pub fn is_suspect(&self, request: RequestFingerprint) -> bool {
+        self.crash_times(request).next().is_some()
+    }
+
     /// Returns the remaining quarantine of the request, or `None` if it may run.
     #[must_use]
     pub fn remaining_quarantine(
@@ -139,13 +172,28 @@
         CrashReport { digest, marks }
     }
 
+    /// Returns the report of crashes that are at most `max_age` old.
+    #[must_use]
+    pub fn recent_report(&self, max_age: Duration, now: BootTime) -> CrashReport {
+        let mut report = self.report(0, now);
+        report
+            .marks
+            .retain(|observation| observation.age <= max_age);
+        report
+    }
+
     /// Merges the observations of another router.
     pub fn merge(&mut self, report: &CrashReport, now: BootTime) {
         for observation in report.marks.iter().take(MAX_REPORTED_OBSERVATIONS) {
             let at = now.saturating_sub(observation.age);
-            self.observations
+            let known = self
+                .observations
                 .entry((observation.request, observation.crash))
-                .or_insert(at);
+                .or_insert(ObservedCrash {
+                    at,
+                    disproved: false,
+                });
+            known.disproved |= observation.disproved;
         }
         self.remove_expired(now);
         self.remove_excess();
@@ -154,26 +202,35 @@
     /// Returns an order-independent digest of all observations; zero if there are none.
     #[must_use]
     pub fn digest(&self) -> u64 {
-        let hashes = self.observations.keys().map(|(request, crash)| {
-            fingerprint_of(&[&request.to_le_bytes(), &crash.to_le_bytes()])
-        });
+        let hashes = self
+            .observations
+            .iter()
+            .map(|((request, crash), observed)| {
+                fingerprint_of(&[
+                    &request.to_le_bytes(),
+                    &crash.to_le_bytes(),
+                    &[u8::from(observed.disproved)],
+                ])
+            });
         hashes.fold(0, |digest, hash| digest ^ hash)
     }
 
     fn all_observations(&self, now: BootTime) -> impl Iterator<Item = CrashObservation> + '_ {
         self.observations
             .iter()
-            .map(move |((request, crash), at)| CrashObservation {
+            .map(move |((request, crash), observed)| CrashObservation {
                 request: *request,
                 crash: *crash,
-                age: now.saturating_sub(*at),
+                age: now.saturating_sub(observed.at),
+                disproved: observed.disproved,
             })
     }
 
-    /// Returns the times of the crashes at which the request was running.
+    /// Returns the times of the crashes at which the request was running, without the disproved ones.
     fn crash_times(&self, request: RequestFingerprint) -> impl Iterator<Item = BootTime> + '_ {
-        let all = (request, CrashId::MIN)..=(request, CrashId::MAX);
-        self.observations.range(all).map(|(_, at)| *at)
+        let crashes = self.observations.range(all_crashes(request));
+        let suspected = crashes.filter(|(_, crash)| !crash.disproved);
+        suspected.map(|(_, crash)| crash.at)
     }
 
     fn next_crash(&mut self, now: BootTime) -> CrashId {
@@ -185,11 +242,15 @@
 
     /// Removes all observations of requests whose latest crash is older than the retention time.
     fn remove_expired(&mut self, now: BootTime) {
-        let is_expired = |at: &BootTime| now.saturating_sub(*at) >= OBSERVATION_RETENTION;
+        let is_expired =
+            |crash: &ObservedCrash| now.saturating_sub(crash.at) >= OBSERVATION_RETENTION;
         if !self.observations.values().any(is_expired) {
             return;
         }
-        let retained = self.observations.iter().filter(|(_, at)| !is_expired(at));
+        let retained = self
+            .observations
+            .iter()
+            .filter(|(_, crash)| !is_expired(crash));
         let retained: BTreeSet<_> = retained.map(|((request, _), _)| *request).collect();
         self.observations
             .retain(|(request, _), _| retained.contains(request));
@@ -202,18 +263,23 @@
         let mut by_age: Vec<_> = self
             .observations
             .iter()
-            .map(|(observation, at)| (*at, *observation))
+            .map(|(observation, crash)| (!crash.disproved, crash.at, *observation))
             .collect();
         by_age.sort_unstable();
         let removed: BTreeSet<_> = by_age[..=excess]
             .iter()
-            .map(|(_, observation)| *observation)
+            .map(|(_, _, observation)| *observation)
             .collect();
         self.observations
             .retain(|observation, _| !removed.contains(observation));
     }
 }
 
+/// Returns the keys of all observations of a request.
+fn all_crashes(request: RequestFingerprint) -> RangeInclusive<(RequestFingerprint, CrashId)> {
+    (request, CrashId::MIN)..=(request, CrashId::MAX)
+}
+
 /// Returns the quarantine of a request that was at `extra_crashes` crashes beyond the threshold.
 fn quarantine_duration(extra_crashes: usize) -> Duration {
     let exponent = u32::try_from(extra_crashes).unwrap_or(u32::MAX);
--- a/crates/anvilrack-core/src/request_verdict.rs
+++ b/crates/anvilrack-core/src/request_verdict.rs
@@ -106,6 +106,10 @@
     CalledServiceOverloaded,
     /// The route no longer leads to this service; the router that took the request has an old document.
     OutdatedRoute,
+    /// The request was running at a crash, and the target runs another such request; they run one at a time.
+    SuspectRunning,
+    /// The target's router has just started and does not know yet which requests crash targets.
+    Starting,
 }
 
 impl RefusalReason {
@@ -130,6 +134,8 @@
             Self::KeyReused => "key-reused",
             Self::CalledServiceOverloaded => "called-service-overloaded",
             Self::OutdatedRoute => "outdated-route",
+            Self::SuspectRunning => "suspect-running",
+            Self::Starting => "starting",
         }
     }
 
--- a/crates/anvilrack-core/tests/crash_quarantine.rs
+++ b/crates/anvilrack-core/tests/crash_quarantine.rs
@@ -128,3 +128,67 @@
     }
     assert_eq!(other.report(0, at(5_000)).marks.len(), 128);
 }
+
+/// A read of a hot key that was present at two crashes was refused for two minutes, although other routers ran it
+/// meanwhile.
+#[test]
+fn completed_runs_end_the_quarantine_and_then_the_suspicion() {
+    let mut quarantine = CrashQuarantine::new("router-1/1");
+    assert!(!quarantine.on_completed(CRASHING_REQUEST));
+    quarantine.on_crash(CRASHING_REQUEST, at(0), at(1));
+    quarantine.on_crash(CRASHING_REQUEST, at(5), at(6));
+    assert!(quarantine.on_completed(CRASHING_REQUEST));
+    assert_eq!(
+        quarantine.remaining_quarantine(CRASHING_REQUEST, at(6)),
+        None
+    );
+    assert!(quarantine.is_suspect(CRASHING_REQUEST));
+    assert!(quarantine.on_completed(CRASHING_REQUEST));
+    assert!(!quarantine.is_suspect(CRASHING_REQUEST));
+    assert_eq!(quarantine.on_crash(CRASHING_REQUEST, at(9), at(10)), 1);
+}
+
+#[test]
+fn disproved_crashes_stay_disproved_in_any_order_of_reports() {
+    let mut routers = ["a", "b", "c"].map(CrashQuarantine::new);
+    routers[0].on_crash(CRASHING_REQUEST, at(0), at(1));
+    let suspicion = routers[0].report(0, at(2));
+    routers[1].merge(&suspicion, at(2));
+    assert!(routers[1].on_completed(CRASHING_REQUEST));
+    let acquittal = routers[1].report(0, at(3));
+    for reports in [[&suspicion, &acquittal], [&acquittal, &suspicion]] {
+        let mut router = routers[2].clone();
+        for report in reports {
+            router.merge(report, at(4));
+        }
+        assert!(!router.is_suspect(CRASHING_REQUEST));
+        assert_eq!(router.digest(), routers[1].digest());
+    }
+}
+
+#[test]
+fn disproved_crashes_make_way_for_others() {
+    let mut quarantine = CrashQuarantine::new("router-1/1");
+    for time in [0, 10] {
+        quarantine.on_crash(CRASHING_REQUEST, at(time), at(time + 1));
+    }
+    for request in 100..2_000 {
+        quarantine.on_crash(request, at(20), at(21));
+        quarantine.on_completed(request);
+    }
+    assert!(
+        quarantine
+            .remaining_quarantine(CRASHING_REQUEST, at(30))
+            .is_some()
+    );
+}
+
+#[test]
+fn recent_report_leaves_out_older_crashes() {
+    let mut quarantine = CrashQuarantine::new("router-1/1");
+    quarantine.on_crash(1, at(0), at(1));
+    quarantine.on_crash(2, at(50), at(51));
+    let report = quarantine.recent_report(Duration::from_secs(10), at(52));
+    let requests: Vec<_> = report.marks.iter().map(|mark| mark.request).collect();
+    assert_eq!(requests, [2]);
+}
--- a/crates/anvilrack-node/src/guard/mod.rs
+++ b/crates/anvilrack-node/src/guard/mod.rs
@@ -2,12 +2,16 @@
 
 mod body_capacity;
 mod control_server;
+mod crash_monitor;
 mod started_requests;
 mod target_gateway;
 mod target_incarnation;
 
 pub use body_capacity::BodyCapacity;
 pub use control_server::serve_control;
+pub use crash_monitor::{
+    CrashMonitor, MonitoredRun, SuspectTurn, exchange_crashes, report_crashes,
+};
 pub use started_requests::StartedRequests;
 pub use target_gateway::TargetGateway;
 pub use target_incarnation::{
--- a/crates/anvilrack-node/src/guard/target_gateway.rs
+++ b/crates/anvilrack-node/src/guard/target_gateway.rs
@@ -7,8 +7,8 @@
 use anvilrack_core::{
     AdmissionHint, AdmissionQueue, AdmissionRequest, AdmissionStep, AdmittedShares, BootTime,
     CallRoutes, DemandMeter, LatencyLimit, OfferedRequest, RefusalReason, RequestClass,
-    RunAdmission, ServiceTimeMeter, ShardId, ShardMeter, TargetLoad, TicketId, UncertainReason,
-    events,
+    RequestFingerprint, RunAdmission, ServiceTimeMeter, ShardId, ShardMeter, TargetLoad, TicketId,
+    UncertainReason, events,
 };
 use anvilrack_router::boot_clock;
 use bytes::Bytes;
@@ -20,11 +20,12 @@
 use crate::end_to_end_headers;
 use crate::guard::{
     BodyCapacity, IncarnationState, IncarnationTracker, NotificationEffect, StartedRequests,
-    TargetIncarnation, TargetNotification,
+    SuspectTurn, TargetIncarnation, TargetNotification,
 };
 use crate::http_pool::{ConnectionAge, HttpPool, SendError, within};
 use crate::mutex_lock::lock;
 use crate::peers::{BodyCapacityCall, RunCall, RunReply};
+use crate::request_content::content_label;
 use crate::{
     NodeState, PlatformDialect, RequestId, TargetRequestInfo, TargetResponseInfo, emit_event,
     observe,
@@ -51,6 +52,15 @@
 /// `Retry-After` time for a request whose router has to fetch the newest site document first.
 const OUTDATED_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// `Retry-After` time of a router that has just started.
+const STARTING_RETRY_AFTER: Duration = Duration::from_millis(300);
+
+/// Maximum time that a suspect waits for another one to end.
+const MAX_SUSPECT_WAIT: Duration = Duration::from_millis(300);
+
+/// `Retry-After` time of a suspect while another one runs.
+const SUSPECT_RETRY_AFTER: Duration = Duration::from_millis(200);
+
 /// Minimum time left until the deadline for a request to be sent to the target.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(2);
 
@@ -77,6 +87,16 @@
     gateway: &'a TargetGateway,
     ticket: TicketId,
     measured: bool,
+    /// Held while the request runs if it is a suspect.
+    suspect_turn: Option<SuspectTurn<'a>>,
+}
+
+/// A request that may be sent to the target.
+struct AdmittedRun<'a> {
+    /// Fingerprint of the request's content.
+    content: RequestFingerprint,
+    slot: SlotTicket<'a>,
+    target: TargetIncarnation,
 }
 
 impl Drop for SlotTicket<'_> {
@@ -122,8 +142,16 @@
         body: Bytes,
     ) -> (RunReply, Bytes) {
         let deadline = boot_clock::now() + call.time_left;
-        match self.admit(node, &call, deadline).await {
-            Ok((slot, target)) => self.send(node, call, body, slot, &target, deadline).await,
+        let content = call.content(&body).fingerprint();
+        match self.admit(node, &call, content, deadline).await {
+            Ok((slot, target)) => {
+                let run = AdmittedRun {
+                    content,
+                    slot,
+                    target,
+                };
+                self.send(node, call, body, run, deadline).await
+            }
             Err((reason, retry_after)) => {
                 let (running, waiting) = self.load();
                 emit_event!(
@@ -286,13 +314,15 @@
 
     // --- admission -------------------------------------------------------------------------------
 
-    async fn admit<D: PlatformDialect>(
-        &self,
-        node: &NodeState<D>,
+    async fn admit<'a, D: PlatformDialect>(
+        &'a self,
+        node: &'a NodeState<D>,
         call: &RunCall,
+        content: RequestFingerprint,
         deadline: Duration,
-    ) -> Result<(SlotTicket<'_>, TargetIncarnation), Refusal> {
-        self.check_may_run(node, call)?;
+    ) -> Result<(SlotTicket<'a>, TargetIncarnation), Refusal> {
+        self.check_may_run(node, call, content)?;
+        let turn = await_suspect_turn(node, content, deadline).await?;
         if node.is_outdated_route(call) {
             return Err((RefusalReason::OutdatedRoute, OUTDATED_RETRY_AFTER));
         }
@@ -324,9 +354,10 @@
             let (ticket, until) = match step {
                 AdmissionStep::Refuse(reason, after) => return Err((reason, after)),
                 AdmissionStep::Enter(ticket) => {
-                    let slot = slot.unwrap_or_else(|| self.ticket(ticket));
+                    let mut slot = slot.unwrap_or_else(|| self.ticket(ticket));
+                    slot.suspect_turn = turn;
                     // Ownership or the target's state may have changed while the request waited.
-                    let target = self.check_may_run(node, call)?;
+                    let target = self.check_may_run(node, call, content)?;
                     if !is_call {
                         node.entry_admission().on_run(RunAdmission {
                             priority,
@@ -342,7 +373,7 @@
             slot.get_or_insert_with(|| self.ticket(ticket));
             let wait = until.saturating_sub(boot_clock::now());
             within(wait, notify.notified()).await;
-            self.check_may_run(node, call)?;
+            self.check_may_run(node, call, content)?;
             step = self.queue().poll(ticket, boot_clock::now());
         }
     }
@@ -374,6 +405,7 @@
             gateway: self,
             ticket,
             measured: false,
+            suspect_turn: None,
         }
     }
 
@@ -383,7 +415,14 @@
         &self,
         node: &NodeState<D>,
         call: &RunCall,
+        content: RequestFingerprint,
     ) -> Result<TargetIncarnation, Refusal> {
+        if !node.crash_monitor.has_joined() {
+            return Err((RefusalReason::Starting, STARTING_RETRY_AFTER));
+        }
+        if let Some(left) = node.crash_monitor.remaining_quarantine(content) {
+            return Err((RefusalReason::Quarantined, left));
+        }
         let target = self
             .current_incarnation()
             .filter(|_| *call.service == *node.settings.service)
@@ -421,18 +460,21 @@
         node: &NodeState<D>,
         call: RunCall,
         body: Bytes,
-        mut slot: SlotTicket<'_>,
-        target: &TargetIncarnation,
+        run: AdmittedRun<'_>,
         deadline: Duration,
     ) -> (RunReply, Bytes) {
+        let AdmittedRun {
+            content,
+            mut slot,
+            target,
+        } = run;
         let shard = node.shard_of(&call.service, call.key);
         let now = boot_clock::now();
         let time_left = deadline.saturating_sub(now);
         if time_left < MIN_TIME_LEFT {
             return not_run(RefusalReason::DeadlineTooShort, MIN_RETRY_AFTER);
         }
-        let content = call.content(&body).fingerprint();
-        let Some(request) = build_request(node, &call, body, target, time_left) else {
+        let Some(request) = build_request(node, &call, body, &target, time_left) else {
             return not_run(RefusalReason::BadRequest, MIN_RETRY_AFTER);
         };
         if !lock(&self.started).mark_started(&call.request, now) {
@@ -446,6 +488,7 @@
         } else {
             ConnectionAge::Any
         };
+        let run = node.crash_monitor.begin_run(content);
         let result = self.pool.send(request, connection_age, time_left).await;
         slot.measured = true;
         if result.is_ok() {
@@ -453,19 +496,33 @@
             lock(&self.service_time).record(elapsed);
         }
         match result {
-            Ok(response) => self.handle_response(node, &call, response, shard),
+            Ok(response) => {
+                let (reply, body) = self.handle_response(node, &call, response, shard);
+                match reply {
+                    RunReply::Ran { .. } => run.close_completed(),
+                    RunReply::NotRun { .. } | RunReply::MayHaveRun(_) => run.close(),
+                }
+                (reply, body)
+            }
             Err(error) => {
-                let reply = self.handle_send_error(node, &call, target, &error);
-                if matches!(error, SendError::Broken(_)) && self.has_crashed(target).await {
-                    emit_event!(
-                        Warn,
-                        events::CRASH_SUSPECTED,
-                        request = &*call.request,
-                        content = format!("{content:016x}"),
-                        service = &*call.service,
-                        key = call.key,
-                        target = &*target.id
-                    );
+                let reply = self.handle_send_error(node, &call, &target, &error);
+                match error {
+                    // The target may still be at work.
+                    SendError::Timeout => drop(run),
+                    SendError::Broken(_) if self.has_crashed(node, &target).await => {
+                        let crashes = run.close_crashed();
+                        emit_event!(
+                            Warn,
+                            events::CRASH_SUSPECTED,
+                            request = &*call.request,
+                            content = content_label(content),
+                            service = &*call.service,
+                            key = call.key,
+                            target = &*target.id,
+                            crashes = crashes
+                        );
+                    }
+                    _ => run.close(),
                 }
                 reply
             }
@@ -543,14 +600,24 @@
     }
 
     /// Returns whether an incarnation that broke a connection has crashed.
-    async fn has_crashed(&self, target: &TargetIncarnation) -> bool {
+    async fn has_crashed<D: PlatformDialect>(
+        &self,
+        node: &NodeState<D>,
+        target: &TargetIncarnation,
+    ) -> bool {
         let is_over = || {
             let current = self.current_incarnation();
             current.is_none_or(|current| {
                 current.incarnation != target.incarnation || current.state == IncarnationState::Gone
             })
         };
-        is_over() || self.pool.has_exited().await || is_over()
+        if is_over() || !self.pool.has_exited().await {
+            return is_over();
+        }
+        if lock(&self.incarnations).end(target.incarnation) {
+            node.on_target_gone(target, "it broke a connection and refuses new ones");
+        }
+        true
     }
 
     fn wake(&self, tickets: &[TicketId]) {
@@ -574,6 +641,24 @@
     }
 }
 
+/// Waits until no other suspect runs at the target, if the request is one.
+async fn await_suspect_turn<D: PlatformDialect>(
+    node: &NodeState<D>,
+    request: RequestFingerprint,
+    deadline: BootTime,
+) -> Result<Option<SuspectTurn<'_>>, Refusal> {
+    let monitor = &node.crash_monitor;
+    if !monitor.is_suspect(request) {
+        return Ok(None);
+    }
+    let wait = MAX_SUSPECT_WAIT.min(deadline.saturating_sub(boot_clock::now()));
+    let turn = within(wait, monitor.suspect_turn())
+        .await
+        .ok_or((RefusalReason::SuspectRunning, SUSPECT_RETRY_AFTER))?;
+    // A completed run may have cleared the request meanwhile.
+    Ok(monitor.is_suspect(request).then_some(turn))
+}
+
 fn not_run(reason: RefusalReason, retry_after: Duration) -> (RunReply, Bytes) {
     let reply = RunReply::NotRun {
         reason,
--- a/crates/anvilrack-node/src/node_process.rs
+++ b/crates/anvilrack-node/src/node_process.rs
@@ -25,7 +25,7 @@
     follow_site, maintain_entry, probe_expired_routers, send_reader_heartbeats, watch_entries,
     watch_site,
 };
-use crate::guard::serve_control;
+use crate::guard::{exchange_crashes, report_crashes, serve_control};
 use crate::ownership::{maintain_grants, resign, run_member};
 use crate::peers::serve_peers;
 use crate::{NodeSettings, NodeState, PlatformDialect, emit_event, observe};
@@ -103,6 +103,8 @@
     tokio::spawn(expire_entries(node.clone()));
     tokio::spawn(run_member(node.clone()));
     tokio::spawn(maintain_grants(node.clone()));
+    tokio::spawn(report_crashes(node.clone()));
+    tokio::spawn(exchange_crashes(node.clone()));
     loop {
         tokio::select! {
             _ = stop.recv() => break,
--- a/crates/anvilrack-node/src/node_shared/mod.rs
+++ b/crates/anvilrack-node/src/node_shared/mod.rs
@@ -16,7 +16,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::directory::{DirectoryEntry, DirectoryView, ReaderMonitor, SiteArchive, SiteTracker};
-use crate::guard::TargetGateway;
+use crate::guard::{CrashMonitor, TargetGateway};
 use crate::mutex_lock::lock;
 use crate::observe::NodeMetrics;
 use crate::ownership::{RefreshTimes, TargetGrants, lease_terms, release_all};
@@ -46,6 +46,8 @@
     pub site_tracker: Arc<SiteTracker>,
     /// The gateway to the local target.
     pub gateway: TargetGateway,
+    /// Requests that were running when targets crashed.
+    pub crash_monitor: CrashMonitor,
     /// The grants that the local target holds.
     pub grants: TargetGrants,
     /// Durations and margins of ownership leases.
@@ -100,6 +102,7 @@
         let terms = lease_terms();
         let node = settings.node.clone();
         let now = boot_clock::now();
+        let run = boot_clock::unix_ms();
         let site_tracker = Arc::new(SiteTracker::default());
         Self {
             gateway: TargetGateway::new(settings.target, settings.link_mbps),
@@ -107,9 +110,10 @@
             store,
             links: PeerLinks::new(site_tracker.clone()),
             site_tracker,
+            crash_monitor: CrashMonitor::new(&format!("{node}/{run}")),
             grants: TargetGrants::default(),
             lease_terms: terms,
-            run: boot_clock::unix_ms(),
+            run,
             metrics: NodeMetrics::default(),
             member_updates: Notify::new(),
             coordinator_updates: Notify::new(),
--- a/crates/anvilrack-node/src/ownership/cell_calls.rs
+++ b/crates/anvilrack-node/src/ownership/cell_calls.rs
@@ -45,7 +45,8 @@
         | PeerCall::PullSite(_)
         | PeerCall::PullEntries
         | PeerCall::ReaderBeat(_)
-        | PeerCall::ReaderNews(_) => PeerReply::Done,
+        | PeerCall::ReaderNews(_)
+        | PeerCall::Crashes(_) => PeerReply::Done,
     }
 }
 
--- a/crates/anvilrack-node/src/peers/peer_message.rs
+++ b/crates/anvilrack-node/src/peers/peer_message.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use anvilrack_core::{
-    AdmissionHint, CellRecord, CellVersion, DomainName, Epoch, Incarnation, MemberReport, NodeId,
-    RefusalReason, RegionName, RenewalAnswer, RequestClass, RunAdmission, ServiceName, SiteVersion,
-    TargetLoad, UncertainReason,
+    AdmissionHint, CellRecord, CellVersion, CrashReport, DomainName, Epoch, Incarnation,
+    MemberReport, NodeId, RefusalReason, RegionName, RenewalAnswer, RequestClass, RunAdmission,
+    ServiceName, SiteVersion, TargetLoad, UncertainReason,
 };
 use anvilrack_wire::{DocumentDigest, PacketHeader};
 use serde::{Deserialize, Serialize};
@@ -49,6 +49,8 @@
     Entry(DirectoryEntry),
     /// Asks for the receiver's own directory entry, because the one in the store has expired.
     PullEntry,
+    /// Exchanges observations of crashes; contains those that the sender has.
+    Crashes(CrashReport),
 }
 
 /// The reply to a [`PeerCall`]; the body of a response follows the message.
@@ -80,6 +82,8 @@
     Cell(Option<PackedCell>),
     /// Acknowledges a call that needs no further reply.
     Done,
+    /// Observations of crashes that the receiver lacks.
+    Crashes(CrashReport),
 }
 
 /// A request that is forwarded to the router of its target.
--- a/crates/anvilrack-node/src/peers/peer_server.rs
+++ b/crates/anvilrack-node/src/peers/peer_server.rs
@@ -150,6 +150,7 @@
             return (PeerReply::Site(reply), body);
         }
         PeerCall::PullEntries => PeerReply::Entries(node.known_entries()),
+        PeerCall::Crashes(report) => PeerReply::Crashes(node.crash_monitor.exchange(&report)),
         call => cell_calls::handle_call(node, call),
     };
     (reply, Bytes::new())
--- a/crates/anvilrack-node/src/request_content.rs
+++ b/crates/anvilrack-node/src/request_content.rs
@@ -38,3 +38,8 @@
         ])
     }
 }
+
+/// Returns the fingerprint of a request's content as it appears in the log.
+pub fn content_label(fingerprint: RequestFingerprint) -> String {
+    format!("{fingerprint:016x}")
+}
--- a/crates/anvilrack-node/src/routing/forward.rs
+++ b/crates/anvilrack-node/src/routing/forward.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 
 use anvilrack_core::{
-    AdmissionHint, AdmittedShares, BootTime, HealthOutcome, NodeId, RefusalReason, RetryBudget,
-    RouteRules, RunAdmission, ServiceName, ShardId, SiteVersion, TargetLoad, UncertainReason,
-    WHOLE_SHARE, events, retry_backoff,
+    AdmissionHint, AdmittedShares, BootTime, HealthOutcome, NodeId, RefusalReason,
+    RequestFingerprint, RetryBudget, RouteRules, RunAdmission, ServiceName, ShardId, SiteVersion,
+    TargetLoad, UncertainReason, WHOLE_SHARE, events, retry_backoff,
 };
 use anvilrack_router::boot_clock;
 use bytes::Bytes;
@@ -17,7 +17,8 @@
 use crate::http_pool::within;
 use crate::ownership::refresh_cell;
 use crate::peers::{BodyCapacityCall, CallError, PeerCall, PeerReply, RunCall, RunReply};
-use crate::{KeyNumber, NodeState, PlatformDialect, RequestId, emit_event};
+use crate::request_content::content_label;
+use crate::{KeyNumber, NodeState, PlatformDialect, RequestContent, RequestId, emit_event};
 
 /// Time for which a target that refused a request is not selected again.
 const REFUSAL_BACKOFF: Duration = Duration::from_millis(150);
@@ -87,6 +88,21 @@
     pub deadline: BootTime,
 }
 
+impl CallerRequest {
+    /// Returns the content of the request.
+    #[must_use]
+    pub fn content(&self) -> RequestContent<'_> {
+        RequestContent {
+            service: &self.service,
+            method: &self.method,
+            path: &self.path,
+            headers: &self.headers,
+            key: self.key,
+            body: &self.body,
+        }
+    }
+}
+
 /// The result of forwarding a request.
 #[derive(Clone, Debug)]
 pub struct ForwardOutcome {
@@ -104,6 +120,7 @@
 struct RequestForwarder<'a, D: PlatformDialect> {
     node: &'a Arc<NodeState<D>>,
     request: &'a CallerRequest,
+    fingerprint: RequestFingerprint,
     shard: Option<ShardId>,
     /// Whether the request is a call of the local target.
     is_call: bool,
@@ -128,6 +145,7 @@
     let mut forwarder = RequestForwarder {
         node,
         request,
+        fingerprint: request.content().fingerprint(),
         shard: node.shard_of(&request.service, request.key),
         is_call: node.entry_admission().is_call(&request.route.name),
         routers_tried: 0,
@@ -156,6 +174,10 @@
         if self.node.is_ending() {
             return self.refuse(RefusalReason::Stopping, NO_TARGET_RETRY_AFTER);
         }
+        let monitor = &self.node.crash_monitor;
+        if let Some(left) = monitor.remaining_quarantine(self.fingerprint) {
+            return self.refuse_quarantined(left);
+        }
         let Some((router, address)) = self.find_router() else {
             return self.await_router().await;
         };
@@ -456,7 +478,9 @@
         );
         let unreachable = matches!(
             reason,
-            RefusalReason::OwnerUnreachable | RefusalReason::TargetRefused
+            RefusalReason::OwnerUnreachable
+                | RefusalReason::TargetRefused
+                | RefusalReason::Starting
         );
         if self.shard.is_some() && (moving || unreachable) {
             return self.await_owner(reason, retry_after).await;
@@ -464,6 +488,7 @@
         let other_target_may_accept = moving
             || unreachable
             || reason == RefusalReason::Overloaded
+            || reason == RefusalReason::SuspectRunning
             || reason == RefusalReason::DeadlineTooShort;
         let overloaded = matches!(
             reason,
@@ -523,6 +548,19 @@
         NextStep::Reply(reply, Bytes::new())
     }
 
+    fn refuse_quarantined(&self, left: Duration) -> NextStep {
+        emit_event!(
+            Info,
+            events::REQUEST_QUARANTINED,
+            request = &*self.request.request,
+            content = content_label(self.fingerprint),
+            left_s = left.as_secs()
+        );
+        let labels = format!("service=\"{}\"", self.request.service);
+        self.node.metrics.count("requests_quarantined", labels);
+        self.refuse(RefusalReason::Quarantined, left)
+    }
+
     fn refuse_expired(&self) -> NextStep {
         self.refuse(RefusalReason::DeadlineTooShort, NO_TARGET_RETRY_AFTER)
     }
--- a/crates/anvilrack-router/src/shared_crash_quarantine.rs
+++ b/crates/anvilrack-router/src/shared_crash_quarantine.rs
@@ -77,6 +77,14 @@
         );
     }
 
+    /// Records that the target ran this request to its end.
+    pub fn on_completed(&self, request: &ForwardRequest) {
+        if self.in_use.load(Ordering::Relaxed) {
+            let fingerprint = request_fingerprint(request);
+            self.quarantine().on_completed(fingerprint);
+        }
+    }
+
     // --- exchange with other routers ------------------------------------------------------------
 
     /// Returns the report for the coordinator.
--- a/crates/anvilrack-router/src/stages/guard.rs
+++ b/crates/anvilrack-router/src/stages/guard.rs
@@ -153,7 +153,7 @@
             let sent_at = boot_clock::now();
             let verdict = deliver::process(client, request, &parameters);
             permit.finish(&verdict);
-            record_crash(context, request, &parameters, &verdict, sent_at);
+            record_run_end(context, request, &parameters, &verdict, sent_at);
             context.meter.count(shard, &request.key, boot_clock::now());
             verdict
         }
@@ -176,15 +176,18 @@
     context.owner().grant(shard, boot_clock::now())
 }
 
-/// Records a request during which the target broke off the connection and exited. This happens
-/// before the verdict is returned.
-fn record_crash(
+/// Records a request during which the target broke off the connection and exited, or that the target
+/// completed. This happens before the verdict is returned.
+fn record_run_end(
     context: &RouterContext,
     request: &ForwardRequest,
     parameters: &DeliveryParameters,
     verdict: &RequestVerdict,
     sent_at: BootTime,
 ) {
+    if let RequestVerdict::Ran(_) = verdict {
+        context.crash_quarantine.on_completed(request);
+    }
     let broke_off = matches!(
         verdict,
         RequestVerdict::MayHaveRun(
