Read what targets say about their condition, and log limits that they name

Change: platform/ decodes Server-Limit and Server-Leaving; the target's router logs target.limit when the limit changes, bounded like all lines about requests. A limit that is not a decimal number is told apart from none. Nothing is decided by either yet.

--- a/crates/anvilrack-node/src/guard/target_gateway.rs
+++ b/crates/anvilrack-node/src/guard/target_gateway.rs
@@ -27,8 +27,8 @@
 use crate::peers::{BodyCapacityCall, RunCall, RunReply};
 use crate::request_content::content_label;
 use crate::{
-    NodeState, PlatformDialect, RequestId, TargetRequestInfo, TargetResponseInfo, emit_event,
-    observe,
+    NodeState, PlatformDialect, RateLimitNotice, RequestId, TargetCondition, TargetRequestInfo,
+    TargetResponseInfo, emit_event, observe,
 };
 
 /// Timeout for connecting to the target, which runs on the same VM.
@@ -80,6 +80,7 @@
     capacity: Mutex<BodyCapacity>,
     meter: Mutex<ShardMeter>,
     service_time: Mutex<ServiceTimeMeter>,
+    rate_limit: Mutex<RateLimitNotice>,
 }
 
 /// A position in the admission queue or a slot at the target; dropping it releases it.
@@ -129,6 +130,7 @@
             capacity: Mutex::new(BodyCapacity::new(link_mbps)),
             meter: Mutex::default(),
             service_time: Mutex::default(),
+            rate_limit: Mutex::default(),
         }
     }
 
@@ -497,7 +499,7 @@
         }
         match result {
             Ok(response) => {
-                let (reply, body) = self.handle_response(node, &call, response, shard);
+                let (reply, body) = self.handle_response(node, &call, response, shard, &target);
                 match reply {
                     RunReply::Ran { .. } => run.close_completed(),
                     RunReply::NotRun { .. } | RunReply::MayHaveRun(_) => run.close(),
@@ -535,11 +537,13 @@
         call: &RunCall,
         response: Response<Bytes>,
         shard: Option<ShardId>,
+        target: &TargetIncarnation,
     ) -> (RunReply, Bytes) {
         let (parts, body) = response.into_parts();
         let info = node
             .dialect
             .read_response_info(parts.status, &parts.headers);
+        self.apply_condition(&info.condition, target);
         if let Some(reply) = target_refusal(&info, parts.status) {
             if info.other_target.is_some() && shard.is_none() {
                 log::warn!("a different target responded at {}", self.pool.address());
@@ -599,6 +603,20 @@
         (reply, Bytes::new())
     }
 
+    /// Applies what a response says about the state of the target.
+    fn apply_condition(&self, condition: &TargetCondition, target: &TargetIncarnation) {
+        let mut latest = lock(&self.rate_limit);
+        if *latest != condition.rate_limit {
+            emit_event!(
+                Info,
+                events::TARGET_LIMIT,
+                target = &*target.id,
+                limit = format!("{:?}", condition.rate_limit)
+            );
+            *latest = condition.rate_limit;
+        }
+    }
+
     /// Returns whether an incarnation that broke a connection has crashed.
     async fn has_crashed<D: PlatformDialect>(
         &self,
--- a/crates/anvilrack-node/src/lib.rs
+++ b/crates/anvilrack-node/src/lib.rs
@@ -37,6 +37,7 @@
 pub use node_shared::NodeState;
 pub use platform_dialect::{
     CallerRequestInfo, KEY_SPACE, KeyNumber, KeyRangeGrant, NotificationError, PlatformDialect,
-    RequestId, SiteDocumentError, TargetRequestInfo, TargetResponseInfo,
+    RateLimitNotice, RequestId, SiteDocumentError, TargetCondition, TargetRequestInfo,
+    TargetResponseInfo,
 };
 pub use request_content::RequestContent;
--- a/crates/anvilrack-node/src/platform_dialect.rs
+++ b/crates/anvilrack-node/src/platform_dialect.rs
@@ -101,7 +101,7 @@
 }
 
 /// Information about a target's response, from its status and headers.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct TargetResponseInfo {
     /// Id of the request that it responds to; `None` if the target sent none.
     pub request: Option<RequestId>,
@@ -113,6 +113,29 @@
     pub encoded: bool,
     /// Id of the target that responded, if it is not the intended one.
     pub other_target: Option<Arc<str>>,
+    /// What the target says about its own condition.
+    pub condition: TargetCondition,
+}
+
+/// What a target says about its own condition in a response.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct TargetCondition {
+    /// The rate of requests that it takes.
+    pub rate_limit: RateLimitNotice,
+    /// Whether it is leaving.
+    pub leaving: bool,
+}
+
+/// What a response says about the rate of requests that its target takes.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum RateLimitNotice {
+    /// The target names no limit.
+    #[default]
+    Unlimited,
+    /// Maximum number of requests a second, from all routers together; zero or more.
+    Limited(f64),
+    /// The target names a limit that is not a decimal number.
+    Invalid,
 }
 
 /// A grant of a range of keys to the local target.
