Keep to the limit that a target names on its rate of requests

What callers saw: none of it at first; targets in need got up to twice what they had said they take, so they could not recover, and nothing sent callers elsewhere.

Cause: nothing read the limit.

Change: the router beside the target keeps to the limit with a token bucket, whoever sends, for new requests, calls and retries alike. Replies between routers tell that a target is limited, its shares and the time between two requests: others are chosen first, and where no target takes a request it is refused at the entry, with a Retry-After from the limit.

--- a/crates/anvilrack-core/src/demand_meter.rs
+++ b/crates/anvilrack-core/src/demand_meter.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::admitted_shares::{PRIORITY_COUNT, WHOLE_SHARE, priority_index};
-use crate::{AdmittedShares, BootTime, RunAdmission, ShareMilli};
+use crate::{AdmittedShares, BootTime, RequestRate, RunAdmission, ShareMilli};
 
 /// Period over which work is added up before it moves to the next bucket.
 const BUCKET: Duration = Duration::from_millis(200);
@@ -153,26 +153,47 @@
         shares
     }
 
-    fn calculate_shares(&self, slots: u32, now: BootTime) -> AdmittedShares {
-        let since_first = match self.first_at {
-            Some(first_at) => now.saturating_sub(first_at),
-            None => return AdmittedShares::ALL,
+    /// Returns the shares of new requests that a target can serve which takes `rate` requests a second.
+    #[must_use]
+    pub fn rate_shares(&self, rate: RequestRate, now: BootTime) -> AdmittedShares {
+        let Some((mut demands, span)) = self.recent_demands(now) else {
+            return AdmittedShares::ALL;
         };
+        for demand in &mut demands {
+            demand.work = Duration::from_micros(demand.count_milli);
+        }
+        let capacity = Duration::from_millis(1).as_secs_f64() * rate * span.as_secs_f64();
+        let capacity = Duration::try_from_secs_f64(capacity).unwrap_or(Duration::MAX);
+        fill(demands, capacity)
+    }
+
+    fn calculate_shares(&self, slots: u32, now: BootTime) -> AdmittedShares {
+        let recent = self.recent_demands(now);
+        recent.map_or(AdmittedShares::ALL, |(demands, span)| {
+            fill(demands, span * slots.max(1))
+        })
+    }
+
+    /// Returns the demand of each priority and the time in which it arrived; `None` if that is too short.
+    fn recent_demands(
+        &self,
+        now: BootTime,
+    ) -> Option<([PriorityDemand; PRIORITY_COUNT], Duration)> {
+        let since_first = now.saturating_sub(self.first_at?);
         if since_first < MIN_SPAN {
-            return AdmittedShares::ALL;
+            return None;
         }
         let index = bucket_index(now);
         let oldest = index.saturating_sub(BUCKET_COUNT - 1);
         let full_span = BUCKET * u32::try_from(index - oldest).unwrap_or(0) + part_of_bucket(now);
         let span = full_span.min(since_first);
-        let capacity = span * slots.max(1);
         let mut demands = [PriorityDemand::default(); PRIORITY_COUNT];
         for bucket in self.buckets.iter().filter(|b| b.index >= oldest) {
             for (sum, demand) in demands.iter_mut().zip(bucket.demands) {
                 sum.add(demand);
             }
         }
-        fill(demands, capacity)
+        Some((demands, span))
     }
 
     fn remove_old(&mut self, index: u128) {
--- a/crates/anvilrack-core/src/entry_admission.rs
+++ b/crates/anvilrack-core/src/entry_admission.rs
@@ -50,10 +50,21 @@
     pub own: Option<AdmittedShares>,
     /// Shares that the services can serve that the target calls; `None` if all.
     pub called: Option<AdmittedShares>,
+    /// The limit that the target names on its rate of requests; `None` if it names none.
+    pub rate: Option<RateHint>,
     /// Whether the request was a call of a target.
     pub is_call: bool,
 }
 
+/// The part of the demand that a target takes which limits its rate of requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RateHint {
+    /// Shares that the target takes.
+    pub shares: AdmittedShares,
+    /// Mean time between two requests at the limit.
+    pub interval: Duration,
+}
+
 /// What one router knows about the load that services can take.
 ///
 /// The router of a target also uses it for the services that its own target calls.
@@ -61,6 +72,7 @@
 pub struct EntryAdmission {
     services: BTreeMap<ServiceName, ServiceShares>,
     owners: BTreeMap<NodeId, ShareAverage>,
+    rate_limits: BTreeMap<ServiceName, RateLimits>,
     call_routes: BTreeSet<Arc<str>>,
     called: BTreeMap<ServiceName, CalledService>,
     runs: u32,
@@ -82,6 +94,13 @@
     called: ShareAverage,
 }
 
+/// Limits on the rate of requests that the targets of a service name.
+#[derive(Clone, Debug, Default)]
+struct RateLimits {
+    shares: ShareAverage,
+    interval: Duration,
+}
+
 /// A service that the local target calls.
 #[derive(Clone, Debug, Default)]
 struct CalledService {
@@ -138,6 +157,7 @@
             service.shares.add(own.min(called), now);
             return;
         }
+        self.apply_rate_hint(service, hint.rate, now);
         let known = self.services.entry(service.clone()).or_default();
         known.own.add(own, now);
         known.called.add(called, now);
@@ -155,6 +175,30 @@
         }
     }
 
+    /// Returns the shares of requests that a service takes all of whose targets limit their rate, and the
+    /// mean time between two requests at their limits.
+    #[must_use]
+    pub fn rate_limits(&self, service: &str, now: BootTime) -> Option<(AdmittedShares, Duration)> {
+        let limits = self.rate_limits.get(service)?;
+        let shares = limits.shares.at(now);
+        (!shares.is_all()).then_some((shares, limits.interval))
+    }
+
+    fn apply_rate_hint(&mut self, service: &ServiceName, hint: Option<RateHint>, now: BootTime) {
+        if hint.is_none() && !self.rate_limits.contains_key(service) {
+            return;
+        }
+        let limits = self.rate_limits.entry(service.clone()).or_default();
+        limits
+            .shares
+            .add(hint.map_or(AdmittedShares::ALL, |hint| hint.shares), now);
+        if let Some(hint) = hint {
+            limits.interval = hint.interval;
+        } else if limits.shares.at(now).is_all() {
+            self.rate_limits.remove(service);
+        }
+    }
+
     /// Returns how the latest request was admitted that the local target runs and that is not a call.
     ///
     /// A call does not name the run that it belongs to, so it counts with that of the latest run.
--- a/crates/anvilrack-core/src/lib.rs
+++ b/crates/anvilrack-core/src/lib.rs
@@ -35,6 +35,7 @@
 mod owner_state;
 mod placement_decision;
 mod placement_policy;
+mod rate_limiter;
 mod record_delta;
 mod request_identity;
 mod request_verdict;
@@ -67,7 +68,7 @@
     CrashId, CrashObservation, CrashQuarantine, CrashReport, RequestFingerprint,
 };
 pub use demand_meter::{DemandMeter, OfferedRequest};
-pub use entry_admission::{AdmissionHint, EntryAdmission, RunAdmission};
+pub use entry_admission::{AdmissionHint, EntryAdmission, RateHint, RunAdmission};
 pub use event_catalogue::{EVENT_CATALOGUE, LogEvent, events};
 pub use fair_share::FairShare;
 pub use ids::{
@@ -84,6 +85,7 @@
     PlacementDecision, PlacementHistory, PlacementReason, placement_decisions,
 };
 pub use placement_policy::{PlacementPolicy, PlacementView};
+pub use rate_limiter::{RateLimiter, RequestRate};
 pub use record_delta::{RecordDelta, RecordStamp};
 pub use request_identity::{fingerprint_of, first_sent_at};
 pub use request_verdict::{RefusalReason, RequestVerdict, TargetAnswer, UncertainReason};
--- a/crates/anvilrack-core/src/request_verdict.rs
+++ b/crates/anvilrack-core/src/request_verdict.rs
@@ -110,6 +110,8 @@
     SuspectRunning,
     /// The target's router has just started and does not know yet which requests crash targets.
     Starting,
+    /// The target names a limit on its rate of requests, which is reached.
+    RateLimited,
 }
 
 impl RefusalReason {
@@ -136,6 +138,7 @@
             Self::OutdatedRoute => "outdated-route",
             Self::SuspectRunning => "suspect-running",
             Self::Starting => "starting",
+            Self::RateLimited => "rate-limited",
         }
     }
 
--- a/crates/anvilrack-core/src/target_selector.rs
+++ b/crates/anvilrack-core/src/target_selector.rs
@@ -36,6 +36,10 @@
 /// chosen while they can take all.
 const OVERLOAD_FACTOR: u128 = 4;
 
+/// Factor of the cost of a target that gets more requests than it takes, so that all others are chosen
+/// before.
+const RATE_LIMIT_FACTOR: u128 = 32;
+
 /// Time over which the share of a newly added target rises to its full share.
 const SLOW_START_DURATION: Duration = Duration::from_secs(10);
 
@@ -99,6 +103,8 @@
     pub slots: u32,
     /// Whether the target refuses a share of new requests.
     pub overloaded: bool,
+    /// Whether more requests arrive than the rate that the target takes.
+    pub rate_limited: bool,
 }
 
 /// Distance between a target and the router that chooses.
@@ -196,6 +202,17 @@
         Some(self.targets[chosen].node.clone())
     }
 
+    /// Returns whether more requests arrive at every target than the rate that it takes, as far as recent
+    /// load reports tell.
+    #[must_use]
+    pub fn all_rate_limited(&self, now: BootTime) -> bool {
+        let is_limited = |target: &TargetStats| {
+            let load = target.load.filter(|(_, at)| now < *at + LOAD_TTL);
+            load.is_some_and(|(load, _)| load.rate_limited)
+        };
+        !self.targets.is_empty() && self.targets.iter().all(is_limited)
+    }
+
     /// Returns the number of targets.
     #[must_use]
     pub fn target_count(&self) -> usize {
@@ -383,7 +400,13 @@
             Some((load, _)) if load.slots > 0 => {
                 let used = 100 * u128::from(load.busy.max(self.in_flight) + 1);
                 let threshold = u128::from(load.slots) * BUSY_THRESHOLD_PERCENT;
-                let overload = if load.overloaded { OVERLOAD_FACTOR } else { 1 };
+                let overload = if load.rate_limited {
+                    RATE_LIMIT_FACTOR
+                } else if load.overloaded {
+                    OVERLOAD_FACTOR
+                } else {
+                    1
+                };
                 latency * overload * used.max(threshold) / threshold
             }
             _ => latency * (u128::from(self.in_flight) + 1),
--- a/crates/anvilrack-core/tests/demand_meter.rs
+++ b/crates/anvilrack-core/tests/demand_meter.rs
@@ -112,3 +112,30 @@
     record(&mut meter, &[calls, load(1, 10, 100)], ms(0), ms(1_000));
     assert!((45..=55).contains(&meter.call_share_percent(ms(1_000))));
 }
+
+/// A limit on the number of requests holds however short they are.
+#[test]
+fn rate_shares_depend_on_the_number_of_requests() {
+    let mut meter = DemandMeter::default();
+    record(&mut meter, &[load(1, 100, 1)], ms(0), ms(1_000));
+    assert!(meter.shares(SLOTS, ms(1_000)).is_all());
+    assert!(meter.rate_shares(120.0, ms(1_000)).is_all());
+    let share = meter.rate_shares(25.0, ms(1_000)).share(1);
+    assert!((230..=270).contains(&share), "{share}");
+    let smallest = meter.rate_shares(0.0, ms(1_000)).share(1);
+    assert!(smallest > 0, "no request would tell that the limit is gone");
+    assert!(meter.rate_shares(1e9, ms(1_000)).is_all());
+}
+
+#[test]
+fn urgent_requests_get_the_larger_share_of_a_limited_rate() {
+    let mut meter = DemandMeter::default();
+    record(
+        &mut meter,
+        &[load(0, 50, 1), load(3, 50, 1)],
+        ms(0),
+        ms(1_000),
+    );
+    let shares = meter.rate_shares(60.0, ms(1_000));
+    assert!(shares.share(0) > 950 && shares.share(3) < 300, "{shares:?}");
+}
--- a/crates/anvilrack-core/tests/entry_admission.rs
+++ b/crates/anvilrack-core/tests/entry_admission.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use anvilrack_core::{
-    AdmissionHint, AdmittedShares, BootTime, EntryAdmission, NodeId, RunAdmission, ServiceName,
-    WHOLE_SHARE,
+    AdmissionHint, AdmittedShares, BootTime, EntryAdmission, NodeId, RateHint, RunAdmission,
+    ServiceName, WHOLE_SHARE,
 };
 
 const PRIORITY: u8 = 1;
@@ -120,3 +120,36 @@
     let below_half = draws.filter(|draw| *draw < 500).count();
     assert!((4_800..=5_200).contains(&below_half), "{below_half}");
 }
+
+#[test]
+fn rate_limits_are_known_while_replies_name_them() {
+    let mut admission = EntryAdmission::default();
+    let now = ms(1_020);
+    assert_eq!(admission.rate_limits("bookings", now), None);
+    let limited = AdmissionHint {
+        rate: Some(RateHint {
+            shares: half(),
+            interval: ms(125),
+        }),
+        ..AdmissionHint::default()
+    };
+    apply(&mut admission, "router-1", "join", &limited);
+    let (shares, interval) = admission.rate_limits("bookings", now).unwrap();
+    assert!((500..=600).contains(&shares.share(PRIORITY)), "{shares:?}");
+    assert_eq!(interval, ms(125));
+    // The slots themselves are free.
+    assert!(admission.shares("bookings", None, now).is_all());
+    apply(
+        &mut admission,
+        "router-1",
+        "join",
+        &AdmissionHint::default(),
+    );
+    apply(
+        &mut admission,
+        "router-1",
+        "join",
+        &AdmissionHint::default(),
+    );
+    assert_eq!(admission.rate_limits("bookings", now), None);
+}
--- a/crates/anvilrack-core/tests/subsequent_overload.rs
+++ b/crates/anvilrack-core/tests/subsequent_overload.rs
@@ -99,6 +99,7 @@
             own: limited(self.meter.shares(SLOTS, now)),
             called: limited(self.calls.called_shares(now)),
             is_call,
+            ..AdmissionHint::default()
         }
     }
 }
--- a/crates/anvilrack-core/tests/target_selector.rs
+++ b/crates/anvilrack-core/tests/target_selector.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use anvilrack_core::{BootTime, CellMember, HealthOutcome, TargetSelector};
+use anvilrack_core::{BootTime, CellMember, HealthOutcome, TargetLoad, TargetSelector};
 
 const LOCATIONS: [(&str, &str); 6] = [
     ("norte", "norte-a"),
@@ -177,3 +177,44 @@
     }
     assert!(remote < 100, "{remote} of 2000 went to other regions");
 }
+
+/// Targets that had named a limit on their rate of requests got as many as the others.
+#[test]
+fn rate_limited_target_is_chosen_only_if_all_are() {
+    let members: Vec<CellMember> = (0..6).map(member).collect();
+    let mut selector = TargetSelector::default();
+    selector.set_members(&members[0], members.iter(), BootTime::ZERO);
+    let now = BootTime::from_secs(1);
+    let limited = TargetLoad {
+        busy: 1,
+        slots: 8,
+        overloaded: false,
+        rate_limited: true,
+    };
+    let free = TargetLoad {
+        rate_limited: false,
+        ..limited
+    };
+    for member in &members {
+        selector.set_load(&member.node, free, now);
+    }
+    // The router's own target, and the nearest one.
+    selector.set_load(&members[0].node, limited, now);
+    let mut draws = DrawSource(7);
+    for _ in 0..1_000 {
+        let node = selector.choose(std::array::from_fn(|_| draws.draw()), now);
+        assert_ne!(node.unwrap(), members[0].node);
+    }
+    assert!(!selector.all_rate_limited(now));
+    for member in &members {
+        selector.set_load(&member.node, limited, now);
+    }
+    assert!(selector.all_rate_limited(now));
+    assert!(
+        selector
+            .choose(std::array::from_fn(|_| draws.draw()), now)
+            .is_some()
+    );
+    // Without news, the limits may be gone.
+    assert!(!selector.all_rate_limited(now + Duration::from_secs(1)));
+}
--- a/crates/anvilrack-node/src/guard/target_gateway.rs
+++ b/crates/anvilrack-node/src/guard/target_gateway.rs
@@ -6,9 +6,9 @@
 
 use anvilrack_core::{
     AdmissionHint, AdmissionQueue, AdmissionRequest, AdmissionStep, AdmittedShares, BootTime,
-    CallRoutes, DemandMeter, LatencyLimit, OfferedRequest, RefusalReason, RequestClass,
-    RequestFingerprint, RunAdmission, ServiceTimeMeter, ShardId, ShardMeter, TargetLoad, TicketId,
-    UncertainReason, events,
+    CallRoutes, DemandMeter, LatencyLimit, OfferedRequest, RateHint, RateLimiter, RefusalReason,
+    RequestClass, RequestFingerprint, RunAdmission, ServiceTimeMeter, ShardId, ShardMeter,
+    TargetLoad, TicketId, UncertainReason, events,
 };
 use anvilrack_router::boot_clock;
 use bytes::Bytes;
@@ -80,7 +80,7 @@
     capacity: Mutex<BodyCapacity>,
     meter: Mutex<ShardMeter>,
     service_time: Mutex<ServiceTimeMeter>,
-    rate_limit: Mutex<RateLimitNotice>,
+    rate_limiter: Mutex<RateLimiter>,
 }
 
 /// A position in the admission queue or a slot at the target; dropping it releases it.
@@ -130,7 +130,7 @@
             capacity: Mutex::new(BodyCapacity::new(link_mbps)),
             meter: Mutex::default(),
             service_time: Mutex::default(),
-            rate_limit: Mutex::default(),
+            rate_limiter: Mutex::default(),
         }
     }
 
@@ -250,6 +250,7 @@
         if effect == NotificationEffect::NewIncarnation {
             self.pool.clear();
             *lock(&self.service_time) = ServiceTimeMeter::default();
+            *lock(&self.rate_limiter) = RateLimiter::default();
         }
         effect
     }
@@ -264,12 +265,14 @@
     /// Returns the load of the target as reported to other routers.
     #[must_use]
     pub fn target_load(&self) -> TargetLoad {
+        let now = boot_clock::now();
         let (running, waiting) = self.load();
         let expected = lock(&self.capacity).in_transit();
         TargetLoad {
             busy: u32::try_from(running + waiting + expected).unwrap_or(u32::MAX),
             slots: self.current_incarnation().map_or(0, |target| target.slots),
-            overloaded: !self.admitted_shares(boot_clock::now()).is_all(),
+            overloaded: !self.admitted_shares(now).is_all(),
+            rate_limited: self.rate_hint(now).is_some(),
         }
     }
 
@@ -289,13 +292,27 @@
     ) -> AdmissionHint {
         let now = boot_clock::now();
         let limited = |shares: AdmittedShares| (!shares.is_all()).then_some(shares);
+        let rate = self.rate_hint(now);
+        // Requests with a key have no other target.
+        let rate_shares = rate.filter(|_| node.is_divided_by_key(&node.settings.service));
+        let rate_shares = rate_shares.map_or(AdmittedShares::ALL, |hint| hint.shares);
         AdmissionHint {
-            own: limited(self.admitted_shares(now)),
+            own: limited(self.admitted_shares(now).min(rate_shares)),
             called: limited(node.entry_admission().called_shares(now)),
+            rate,
             is_call: lock(&self.call_routes).is_call(route),
         }
     }
 
+    /// Returns the shares of requests that the target takes; `None` if it names no limit on its rate, or
+    /// if the limit is not reached.
+    fn rate_hint(&self, now: BootTime) -> Option<RateHint> {
+        let rate = lock(&self.rate_limiter).rate()?;
+        let shares = lock(&self.demand).rate_shares(rate, now);
+        let interval = Duration::from_secs_f64(1.0 / rate);
+        (!shares.is_all()).then_some(RateHint { shares, interval })
+    }
+
     /// Returns the load of each shard as reported to the coordinator.
     #[must_use]
     pub fn shard_loads(&self) -> Vec<anvilrack_core::ShardLoad> {
@@ -332,6 +349,10 @@
         let now = boot_clock::now();
         let RunAdmission { priority, admitted } = call.admission;
         self.record_demand(call, is_call, now);
+        let rate_limited = |after| (RefusalReason::RateLimited, after);
+        lock(&self.rate_limiter)
+            .check(is_call, now)
+            .map_err(rate_limited)?;
         let called_shares = node.entry_admission().called_shares(now);
         if !is_call && !called_shares.admits_again(priority, AdmittedShares::draw(&call.request)) {
             return Err((RefusalReason::CalledServiceOverloaded, OVERLOAD_RETRY_AFTER));
@@ -360,6 +381,9 @@
                     slot.suspect_turn = turn;
                     // Ownership or the target's state may have changed while the request waited.
                     let target = self.check_may_run(node, call, content)?;
+                    lock(&self.rate_limiter)
+                        .take(is_call, boot_clock::now())
+                        .map_err(rate_limited)?;
                     if !is_call {
                         node.entry_admission().on_run(RunAdmission {
                             priority,
@@ -605,15 +629,26 @@
 
     /// Applies what a response says about the state of the target.
     fn apply_condition(&self, condition: &TargetCondition, target: &TargetIncarnation) {
-        let mut latest = lock(&self.rate_limit);
-        if *latest != condition.rate_limit {
+        let named = match condition.rate_limit {
+            RateLimitNotice::Unlimited => None,
+            RateLimitNotice::Limited(rate) => Some(rate),
+            RateLimitNotice::Invalid => {
+                emit_event!(Warn, events::TARGET_LIMIT_INVALID, target = &*target.id);
+                return;
+            }
+        };
+        let rate = {
+            let mut limiter = lock(&self.rate_limiter);
+            let changed = limiter.on_response(named, boot_clock::now());
+            changed.then(|| limiter.rate())
+        };
+        if let Some(rate) = rate {
             emit_event!(
                 Info,
                 events::TARGET_LIMIT,
                 target = &*target.id,
-                limit = format!("{:?}", condition.rate_limit)
+                limit = rate
             );
-            *latest = condition.rate_limit;
         }
     }
 
--- a/crates/anvilrack-node/src/routing/forward.rs
+++ b/crates/anvilrack-node/src/routing/forward.rs
@@ -181,10 +181,10 @@
         let Some((router, address)) = self.find_router() else {
             return self.await_router().await;
         };
-        if !self.is_admitted(&router) {
+        if let Err(reason) = self.check_admission(&router) {
             let labels = format!("service=\"{}\"", self.request.service);
             self.node.metrics.count("refused_at_entry", labels);
-            return self.refuse(RefusalReason::Overloaded, overload_retry_after());
+            return self.refuse(reason, self.overload_retry_after());
         }
         self.routers_tried += 1;
         self.last_router = Some(router.clone());
@@ -208,11 +208,45 @@
         }
     }
 
-    /// Returns whether the services that the request needs can take it, as far as this router knows.
-    fn is_admitted(&self, router: &NodeId) -> bool {
+    /// Checks whether the services that the request needs can take it, as far as this router knows.
+    fn check_admission(&self, router: &NodeId) -> Result<(), RefusalReason> {
         let draw = AdmittedShares::draw(&self.request.request);
         let priority = self.request.route.priority;
-        self.is_call || self.admitted_shares(router).admits(priority, draw)
+        if self.is_call {
+            return Ok(());
+        }
+        if !self.admitted_shares(router).admits(priority, draw) {
+            return Err(RefusalReason::Overloaded);
+        }
+        let rate_shares = self.rate_shares();
+        if !rate_shares.admits(priority, draw) {
+            return Err(RefusalReason::RateLimited);
+        }
+        Ok(())
+    }
+
+    /// Returns the shares of requests that the targets of the service take if all of them limit their rate.
+    fn rate_shares(&self) -> AdmittedShares {
+        let (service, now) = (&self.request.service, boot_clock::now());
+        let all_limited = {
+            let choices = self.node.target_choices();
+            let selector = choices.get(service);
+            self.shard.is_none() && selector.is_some_and(|selector| selector.all_rate_limited(now))
+        };
+        let limits = self.node.entry_admission().rate_limits(service, now);
+        limits
+            .filter(|_| all_limited)
+            .map_or(AdmittedShares::ALL, |(shares, _)| shares)
+    }
+
+    /// Returns the time after which a request that was refused by share may return, spread so that not
+    /// all return at once.
+    fn overload_retry_after(&self) -> Duration {
+        let (service, now) = (&self.request.service, boot_clock::now());
+        let limits = self.node.entry_admission().rate_limits(service, now);
+        let interval = limits.map_or(Duration::ZERO, |(_, interval)| interval);
+        let mean = OVERLOAD_RETRY_AFTER.max(interval);
+        mean.mul_f64(0.5 + rand::random::<f64>())
     }
 
     /// Returns the shares of requests like this one that are admitted now.
@@ -301,6 +335,11 @@
                 .unless_cancelled(within(timeout, execution), cancel)
                 .await;
             let gateway = &self.node.gateway;
+            // Otherwise this router's own requests tell enough about the local target.
+            let load = gateway.target_load();
+            if load.rate_limited {
+                self.record_load(router, load);
+            }
             self.apply_hint(
                 router,
                 &gateway.admission_hint(self.node, &self.request.route.name),
@@ -489,6 +528,7 @@
             || unreachable
             || reason == RefusalReason::Overloaded
             || reason == RefusalReason::SuspectRunning
+            || reason == RefusalReason::RateLimited
             || reason == RefusalReason::DeadlineTooShort;
         let overloaded = matches!(
             reason,
@@ -566,12 +606,6 @@
     }
 }
 
-/// Returns the time after which a request that was refused by share may return, spread so that not all
-/// return at once.
-fn overload_retry_after() -> Duration {
-    OVERLOAD_RETRY_AFTER.mul_f64(0.5 + rand::random::<f64>())
-}
-
 /// The reply for a request that has not started anywhere and never will.
 fn not_started(reason: RefusalReason) -> RunReply {
     RunReply::NotRun {
