Send nothing more to a target that says in its responses that it is leaving

What callers saw: a target that announces its end only in its responses got requests until it was gone, and those that it was still running then were lost.

Cause: only notifications of a target were read, not its responses.

Change: a response that says so counts like a notification: the target's router takes no more requests without a key, hands the keys over and tells the others. Each router also remembers the incarnations that said so in responses which it passed on, and selects them no more, since the target's own router may restart and then knows only notifications.

--- a/crates/anvilrack-core/src/entry_admission.rs
+++ b/crates/anvilrack-core/src/entry_admission.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::admitted_shares::WHOLE_SHARE;
-use crate::{AdmittedShares, BootTime, NodeId, ServiceName, ShareMilli};
+use crate::{AdmittedShares, BootTime, Incarnation, NodeId, ServiceName, ShareMilli};
 
 /// Divisor for the weight of the newest shares in a moving average.
 const AVERAGE_WEIGHT_DIVISOR: i32 = 6;
@@ -54,6 +54,8 @@
     pub rate: Option<RateHint>,
     /// Whether the request was a call of a target.
     pub is_call: bool,
+    /// The target's incarnation if it says that it is leaving.
+    pub leaving: Option<Incarnation>,
 }
 
 /// The part of the demand that a target takes which limits its rate of requests.
--- a/crates/anvilrack-node/src/guard/target_gateway.rs
+++ b/crates/anvilrack-node/src/guard/target_gateway.rs
@@ -301,6 +301,7 @@
             called: limited(node.entry_admission().called_shares(now)),
             rate,
             is_call: lock(&self.call_routes).is_call(route),
+            leaving: lock(&self.incarnations).said_leaving(),
         }
     }
 
@@ -567,7 +568,7 @@
         let info = node
             .dialect
             .read_response_info(parts.status, &parts.headers);
-        self.apply_condition(&info.condition, target);
+        self.apply_condition(node, &info.condition, target);
         if let Some(reply) = target_refusal(&info, parts.status) {
             if info.other_target.is_some() && shard.is_none() {
                 log::warn!("a different target responded at {}", self.pool.address());
@@ -628,7 +629,18 @@
     }
 
     /// Applies what a response says about the state of the target.
-    fn apply_condition(&self, condition: &TargetCondition, target: &TargetIncarnation) {
+    fn apply_condition<D: PlatformDialect>(
+        &self,
+        node: &NodeState<D>,
+        condition: &TargetCondition,
+        target: &TargetIncarnation,
+    ) {
+        if condition.leaving {
+            let now = boot_clock::now();
+            if lock(&self.incarnations).say_leaving(target.incarnation, now) {
+                node.leaving_said.notify_one();
+            }
+        }
         let named = match condition.rate_limit {
             RateLimitNotice::Unlimited => None,
             RateLimitNotice::Limited(rate) => Some(rate),
--- a/crates/anvilrack-node/src/guard/target_incarnation.rs
+++ b/crates/anvilrack-node/src/guard/target_incarnation.rs
@@ -98,6 +98,7 @@
 pub struct IncarnationTracker {
     current: Option<TargetIncarnation>,
     last_incarnation: Incarnation,
+    said_leaving: Option<Incarnation>,
 }
 
 impl IncarnationTracker {
@@ -149,6 +150,29 @@
         std::mem::replace(&mut current.state, IncarnationState::Gone) != IncarnationState::Gone
     }
 
+    /// Applies a response that says that an incarnation is leaving.
+    ///
+    /// Returns false if this is known, or if the incarnation is not the latest one.
+    pub fn say_leaving(&mut self, incarnation: Incarnation, now: BootTime) -> bool {
+        let current = self.current.as_mut();
+        let Some(current) = current.filter(|current| current.incarnation == incarnation) else {
+            return false;
+        };
+        self.said_leaving = Some(incarnation);
+        let was_serving = current.state == IncarnationState::Serving;
+        if was_serving {
+            current.state = IncarnationState::Leaving(now);
+        }
+        was_serving
+    }
+
+    /// Returns the latest incarnation if it says in its responses that it is leaving.
+    #[must_use]
+    pub fn said_leaving(&self) -> Option<Incarnation> {
+        let current = self.current.as_ref()?.incarnation;
+        self.said_leaving.filter(|said| *said == current)
+    }
+
     fn apply_leaving(
         &mut self,
         notification: &TargetNotification,
--- a/crates/anvilrack-node/src/node_process.rs
+++ b/crates/anvilrack-node/src/node_process.rs
@@ -103,6 +103,7 @@
     tokio::spawn(expire_entries(node.clone()));
     tokio::spawn(run_member(node.clone()));
     tokio::spawn(maintain_grants(node.clone()));
+    tokio::spawn(follow_leaving_target(node.clone()));
     tokio::spawn(report_crashes(node.clone()));
     tokio::spawn(exchange_crashes(node.clone()));
     loop {
@@ -175,6 +176,14 @@
         .wrap_err_with(|| format!("cannot listen on {address}"))
 }
 
+/// Hands the target's keys over once it has said in a response that it is leaving.
+async fn follow_leaving_target<D: PlatformDialect>(node: Arc<NodeState<D>>) {
+    loop {
+        node.leaving_said.notified().await;
+        node.on_target_leaving();
+    }
+}
+
 async fn expire_entries<D: PlatformDialect>(node: Arc<NodeState<D>>) {
     loop {
         sleep(EXPIRE_INTERVAL).await;
--- a/crates/anvilrack-node/src/node_shared/cell_records.rs
+++ b/crates/anvilrack-node/src/node_shared/cell_records.rs
@@ -162,6 +162,12 @@
         let cell = self.cell(service)?;
         let owner = cell.owner(shard)?;
         let member = cell.member(&owner.node)?;
+        let leaving_for = self.leaving_for(&member.node, member.incarnation);
+        let drain = self.settings.terms.drain;
+        // Until its keys have moved to other targets, only this target can serve them.
+        if leaving_for.is_some_and(|time| time >= drain / 2) {
+            return None;
+        }
         Some((member.node.clone(), member.peer_address))
     }
 
--- a/crates/anvilrack-node/src/node_shared/mod.rs
+++ b/crates/anvilrack-node/src/node_shared/mod.rs
@@ -1,6 +1,7 @@
 //! State shared by the parts of a router process.
 
 mod cell_records;
+mod leaving_targets;
 mod router_directory;
 
 use std::collections::{BTreeSet, HashMap};
@@ -15,6 +16,8 @@
 use anvilrack_router::boot_clock;
 use tokio::sync::{Notify, watch};
 
+use leaving_targets::LeavingTargets;
+
 use crate::directory::{DirectoryEntry, DirectoryView, ReaderMonitor, SiteArchive, SiteTracker};
 use crate::guard::{CrashMonitor, TargetGateway};
 use crate::mutex_lock::lock;
@@ -64,6 +67,8 @@
     pub grant_updates: Notify,
     /// Notified when this router's directory entry may have changed.
     pub entry_updates: Notify,
+    /// Notified when the local target has said in a response that it is leaving.
+    pub leaving_said: Notify,
     /// Notified when a cell's record or the directory has changed.
     pub route_updates: Notify,
     stopping: AtomicBool,
@@ -87,6 +92,7 @@
     report_count: AtomicU64,
     store_seen_at: Mutex<BootTime>,
     target_choices: Mutex<HashMap<ServiceName, TargetSelector>>,
+    leaving_targets: Mutex<LeavingTargets>,
     entry_admission: Mutex<EntryAdmission>,
     budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
     refresh_times: Mutex<HashMap<ServiceName, RefreshTimes>>,
@@ -119,6 +125,7 @@
             coordinator_updates: Notify::new(),
             grant_updates: Notify::new(),
             entry_updates: Notify::new(),
+            leaving_said: Notify::new(),
             route_updates: Notify::new(),
             stopping: AtomicBool::new(false),
             closing: watch::Sender::new(false),
@@ -139,6 +146,7 @@
             report_count: AtomicU64::new(0),
             store_seen_at: Mutex::default(),
             target_choices: Mutex::default(),
+            leaving_targets: Mutex::default(),
             entry_admission: Mutex::default(),
             budgets: Mutex::default(),
             refresh_times: Mutex::default(),
--- a/crates/anvilrack-node/src/node_shared/router_directory.rs
+++ b/crates/anvilrack-node/src/node_shared/router_directory.rs
@@ -207,7 +207,10 @@
             let others = directory.of_service(service);
             let own = (own.service == *service).then_some(&own);
             let ready = others.chain(own).filter(|entry| entry.is_ready());
-            ready.map(DirectoryEntry::as_member).collect()
+            let members = ready.map(DirectoryEntry::as_member);
+            members
+                .filter(|member| self.leaving_for(&member.node, member.incarnation).is_none())
+                .collect()
         };
         let mut selectors = self.target_choices();
         let selector = selectors.entry(service.clone()).or_default();
--- a/crates/anvilrack-node/src/routing/forward.rs
+++ b/crates/anvilrack-node/src/routing/forward.rs
@@ -442,6 +442,10 @@
     fn apply_hint(&self, router: &NodeId, hint: &AdmissionHint) {
         let request = self.request;
         let now = boot_clock::now();
+        if let Some(incarnation) = hint.leaving {
+            let service = &request.service;
+            self.node.on_leaving_said(service, router, incarnation);
+        }
         let mut admission = self.node.entry_admission();
         admission.apply_hint(&request.service, &request.route.name, router, hint, now);
     }
--- a/crates/anvilrack-node/tests/target_incarnations.rs
+++ b/crates/anvilrack-node/tests/target_incarnations.rs
@@ -144,3 +144,24 @@
             .is_some_and(|current| current.incarnation > 5_000)
     );
 }
+
+/// A target that said only in its responses that it was leaving was sent requests to the end.
+#[test]
+fn response_that_says_leaving_stops_new_requests() {
+    let mut incarnations = IncarnationTracker::default();
+    incarnations.apply(&alive("a", 10, 1), SERVICE, at(0));
+    assert_eq!(incarnations.said_leaving(), None);
+    assert!(
+        !incarnations.say_leaving(9, at(500)),
+        "an earlier incarnation"
+    );
+    assert!(incarnations.say_leaving(10, at(500)));
+    assert!(!incarnations.say_leaving(10, at(700)), "known already");
+    // The notifications still say that it is ready.
+    incarnations.apply(&alive("a", 10, 2), SERVICE, at(900));
+    let state = incarnations.current().map(|current| current.state);
+    assert_eq!(state, Some(IncarnationState::Leaving(at(500))));
+    assert_eq!(incarnations.said_leaving(), Some(10));
+    incarnations.apply(&alive("b", 20, 1), SERVICE, at(1_000));
+    assert_eq!(incarnations.said_leaving(), None);
+}
