Apply no limit or end that another target at the address names

Cause: a response with status 421, or with the id of another target, comes from a process that has taken the address over; what it says about itself would have counted for the former target until the next notification. Found by reading.

Change: the condition in such responses is left out. RateLimitNotice uses the alias of the core for rates.

--- a/crates/anvilrack-node/src/guard/target_gateway.rs
+++ b/crates/anvilrack-node/src/guard/target_gateway.rs
@@ -568,7 +568,11 @@
         let info = node
             .dialect
             .read_response_info(parts.status, &parts.headers);
-        self.apply_condition(node, &info.condition, target);
+        let by_other_target =
+            info.other_target.is_some() || parts.status == StatusCode::MISDIRECTED_REQUEST;
+        if !by_other_target {
+            self.apply_condition(node, &info.condition, target);
+        }
         if let Some(reply) = target_refusal(&info, parts.status) {
             if info.other_target.is_some() && shard.is_none() {
                 log::warn!("a different target responded at {}", self.pool.address());
--- a/crates/anvilrack-node/src/node_shared/leaving_targets.rs
+++ b/crates/anvilrack-node/src/node_shared/leaving_targets.rs
@@ -40,8 +40,10 @@
                 self.targets.remove(&oldest);
             }
         }
-        let since = now;
-        let target = LeavingTarget { incarnation, since };
+        let target = LeavingTarget {
+            incarnation,
+            since: now,
+        };
         self.targets.insert(router.clone(), target);
         true
     }
--- a/crates/anvilrack-node/src/platform_dialect.rs
+++ b/crates/anvilrack-node/src/platform_dialect.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anvilrack_core::{FencingToken, ServiceName, SiteRoutes};
+use anvilrack_core::{FencingToken, RequestRate, ServiceName, SiteRoutes};
 use bytes::Bytes;
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use thiserror::Error;
@@ -133,7 +133,7 @@
     #[default]
     Unlimited,
     /// Maximum number of requests a second, from all routers together; zero or more.
-    Limited(f64),
+    Limited(RequestRate),
     /// The target names a limit that is not a decimal number.
     Invalid,
 }
