Ask routers that have opened a link for crash reports when a router joins

Cause: a router that starts asked only routers in its directory, which it gets from the store or a reader; while the store is away it found none within a second and then served without knowing what crashes targets. Found by reading.

Change: routers that have opened a link to it are asked as well, and it waits for two seconds at most.

--- a/crates/anvilrack-node/src/guard/crash_monitor.rs
+++ b/crates/anvilrack-node/src/guard/crash_monitor.rs
@@ -34,7 +34,7 @@
 
 /// Maximum time after its start for which a router that has not reached another one sends no requests to
 /// its target.
-const MAX_JOIN_TIME: Duration = Duration::from_secs(1);
+const MAX_JOIN_TIME: Duration = Duration::from_secs(2);
 
 /// Timeout of a call that exchanges crash reports.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(400);
@@ -225,7 +225,9 @@
         if joined && monitor.quarantine().is_empty() {
             continue;
         }
-        let Some(router) = node.peer_addresses().choose(&mut rand::rng()).copied() else {
+        // Without the store, routers that have opened a link to this one are known first.
+        let routers = node.known_router_addresses();
+        let Some(router) = routers.choose(&mut rand::rng()).copied() else {
             continue;
         };
         if let Err(error) = exchange_with(&node, router).await {
