Keep the crashes of quarantined requests in the store, so that a loss of all routers does not forget them

What callers saw: after each loss of all routers, a request that crashes targets was admitted at two more of them.

Cause: CrashMonitor kept its observations in the memory of the routers alone, and a router that starts took the reply of any other as complete, also of one that had started in the same second.

Change: the crashes of quarantined requests are one value in the store, written by compare-and-swap by the router that detects them. A router that starts reads it before it sends anything to its target, and takes a router's reply as complete only if that router knows the crashes from before its own start.

--- a/crates/anvilrack-core/src/crash_quarantine.rs
+++ b/crates/anvilrack-core/src/crash_quarantine.rs
@@ -32,7 +32,7 @@
 /// Maximum number of crash observations kept; disproved ones are removed first, then the oldest.
 const MAX_OBSERVATIONS: usize = 1_024;
 
-/// Maximum number of crash observations sent in one heartbeat.
+/// Maximum number of crash observations in one message, or in the store.
 const MAX_REPORTED_OBSERVATIONS: usize = 128;
 
 /// Observation that a request was running at a target when that target crashed.
@@ -75,6 +75,8 @@
 struct ObservedCrash {
     at: BootTime,
     disproved: bool,
+    /// Whether this router has detected the crash itself.
+    detected_here: bool,
 }
 
 impl CrashQuarantine {
@@ -108,6 +110,7 @@
         let observed = ObservedCrash {
             at: now,
             disproved: false,
+            detected_here: true,
         };
         self.observations.insert((request, crash), observed);
         self.remove_excess();
@@ -166,12 +169,28 @@
                 marks: Vec::new(),
             };
         }
-        let mut marks: Vec<_> = self.all_observations(now).collect();
-        marks.sort_by_key(|observation| observation.age);
-        marks.truncate(MAX_REPORTED_OBSERVATIONS);
+        let marks = newest(self.all_observations(now));
         CrashReport { digest, marks }
     }
 
+    /// Returns the newest crashes of the requests that have reached the threshold of the quarantine.
+    #[must_use]
+    pub fn quarantined_crashes(&self, now: BootTime) -> Vec<CrashObservation> {
+        newest(self.quarantined_observations(now))
+    }
+
+    /// Returns the crashes of [`Self::quarantined_crashes`] that this router has detected itself.
+    #[must_use]
+    pub fn detected_quarantined_crashes(&self, now: BootTime) -> Vec<CrashObservation> {
+        let detected = self.quarantined_observations(now).filter(|observation| {
+            let observed = self
+                .observations
+                .get(&(observation.request, observation.crash));
+            observed.is_some_and(|observed| observed.detected_here)
+        });
+        newest(detected)
+    }
+
     /// Returns the report of crashes that are at most `max_age` old.
     #[must_use]
     pub fn recent_report(&self, max_age: Duration, now: BootTime) -> CrashReport {
@@ -192,6 +211,7 @@
                 .or_insert(ObservedCrash {
                     at,
                     disproved: false,
+                    detected_here: false,
                 });
             known.disproved |= observation.disproved;
         }
@@ -226,6 +246,16 @@
             })
     }
 
+    fn quarantined_observations(
+        &self,
+        now: BootTime,
+    ) -> impl Iterator<Item = CrashObservation> + '_ {
+        self.all_observations(now).filter(|observation| {
+            let count = self.crash_times(observation.request).count();
+            !observation.disproved && count >= QUARANTINE_THRESHOLD
+        })
+    }
+
     /// Returns the times of the crashes at which the request was running, without the disproved ones.
     fn crash_times(&self, request: RequestFingerprint) -> impl Iterator<Item = BootTime> + '_ {
         let crashes = self.observations.range(all_crashes(request));
@@ -275,6 +305,14 @@
     }
 }
 
+/// Returns the newest observations, as many as one message holds.
+fn newest(observations: impl Iterator<Item = CrashObservation>) -> Vec<CrashObservation> {
+    let mut observations: Vec<_> = observations.collect();
+    observations.sort_by_key(|observation| observation.age);
+    observations.truncate(MAX_REPORTED_OBSERVATIONS);
+    observations
+}
+
 /// Returns the keys of all observations of a request.
 fn all_crashes(request: RequestFingerprint) -> RangeInclusive<(RequestFingerprint, CrashId)> {
     (request, CrashId::MIN)..=(request, CrashId::MAX)
--- a/crates/anvilrack-core/src/event_catalogue.rs
+++ b/crates/anvilrack-core/src/event_catalogue.rs
@@ -83,6 +83,8 @@
     RECORD_FULL = 2204, "record.full", "The at-most-once record is full; new non-idempotent requests are refused.";
     CRASH_SUSPECTED = 2205, "crash.suspected", "A target crashed while processing this request; reports a fingerprint of the request's content, and the number of crashes during which the request was running.";
     REQUEST_QUARANTINED = 2206, "request.quarantined", "A request that was running during two crashes is not sent to targets for now; reports the fingerprint of its content and the remaining quarantine.";
+    QUARANTINE_STORED = 2207, "quarantine.stored", "The crashes of quarantined requests were written to the store; reports how many are there now.";
+    QUARANTINE_READ = 2208, "quarantine.read", "A router that starts has read crashes of quarantined requests from the store; reports how many.";
     ADMISSION_REFUSED = 2301, "admission.refused", "A target has no capacity for a request; reports the reason, the class and the numbers of running and waiting requests.";
     ENTRY_REFUSED = 2302, "entry.refused", "A service or a caller already uses its share of the router's workers.";
     TARGET_SUSPECTED = 2303, "target.suspected", "This router considers a target unhealthy, or healthy again, based on its own requests to it.";
--- a/crates/anvilrack-core/tests/crash_quarantine.rs
+++ b/crates/anvilrack-core/tests/crash_quarantine.rs
@@ -49,6 +49,24 @@
     assert_eq!(quarantine.on_crash(CRASHING_REQUEST, at(11), at(12)), 2);
 }
 
+/// What routers keep in the store for their restarts; a request at a single crash is not part of it.
+#[test]
+fn crashes_of_quarantined_requests_are_told_apart() {
+    let [mut first, mut second] = ["router-1/1", "router-2/1"].map(CrashQuarantine::new);
+    first.on_crash(CRASHING_REQUEST, at(0), at(1));
+    second.on_crash(CRASHING_REQUEST, at(2), at(3));
+    second.on_crash(8, at(2), at(3));
+    assert_eq!(second.quarantined_crashes(at(3)), []);
+    second.merge(&first.report(0, at(3)), at(3));
+    let quarantined = second.quarantined_crashes(at(3));
+    let requests: Vec<_> = quarantined.iter().map(|o| o.request).collect();
+    assert_eq!(requests, [CRASHING_REQUEST; 2]);
+    let detected = second.detected_quarantined_crashes(at(3));
+    assert_eq!(detected, quarantined[..1]);
+    assert!(second.on_completed(CRASHING_REQUEST));
+    assert_eq!(second.quarantined_crashes(at(4)), []);
+}
+
 /// A crashing request is resent every minute, and runs whenever it is not quarantined.
 #[test]
 fn request_resent_for_sixty_hours_crashes_at_most_seven_targets() {
--- a/crates/anvilrack-node/src/directory/metadata_store.rs
+++ b/crates/anvilrack-node/src/directory/metadata_store.rs
@@ -21,6 +21,12 @@
         key: &str,
     ) -> impl Future<Output = Result<Option<StoreItem>, MetadataStoreError>> + Send;
 
+    /// Reads one key like [`Self::read`], but at a lower price; the value may be seconds old.
+    fn read_recent(
+        &self,
+        key: &str,
+    ) -> impl Future<Output = Result<Option<StoreItem>, MetadataStoreError>> + Send;
+
     /// Reads all keys that begin with `prefix`, across all result pages.
     fn list(
         &self,
--- a/crates/anvilrack-node/src/guard/crash_monitor.rs
+++ b/crates/anvilrack-node/src/guard/crash_monitor.rs
@@ -6,7 +6,9 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use anvilrack_core::{BootTime, CrashQuarantine, CrashReport, RequestFingerprint};
+use anvilrack_core::{
+    BootTime, CrashObservation, CrashQuarantine, CrashReport, RequestFingerprint,
+};
 use anvilrack_router::boot_clock;
 use rand::seq::IndexedRandom;
 use tokio::sync::Notify;
@@ -32,8 +34,8 @@
 /// Interval between two attempts to get the crashes that were observed before this router started.
 const JOIN_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Maximum time after its start for which a router that has not reached another one sends no requests to
-/// its target.
+/// Maximum time after its start for which a router that has reached neither the store nor a router that
+/// knows earlier crashes sends no requests to its target.
 const MAX_JOIN_TIME: Duration = Duration::from_secs(2);
 
 /// Timeout of a call that exchanges crash reports.
@@ -50,9 +52,11 @@
     suspect_turn: tokio::sync::Mutex<()>,
     /// Notified when the local target has crashed.
     crashed: Notify,
+    /// Notified when observations were added, which may have completed a quarantine.
+    observations_added: Notify,
     started_at: BootTime,
     /// Whether the crashes are known that were observed before this router started.
-    joined: AtomicBool,
+    knows_earlier: AtomicBool,
 }
 
 /// A run whose end this router has not seen.
@@ -84,16 +88,63 @@
             abandoned: Mutex::default(),
             suspect_turn: tokio::sync::Mutex::default(),
             crashed: Notify::new(),
+            observations_added: Notify::new(),
             started_at: boot_clock::now(),
-            joined: AtomicBool::new(false),
+            knows_earlier: AtomicBool::new(false),
         }
     }
 
-    /// Returns false while this router has just started and other routers may know of requests that crash
-    /// targets.
+    /// Returns false while this router has just started and may not know of requests that crash targets.
     #[must_use]
     pub fn has_joined(&self) -> bool {
-        self.joined.load(Ordering::Relaxed) || boot_clock::now() >= self.started_at + MAX_JOIN_TIME
+        self.knows_earlier_crashes() || boot_clock::now() >= self.started_at + MAX_JOIN_TIME
+    }
+
+    /// Returns true once this router has the crashes that were observed before it started, from the store
+    /// or from a router that has them.
+    #[must_use]
+    pub fn knows_earlier_crashes(&self) -> bool {
+        self.knows_earlier.load(Ordering::Relaxed)
+    }
+
+    /// Merges observations of another router or the store.
+    pub fn merge(&self, report: &CrashReport) {
+        self.quarantine().merge(report, boot_clock::now());
+        self.observations_added.notify_one();
+    }
+
+    /// Merges a report with all crashes that were observed before this router started.
+    pub fn merge_earlier_crashes(&self, report: &CrashReport) {
+        self.merge(report);
+        self.knows_earlier.store(true, Ordering::Relaxed);
+    }
+
+    /// Merges the reply of a router; only one that knows the crashes before its own start can tell those
+    /// before the start of this one.
+    pub fn merge_reply(&self, report: &CrashReport, knows_earlier: bool) {
+        if knows_earlier {
+            self.merge_earlier_crashes(report);
+        } else {
+            self.merge(report);
+        }
+    }
+
+    /// Completes when observations were added after the last call.
+    pub async fn observations_added(&self) {
+        self.observations_added.notified().await;
+    }
+
+    /// Returns the crashes of quarantined requests.
+    #[must_use]
+    pub fn quarantined_crashes(&self) -> Vec<CrashObservation> {
+        self.quarantine().quarantined_crashes(boot_clock::now())
+    }
+
+    /// Returns the crashes of quarantined requests that this router has detected itself.
+    #[must_use]
+    pub fn detected_quarantined_crashes(&self) -> Vec<CrashObservation> {
+        let now = boot_clock::now();
+        self.quarantine().detected_quarantined_crashes(now)
     }
 
     /// Returns the remaining quarantine of a request, or `None` if it may run.
@@ -127,10 +178,8 @@
 
     /// Merges the observations of another router and returns those that it lacks.
     pub fn exchange(&self, report: &CrashReport) -> CrashReport {
-        let now = boot_clock::now();
-        let mut quarantine = self.quarantine();
-        quarantine.merge(report, now);
-        quarantine.report(report.digest, now)
+        self.merge(report);
+        self.quarantine().report(report.digest, boot_clock::now())
     }
 
     fn on_crash(&self, request: RequestFingerprint, started_at: BootTime) -> usize {
@@ -143,6 +192,7 @@
         }
         let crashes = quarantine.on_crash(request, started_at, now);
         self.crashed.notify_one();
+        self.observations_added.notify_one();
         crashes
     }
 
@@ -215,14 +265,13 @@
 pub async fn exchange_crashes<D: PlatformDialect>(node: Arc<NodeState<D>>) {
     let monitor = &node.crash_monitor;
     loop {
-        let joined = monitor.joined.load(Ordering::Relaxed);
-        let interval = if joined {
+        let interval = if monitor.has_joined() {
             EXCHANGE_INTERVAL
         } else {
             JOIN_INTERVAL
         };
         sleep(interval).await;
-        if joined && monitor.quarantine().is_empty() {
+        if monitor.knows_earlier_crashes() && monitor.quarantine().is_empty() {
             continue;
         }
         // Without the store, routers that have opened a link to this one are known first.
@@ -264,11 +313,9 @@
 
 /// Merges the observations in a reply and returns the digest of the router that sent it.
 fn merge_reply<D: PlatformDialect>(node: &NodeState<D>, reply: &PeerReply) -> u64 {
-    let PeerReply::Crashes(report) = reply else {
+    let PeerReply::Crashes(report, knows_earlier) = reply else {
         return 0;
     };
-    let monitor = &node.crash_monitor;
-    monitor.quarantine().merge(report, boot_clock::now());
-    monitor.joined.store(true, Ordering::Relaxed);
+    node.crash_monitor.merge_reply(report, *knows_earlier);
     report.digest
 }
--- a/crates/anvilrack-node/src/guard/mod.rs
+++ b/crates/anvilrack-node/src/guard/mod.rs
@@ -4,6 +4,7 @@
 mod control_server;
 mod crash_monitor;
 mod started_requests;
+mod stored_crashes;
 mod target_gateway;
 mod target_incarnation;
 
@@ -13,6 +14,7 @@
     CrashMonitor, MonitoredRun, SuspectTurn, exchange_crashes, report_crashes,
 };
 pub use started_requests::StartedRequests;
+pub use stored_crashes::{StoredCrashes, maintain_stored_crashes};
 pub use target_gateway::TargetGateway;
 pub use target_incarnation::{
     IncarnationState, IncarnationTracker, NotificationEffect, NotificationKind, TargetIncarnation,
--- a/crates/anvilrack-node/src/node_process.rs
+++ b/crates/anvilrack-node/src/node_process.rs
@@ -25,7 +25,7 @@
     follow_site, maintain_entry, probe_expired_routers, send_reader_heartbeats, watch_entries,
     watch_site,
 };
-use crate::guard::{exchange_crashes, report_crashes, serve_control};
+use crate::guard::{exchange_crashes, maintain_stored_crashes, report_crashes, serve_control};
 use crate::ownership::{maintain_grants, resign, run_member};
 use crate::peers::serve_peers;
 use crate::{NodeSettings, NodeState, PlatformDialect, emit_event, observe};
@@ -106,6 +106,7 @@
     tokio::spawn(follow_leaving_target(node.clone()));
     tokio::spawn(report_crashes(node.clone()));
     tokio::spawn(exchange_crashes(node.clone()));
+    tokio::spawn(maintain_stored_crashes(node.clone()));
     loop {
         tokio::select! {
             _ = stop.recv() => break,
--- a/crates/anvilrack-node/src/peers/peer_message.rs
+++ b/crates/anvilrack-node/src/peers/peer_message.rs
@@ -82,8 +82,9 @@
     Cell(Option<PackedCell>),
     /// Acknowledges a call that needs no further reply.
     Done,
-    /// Observations of crashes that the receiver lacks.
-    Crashes(CrashReport),
+    /// Observations of crashes that the receiver lacks, and whether the sender knows those from before
+    /// its own start.
+    Crashes(CrashReport, bool),
 }
 
 /// A request that is forwarded to the router of its target.
--- a/crates/anvilrack-node/src/peers/peer_server.rs
+++ b/crates/anvilrack-node/src/peers/peer_server.rs
@@ -150,7 +150,10 @@
             return (PeerReply::Site(reply), body);
         }
         PeerCall::PullEntries => PeerReply::Entries(node.known_entries()),
-        PeerCall::Crashes(report) => PeerReply::Crashes(node.crash_monitor.exchange(&report)),
+        PeerCall::Crashes(report) => {
+            let monitor = &node.crash_monitor;
+            PeerReply::Crashes(monitor.exchange(&report), monitor.knows_earlier_crashes())
+        }
         call => cell_calls::handle_call(node, call),
     };
     (reply, Bytes::new())
--- a/crates/anvilrack-node/tests/crash_monitor.rs
+++ b/crates/anvilrack-node/tests/crash_monitor.rs
@@ -1,8 +1,10 @@
 //! Which requests count as running when the local target crashes.
 
+use std::time::Duration;
+
 use anvilrack_core::CrashReport;
 use anvilrack_node::RequestContent;
-use anvilrack_node::guard::CrashMonitor;
+use anvilrack_node::guard::{CrashMonitor, StoredCrashes};
 
 const LEFT: u64 = 1;
 const COMPLETED: u64 = 2;
@@ -42,6 +44,50 @@
     }
 }
 
+macro_rules! restart_cases {
+    ($($name:ident: stored at $stored_s:literal s, read at $read_s:literal s, quarantined for $left_s:literal s;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let [first, second] = ["router-1/1", "router-2/1"].map(CrashMonitor::new);
+                assert_eq!(first.begin_run(INTERRUPTED).close_crashed(), 1);
+                assert_eq!(second.begin_run(INTERRUPTED).close_crashed(), 1);
+                second.exchange(&first.exchange(&CrashReport::default()));
+                let stored = StoredCrashes::new(&second.quarantined_crashes(), $stored_s * 1_000);
+                let restarted = CrashMonitor::new("router-1/2");
+                restarted.merge_earlier_crashes(&stored.report($read_s * 1_000));
+                assert!(restarted.has_joined());
+                let left = restarted.remaining_quarantine(INTERRUPTED).unwrap_or_default();
+                let error = left.abs_diff(Duration::from_secs($left_s));
+                assert!(error < Duration::from_secs(1), "{left:?}");
+            }
+        )*
+    };
+}
+
+restart_cases! {
+    router_that_restarts_goes_on_with_a_stored_quarantine: stored at 10_000 s, read at 10_030 s, quarantined for 90 s;
+    stored_quarantine_ends_while_no_router_runs: stored at 10_000 s, read at 10_130 s, quarantined for 0 s;
+    clock_that_was_set_back_does_not_prolong_a_stored_quarantine: stored at 10_000 s, read at 5_000 s, quarantined for 120 s;
+}
+
+/// Routers that all start at once know nothing, so none may take the word of another one.
+#[test]
+fn reply_of_a_router_that_has_just_started_does_not_count_as_complete() {
+    let [first, second] = ["router-1/1", "router-2/1"].map(CrashMonitor::new);
+    first.merge_reply(
+        &second.exchange(&CrashReport::default()),
+        second.knows_earlier_crashes(),
+    );
+    assert!(!first.has_joined());
+    second.merge_earlier_crashes(&CrashReport::default());
+    first.merge_reply(
+        &second.exchange(&CrashReport::default()),
+        second.knows_earlier_crashes(),
+    );
+    assert!(first.has_joined());
+}
+
 macro_rules! content_cases {
     ($($name:ident: $change:expr, same $same:literal;)*) => {
         $(
