Serve the target through a planned stop until callers have left

Cause: at SIGTERM a router withdrew its healthy target and released all its keys, and then stayed for 3.4 s, because its callers need that time to leave. In a wave most targets were out at once, and keys moved to targets whose routers stopped next.

Change: PlannedStop in the core decides the phases of a stop. The target is served until callers have left, is then withdrawn for the time of the restart alone, and keeps its keys; the others learn of it directly and send it nothing for 0.8 s. A target that leaves or has ended hands its keys over as before. docs/decisions/planned-stop.md has the design.

--- a/crates/anvilrack-core/src/lib.rs
+++ b/crates/anvilrack-core/src/lib.rs
@@ -35,6 +35,7 @@
 mod owner_state;
 mod placement_decision;
 mod placement_policy;
+mod planned_stop;
 mod rate_limiter;
 mod record_delta;
 mod request_identity;
@@ -85,6 +86,7 @@
     PlacementDecision, PlacementHistory, PlacementReason, placement_decisions,
 };
 pub use placement_policy::{PlacementPolicy, PlacementView};
+pub use planned_stop::{PlannedStop, StopBacklog, StopPhase};
 pub use rate_limiter::{RateLimiter, RequestRate};
 pub use record_delta::{RecordDelta, RecordStamp};
 pub use request_identity::{fingerprint_of, first_sent_at};
--- a/crates/anvilrack-node/src/callers/caller_connection.rs
+++ b/crates/anvilrack-node/src/callers/caller_connection.rs
@@ -24,14 +24,19 @@
 /// Buffer size beyond the maximum head size, for the request line and the separators.
 const BUFFER_MARGIN_BYTES: usize = 1024;
 
-/// Serves callers until the router closes their connections to stop.
+/// Serves callers until the router closes the listener to stop.
 pub async fn serve_callers<D: PlatformDialect>(listener: TcpListener, node: Arc<NodeState<D>>) {
     let serve = |stream| {
-        tokio::spawn(serve_caller(stream, node.clone()));
+        node.add_caller_connections(1);
+        let node = node.clone();
+        tokio::spawn(async move {
+            serve_caller(stream, &node).await;
+            node.add_caller_connections(-1);
+        });
     };
     tokio::select! {
         () = accept_loop(&listener, serve) => {}
-        () = node.callers_closed() => {}
+        () = node.listener_closed() => {}
     }
     match accept_drain::close_listener(listener) {
         Ok(pending) => pending.into_iter().for_each(serve),
@@ -39,13 +44,13 @@
     }
 }
 
-async fn serve_caller<D: PlatformDialect>(stream: TcpStream, node: Arc<NodeState<D>>) {
+async fn serve_caller<D: PlatformDialect>(stream: TcpStream, node: &Arc<NodeState<D>>) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("cannot set TCP_NODELAY: {error}");
     }
     let limits = node.site().map(|site| site.limits).unwrap_or_default();
     let buffer_bytes = (limits.head_bytes + BUFFER_MARGIN_BYTES).max(MIN_BUFFER_BYTES);
-    let service = service_fn(|request| caller_request::respond(request, &node));
+    let service = service_fn(|request| caller_request::respond(request, node));
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
--- a/crates/anvilrack-node/src/directory/directory_view.rs
+++ b/crates/anvilrack-node/src/directory/directory_view.rs
@@ -30,7 +30,7 @@
     pub service: ServiceName,
     /// State of the local target; `None` until the target has sent a notification.
     pub target: Option<TargetStatus>,
-    /// True once the router is stopping.
+    /// True once the router is stopping and sends no new requests to its target.
     pub stopping: bool,
 }
 
@@ -42,6 +42,8 @@
     }
 
     /// Returns the router as a member of the cell of its service.
+    ///
+    /// A stop of the router does not make the member leave: its target keeps its keys.
     #[must_use]
     pub fn as_member(&self) -> CellMember {
         CellMember {
@@ -50,7 +52,7 @@
             peer_address: self.place.address,
             failure_domain: self.place.failure_domain.clone(),
             region: self.place.region.clone(),
-            leaving: !self.is_ready(),
+            leaving: !self.target.as_ref().is_some_and(|target| target.ready),
         }
     }
 }
--- a/crates/anvilrack-node/src/directory/metadata_store.rs
+++ b/crates/anvilrack-node/src/directory/metadata_store.rs
@@ -33,6 +33,12 @@
         prefix: &str,
     ) -> impl Future<Output = Result<StoreList, MetadataStoreError>> + Send;
 
+    /// Lists keys like [`Self::list`], but at a lower price; the result may be seconds old.
+    fn list_recent(
+        &self,
+        prefix: &str,
+    ) -> impl Future<Output = Result<StoreList, MetadataStoreError>> + Send;
+
     /// Waits up to `wait` for changes of keys that begin with `prefix`, after the revision `after`.
     fn watch(
         &self,
--- a/crates/anvilrack-node/src/directory/store_watch.rs
+++ b/crates/anvilrack-node/src/directory/store_watch.rs
@@ -46,6 +46,14 @@
 
 /// Keeps the view of all routers current until the process ends.
 pub async fn watch_entries<D: PlatformDialect>(node: Arc<NodeState<D>>) {
+    // A router that restarts alone finds all the others.
+    match node.store.list_recent(ENTRY_PREFIX).await {
+        Ok(list) => {
+            let items = list.items.iter();
+            node.store_entries(items.filter_map(|item| read_entry(&item.key, &item.value)));
+        }
+        Err(error) => log::debug!("cannot read the directory entries at the start: {error}"),
+    }
     // Routers often start together, so the entries of the others appear shortly after this one's start.
     sleep(START_DELAY.mul_f64(rand::random_range(0.7..1.3))).await;
     let mut listed = false;
--- a/crates/anvilrack-node/src/guard/target_gateway.rs
+++ b/crates/anvilrack-node/src/guard/target_gateway.rs
@@ -186,7 +186,7 @@
     ) -> Result<(), RunReply> {
         let bytes = usize::try_from(call.bytes).unwrap_or(usize::MAX);
         let now = boot_clock::now();
-        let reservation = if node.is_closing() {
+        let reservation = if node.is_withdrawn() {
             Err((RefusalReason::Stopping, GONE_RETRY_AFTER))
         } else {
             let result = lock(&self.capacity).reserve(&call.request, bytes, now);
@@ -455,7 +455,7 @@
             .filter(|_| *call.service == *node.settings.service)
             .ok_or((RefusalReason::TargetRefused, GONE_RETRY_AFTER))?;
         // The end of the process could interrupt a request that starts now.
-        if node.is_closing() {
+        if node.is_withdrawn() {
             return Err((RefusalReason::Stopping, GONE_RETRY_AFTER));
         }
         let now = boot_clock::now();
@@ -689,6 +689,19 @@
         true
     }
 
+    /// Checks whether the target has exited, and if so ends its incarnation.
+    pub async fn detect_exit<D: PlatformDialect>(&self, node: &NodeState<D>) {
+        let serving = self
+            .current_incarnation()
+            .filter(|target| target.state == IncarnationState::Serving);
+        if let Some(target) = serving
+            && self.pool.has_exited().await
+            && lock(&self.incarnations).end(target.incarnation)
+        {
+            node.on_target_gone(&target, "it refuses connections");
+        }
+    }
+
     fn wake(&self, tickets: &[TicketId]) {
         let waiters = lock(&self.waiters);
         for ticket in tickets {
--- a/crates/anvilrack-node/src/node_process.rs
+++ b/crates/anvilrack-node/src/node_process.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anvilrack_core::{WHOLE_SHARE, events};
+use anvilrack_core::{PlannedStop, StopBacklog, StopPhase, WHOLE_SHARE, events};
 use anvilrack_router::boot_clock;
 use bytes::Bytes;
 use eyre::{Result, WrapErr};
@@ -37,25 +37,15 @@
 const EXPIRE_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Interval between checks whether a stop is complete.
-const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
+const STOP_POLL_INTERVAL: Duration = Duration::from_millis(25);
 
-/// Minimum duration of a stop, in which callers and routers switch to other targets.
-const MIN_STOP_TIME: Duration = Duration::from_millis(2_800);
-
-/// Minimum time between closing the callers' connections and the end of the process.
-const SETTLE_TIME: Duration = Duration::from_millis(400);
-
-/// Time for sending the last replies to other routers.
-const LAST_REPLIES_TIME: Duration = Duration::from_millis(200);
+/// Time for sending the last replies to other routers: the delay before links close, and a few round trips
+/// between regions.
+const LAST_REPLIES_TIME: Duration = Duration::from_millis(150);
 
 /// Time between the end of a stop and the moment at which the process would be killed.
 const STOP_MARGIN: Duration = Duration::from_millis(900);
 
-/// Time at the end of a stop for refusing the requests that have not started.
-///
-/// It covers a cancellation at another router and the response to the caller.
-const LAST_REFUSALS_TIME: Duration = Duration::from_millis(500);
-
 /// Timeout for reading a request head at the ready and metrics addresses; it also runs while a
 /// connection is idle.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
@@ -117,7 +107,8 @@
     Ok(())
 }
 
-/// Hands over this router's keys and waits until its requests are completed or the time limit is reached.
+/// Serves the target until callers have left, then waits until all requests are completed or the time limit
+/// is reached.
 async fn stop_gracefully<D: PlatformDialect>(node: &Arc<NodeState<D>>) {
     let began = boot_clock::now();
     emit_event!(
@@ -126,22 +117,37 @@
         open = node.open_request_count()
     );
     node.begin_stop();
-    resign(node).await;
+    node.gateway.detect_exit(node).await;
+    if !node.is_target_serving() {
+        // A router whose target has ended is not started again.
+        resign(node).await;
+    }
     let max_stop_time = node.settings.terms.stop_grace.saturating_sub(STOP_MARGIN);
+    let mut stop = PlannedStop::new(began, max_stop_time);
     loop {
         sleep(STOP_POLL_INTERVAL).await;
-        let elapsed = boot_clock::now().saturating_sub(began);
-        if elapsed >= MIN_STOP_TIME.min(max_stop_time * 3 / 5) {
+        let backlog = StopBacklog {
+            open_requests: node.open_request_count(),
+            open_connections: node.caller_connection_count(),
+            running: node.gateway.load().0,
+            handing_over: node.hand_over_ended_target(),
+        };
+        let phase = stop.phase(backlog, boot_clock::now());
+        if phase >= StopPhase::Disconnecting {
             node.begin_closing_callers();
         }
-        if elapsed >= max_stop_time.saturating_sub(LAST_REFUSALS_TIME) {
+        if phase >= StopPhase::Withdrawn && !node.is_withdrawn() {
+            node.gateway.detect_exit(node).await;
+            node.withdraw_target();
+            resign(node).await;
+        }
+        if phase >= StopPhase::Closing {
+            node.begin_closing_listener();
+        }
+        if phase >= StopPhase::Ending {
             node.begin_process_end();
         }
-        let handing_over = node.is_store_reachable() && node.hand_over();
-        let busy = node.open_request_count() > 0 || node.gateway.load().0 > 0 || handing_over;
-        // Connections that were pending when the listener closed may still carry a request.
-        let settled = elapsed >= MIN_STOP_TIME.min(max_stop_time * 3 / 5) + SETTLE_TIME;
-        if elapsed >= max_stop_time || (settled && !busy) {
+        if phase == StopPhase::Finished {
             break;
         }
     }
@@ -219,7 +225,7 @@
 
 fn ready_response<D: PlatformDialect>(node: &NodeState<D>, path: &str) -> Response<Full<Bytes>> {
     let known = path == node.dialect.ready_path();
-    let ready = node.site().is_some() && !node.is_stopping();
+    let ready = node.site().is_some() && node.knows_routers() && !node.is_stopping();
     let mut response = Response::new(Full::default());
     *response.status_mut() = match (known, ready) {
         (false, _) => StatusCode::NOT_FOUND,
--- a/crates/anvilrack-node/src/node_shared/cell_records.rs
+++ b/crates/anvilrack-node/src/node_shared/cell_records.rs
@@ -156,12 +156,16 @@
         cell.owner(shard)?.handover.clone()
     }
 
-    /// Returns the router of the target that owns a shard, and its address for other routers.
+    /// Returns the router of the target that owns a shard, and its address for other routers; `None` also
+    /// while that router is about to restart.
     #[must_use]
     pub fn owner_of(&self, service: &str, shard: ShardId) -> Option<(NodeId, SocketAddr)> {
         let cell = self.cell(service)?;
         let owner = cell.owner(shard)?;
         let member = cell.member(&owner.node)?;
+        if lock(&self.withdrawn_routers).is_ending(&member.node, boot_clock::now()) {
+            return None;
+        }
         let leaving_for = self.leaving_for(&member.node, member.incarnation);
         let drain = self.settings.terms.drain;
         // Until its keys have moved to other targets, only this target can serve them.
--- a/crates/anvilrack-node/src/node_shared/mod.rs
+++ b/crates/anvilrack-node/src/node_shared/mod.rs
@@ -3,6 +3,7 @@
 mod cell_records;
 mod leaving_targets;
 mod router_directory;
+mod withdrawn_routers;
 
 use std::collections::{BTreeSet, HashMap};
 use std::net::IpAddr;
@@ -11,20 +12,21 @@
 
 use anvilrack_core::{
     BootTime, CellRecord, CoordinatorState, EntryAdmission, LeaseTerms, OwnerState, RecordDelta,
-    RetryBudget, ServiceName, SiteRoutes, StandbyState, TargetSelector, UploadPacer,
+    RetryBudget, ServiceName, SiteRoutes, StandbyState, TargetSelector, UploadPacer, events,
 };
 use anvilrack_router::boot_clock;
 use tokio::sync::{Notify, watch};
 
 use leaving_targets::LeavingTargets;
+use withdrawn_routers::WithdrawnRouters;
 
 use crate::directory::{DirectoryEntry, DirectoryView, ReaderMonitor, SiteArchive, SiteTracker};
-use crate::guard::{CrashMonitor, TargetGateway};
+use crate::guard::{CrashMonitor, IncarnationState, TargetGateway};
 use crate::mutex_lock::lock;
 use crate::observe::NodeMetrics;
 use crate::ownership::{RefreshTimes, TargetGrants, lease_terms, release_all};
 use crate::peers::PeerLinks;
-use crate::{NodeSettings, PlatformDialect};
+use crate::{NodeSettings, PlatformDialect, emit_event};
 
 /// Maximum number of retries that one router accumulates; low because all routers share the limit.
 const MAX_SAVED_RETRIES: u32 = 2;
@@ -57,6 +59,8 @@
     pub lease_terms: LeaseTerms,
     /// Start of this process in milliseconds since the Unix epoch; identifies this run of the router.
     pub run: u64,
+    /// Start of this process by the clock that the deadlines use.
+    pub started_at: BootTime,
     /// Metrics of this router.
     pub metrics: NodeMetrics,
     /// Notified when this member has to report a change to its coordinator.
@@ -72,10 +76,13 @@
     /// Notified when a cell's record or the directory has changed.
     pub route_updates: Notify,
     stopping: AtomicBool,
+    withdrawn: AtomicBool,
     closing: watch::Sender<bool>,
+    closing_listener: watch::Sender<bool>,
     ending: watch::Sender<bool>,
     closing_links: watch::Sender<bool>,
     open_requests: AtomicIsize,
+    caller_connections: AtomicIsize,
     entry_version: AtomicU64,
     own_entry: Mutex<Option<DirectoryEntry>>,
     site: Mutex<Option<Arc<SiteRoutes>>>,
@@ -93,6 +100,7 @@
     store_seen_at: Mutex<BootTime>,
     target_choices: Mutex<HashMap<ServiceName, TargetSelector>>,
     leaving_targets: Mutex<LeavingTargets>,
+    withdrawn_routers: Mutex<WithdrawnRouters>,
     entry_admission: Mutex<EntryAdmission>,
     budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
     refresh_times: Mutex<HashMap<ServiceName, RefreshTimes>>,
@@ -120,6 +128,7 @@
             grants: TargetGrants::default(),
             lease_terms: terms,
             run,
+            started_at: now,
             metrics: NodeMetrics::default(),
             member_updates: Notify::new(),
             coordinator_updates: Notify::new(),
@@ -128,10 +137,13 @@
             leaving_said: Notify::new(),
             route_updates: Notify::new(),
             stopping: AtomicBool::new(false),
+            withdrawn: AtomicBool::new(false),
             closing: watch::Sender::new(false),
+            closing_listener: watch::Sender::new(false),
             ending: watch::Sender::new(false),
             closing_links: watch::Sender::new(false),
             open_requests: AtomicIsize::new(0),
+            caller_connections: AtomicIsize::new(0),
             entry_version: AtomicU64::new(0),
             own_entry: Mutex::default(),
             site: Mutex::default(),
@@ -147,6 +159,7 @@
             store_seen_at: Mutex::default(),
             target_choices: Mutex::default(),
             leaving_targets: Mutex::default(),
+            withdrawn_routers: Mutex::default(),
             entry_admission: Mutex::default(),
             budgets: Mutex::default(),
             refresh_times: Mutex::default(),
@@ -254,35 +267,67 @@
         usize::try_from(self.open_requests.load(Ordering::Relaxed)).unwrap_or(0)
     }
 
-    /// Begins to stop: releases the target's keys to other targets and announces that this router
-    /// accepts no new requests.
-    pub fn begin_stop(self: &Arc<Self>) {
+    /// Begins to stop: tells callers to go to other routers. The target is still served.
+    pub fn begin_stop(&self) {
         self.stopping.store(true, Ordering::Relaxed);
+    }
+
+    /// Announces that the target gets no new requests, and refuses those that wait for it.
+    ///
+    /// The target keeps its keys, and the next process serves them again.
+    pub fn withdraw_target(self: &Arc<Self>) {
+        self.withdrawn.store(true, Ordering::Relaxed);
+        emit_event!(
+            Info,
+            events::TARGET_WITHDRAWN,
+            running = self.gateway.load().0,
+            held = self.owner().held().count(),
+            stays = self.is_target_serving()
+        );
         self.publish_entry();
-        // While the store is unreachable, released keys cannot be granted to another target. The
-        // target keeps its keys, and this router serves them again after its restart.
-        if self.is_store_reachable() {
-            self.hand_over();
-        }
-        self.member_updates.notify_one();
+        self.gateway.wake_waiting_requests();
+    }
+
+    /// Returns true once [`Self::withdraw_target`] was called.
+    #[must_use]
+    pub fn is_withdrawn(&self) -> bool {
+        self.withdrawn.load(Ordering::Relaxed)
     }
 
-    /// Releases all keys that are still held; returns true while some have no next owner.
-    pub fn hand_over(self: &Arc<Self>) -> bool {
+    /// Releases the keys that a target which is leaving or has ended still holds; returns true while some
+    /// have no next owner.
+    ///
+    /// While the store is unreachable, released keys cannot be granted to another target, so nothing is
+    /// released.
+    pub fn hand_over_ended_target(self: &Arc<Self>) -> bool {
+        if self.is_target_serving() || !self.is_store_reachable() {
+            return false;
+        }
         release_all(self);
         self.owner().held().next().is_some() || !self.grants.released().is_empty()
     }
 
-    /// Stops accepting requests on callers' connections; requests in progress are completed.
-    pub fn begin_closing_callers(&self) {
-        self.closing.send_replace(true);
-        self.gateway.wake_waiting_requests();
+    /// Returns true if the target accepts requests.
+    #[must_use]
+    pub fn is_target_serving(&self) -> bool {
+        let target = self.gateway.current_incarnation();
+        target.is_some_and(|target| target.state == IncarnationState::Serving)
     }
 
-    /// Returns true once [`Self::begin_closing_callers`] was called.
+    /// Adds `change` to the number of callers' connections.
+    pub fn add_caller_connections(&self, change: isize) {
+        self.caller_connections.fetch_add(change, Ordering::Relaxed);
+    }
+
+    /// Returns the number of callers' connections.
     #[must_use]
-    pub fn is_closing(&self) -> bool {
-        *self.closing.borrow()
+    pub fn caller_connection_count(&self) -> usize {
+        usize::try_from(self.caller_connections.load(Ordering::Relaxed)).unwrap_or(0)
+    }
+
+    /// Closes callers' connections once they are idle; new ones are closed after one request.
+    pub fn begin_closing_callers(&self) {
+        self.closing.send_replace(true);
     }
 
     /// Completes once [`Self::begin_closing_callers`] was called.
@@ -292,6 +337,18 @@
         closing.wait_for(|closing| *closing).await.ok();
     }
 
+    /// Closes the listener for callers.
+    pub fn begin_closing_listener(&self) {
+        self.closing_listener.send_replace(true);
+    }
+
+    /// Completes once [`Self::begin_closing_listener`] was called.
+    pub async fn listener_closed(&self) {
+        let mut closing = self.closing_listener.subscribe();
+        // This cannot fail: `self` owns the sender.
+        closing.wait_for(|closing| *closing).await.ok();
+    }
+
     /// Announces the imminent end of the process, so that requests that have not started are refused.
     pub fn begin_process_end(&self) {
         self.ending.send_replace(true);
--- a/crates/anvilrack-node/src/node_shared/router_directory.rs
+++ b/crates/anvilrack-node/src/node_shared/router_directory.rs
@@ -24,6 +24,9 @@
 /// Maximum number of remembered addresses of routers that have opened a link to this one.
 const MAX_LINKED_ROUTERS: usize = 64;
 
+/// Time after the start for which a router without other routers counts as not ready.
+const MAX_ALONE_TIME: Duration = Duration::from_secs(2);
+
 /// Timeout for messages to other routers that are sent in the background.
 const BACKGROUND_CALL_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -162,6 +165,10 @@
                 }
             }
         }
+        let now = boot_clock::now();
+        for entry in &changed {
+            lock(&self.withdrawn_routers).apply(entry, now);
+        }
         match &changed[..] {
             [] => return,
             [entry] => emit_event!(
@@ -230,6 +237,14 @@
             .count()
     }
 
+    /// Returns false while this router has just started and knows no other router, so that it could serve
+    /// nothing but requests for its own target.
+    #[must_use]
+    pub fn knows_routers(&self) -> bool {
+        let alone = || boot_clock::now() >= self.started_at + MAX_ALONE_TIME;
+        self.directory().entries().next().is_some() || alone()
+    }
+
     /// Remembers the address of a router that has opened a link to this one.
     pub fn remember_linked_router(&self, ip: IpAddr) {
         let mut linked = lock(&self.linked_routers);
@@ -375,10 +390,10 @@
 
     /// Returns this router's current directory entry.
     ///
-    /// A change of the target or the stop of the router raises its version.
+    /// A change of the target, or its withdrawal by a stop of the router, raises the entry's version.
     #[must_use]
     pub fn own_entry(&self) -> DirectoryEntry {
-        let stopping = self.is_stopping();
+        let stopping = self.is_withdrawn();
         let target = self
             .gateway
             .current_incarnation()
--- a/crates/anvilrack-node/src/ownership/member_role.rs
+++ b/crates/anvilrack-node/src/ownership/member_role.rs
@@ -30,6 +30,10 @@
         }
         let Some(cell) = node.cell(&node.settings.service) else {
             cell_takeover::find_or_create(&node).await;
+            if node.cell(&node.settings.service).is_some() {
+                // The lease should not wait for the next attempt.
+                pause = Duration::ZERO;
+            }
             continue;
         };
         let restarted = cell.coordinator == node.settings.node && node.coordinator().is_none();
@@ -91,7 +95,7 @@
         .current_incarnation()
         .is_some_and(|target| target.state == IncarnationState::Serving);
     let mut owner = node.owner();
-    if keep.is_empty() || owner.epoch() != epoch || node.is_stopping() || !serving {
+    if keep.is_empty() || owner.epoch() != epoch || !serving {
         return;
     }
     let released = node.grants.released().into_iter();
--- a/crates/anvilrack-node/src/routing/forward.rs
+++ b/crates/anvilrack-node/src/routing/forward.rs
@@ -308,7 +308,8 @@
 
     async fn await_owner(&mut self, reason: RefusalReason, retry_after: Duration) -> NextStep {
         let max_wait = MAX_OWNER_WAIT.min((self.time_left() + self.waited) / OWNER_WAIT_DIVISOR);
-        if self.waited >= max_wait {
+        // A request that waits here delays the end of the process, and so the restart.
+        if self.waited >= max_wait || self.node.is_withdrawn() {
             return self.refuse(reason, retry_after);
         }
         refresh_cell(self.node, &self.request.service);
