Serve links that are opened while the router disconnects from its peers

Cause: links that were pending or had just been opened when the process ended were reset, with the calls that had been sent on them.

Change: pending links are accepted, and links are served for 50 ms more before they are closed in order.

No test of its own; a link that is still being opened then can be lost.

--- a/crates/anvilrack-node/src/peers/peer_server.rs
+++ b/crates/anvilrack-node/src/peers/peer_server.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use anvilrack_router::accept_drain;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -13,6 +14,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
 
 use crate::directory::serve_site;
 use crate::ownership::cell_calls;
@@ -36,6 +38,11 @@
 /// stream, in bytes.
 const WINDOW_BYTES: u32 = 1024 * 1024;
 
+/// Time for which links are still served once this router disconnects from its peers.
+///
+/// A link that is shut down before its handshake is reset, with the calls that were sent on it.
+const LINK_CLOSE_DELAY: Duration = Duration::from_millis(50);
+
 /// Maximum number of concurrent streams on one link.
 const MAX_STREAMS: u32 = 2_000;
 
@@ -48,6 +55,11 @@
         () = accept_loop(&listener, serve) => {}
         () = node.links_closed() => {}
     }
+    // A pending link that were reset would leave its router in doubt about the calls on it.
+    match accept_drain::close_listener(listener) {
+        Ok(pending) => pending.into_iter().for_each(serve),
+        Err(error) => log::warn!("cannot accept the pending links: {error}"),
+    }
 }
 
 async fn serve_link<D: PlatformDialect>(stream: TcpStream, node: Arc<NodeState<D>>) {
@@ -74,8 +86,12 @@
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
         () = node.links_closed() => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+            if let Ok(ended) = timeout(LINK_CLOSE_DELAY, connection.as_mut()).await {
+                ended
+            } else {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
         }
     };
     if let Err(error) = ended {
