Do not send requests to a target whose time ended on the way

Cause: the router of a target counted the time left from the arrival of the call, so a call that a slow link or a suspended process had held up for longer than its time was sent to the target all the same.

Change: calls say when they were sent. TransitMeter in the core compares this with the arrival; the fastest recent message has no delay, so clocks that start at different times do not matter. The delay is subtracted from the time left.

--- a/crates/anvilrack-core/src/lib.rs
+++ b/crates/anvilrack-core/src/lib.rs
@@ -51,6 +51,7 @@
 mod standby_state;
 mod target_health;
 mod target_selector;
+mod transit_meter;
 mod upload_pacer;
 
 pub use admission_queue::{AdmissionQueue, AdmissionRequest, AdmissionStep, TicketId};
@@ -104,4 +105,5 @@
 pub use standby_state::{StandbyState, TakeoverStep};
 pub use target_health::{HealthOutcome, TargetHealth};
 pub use target_selector::{ChoiceDraws, TargetDistance, TargetLoad, TargetSelector};
+pub use transit_meter::TransitMeter;
 pub use upload_pacer::UploadPacer;
--- a/crates/anvilrack-node/src/guard/target_gateway.rs
+++ b/crates/anvilrack-node/src/guard/target_gateway.rs
@@ -341,6 +341,9 @@
         content: RequestFingerprint,
         deadline: Duration,
     ) -> Result<(SlotTicket<'a>, TargetIncarnation), Refusal> {
+        if call.time_left < MIN_TIME_LEFT {
+            return Err((RefusalReason::DeadlineTooShort, MIN_RETRY_AFTER));
+        }
         self.check_may_run(node, call, content)?;
         let turn = await_suspect_turn(node, content, deadline).await?;
         if node.is_outdated_route(call) {
--- a/crates/anvilrack-node/src/node_shared/mod.rs
+++ b/crates/anvilrack-node/src/node_shared/mod.rs
@@ -9,10 +9,12 @@
 use std::net::IpAddr;
 use std::sync::atomic::{AtomicBool, AtomicIsize, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
 
 use anvilrack_core::{
     BootTime, CellRecord, CoordinatorState, EntryAdmission, LeaseTerms, OwnerState, RecordDelta,
-    RetryBudget, ServiceName, SiteRoutes, StandbyState, TargetSelector, UploadPacer, events,
+    RetryBudget, ServiceName, SiteRoutes, StandbyState, TargetSelector, TransitMeter, UploadPacer,
+    events,
 };
 use anvilrack_router::boot_clock;
 use tokio::sync::{Notify, watch};
@@ -31,6 +33,9 @@
 /// Maximum number of retries that one router accumulates; low because all routers share the limit.
 const MAX_SAVED_RETRIES: u32 = 2;
 
+/// Maximum number of routers whose calls are measured; if there are more, the measurement starts anew.
+const MAX_TRANSIT_METERS: usize = 4_096;
+
 /// Retries per thousand requests.
 ///
 /// The deployments allow 200. That limit includes the calls that targets make while they run a
@@ -90,6 +95,8 @@
     upload_pacer: Mutex<UploadPacer>,
     /// Addresses of routers that have opened a link to this one.
     linked_routers: Mutex<BTreeSet<IpAddr>>,
+    /// Delays of the calls of other routers, by their addresses.
+    transit_meters: Mutex<HashMap<IpAddr, TransitMeter>>,
     reader: Mutex<ReaderMonitor>,
     directory: Mutex<DirectoryView>,
     /// Whether the reader's directory entries are being fetched.
@@ -150,6 +157,7 @@
             site_archive: Mutex::default(),
             upload_pacer: Mutex::new(UploadPacer::new(settings.link_mbps)),
             linked_routers: Mutex::default(),
+            transit_meters: Mutex::default(),
             reader: Mutex::new(ReaderMonitor::new(now)),
             directory: Mutex::default(),
             pulling_entries: AtomicBool::new(false),
@@ -250,6 +258,17 @@
         )
     }
 
+    /// Returns for how long a call of another router was delayed on its way.
+    #[must_use]
+    pub fn transit_delay(&self, router: IpAddr, sent_at: BootTime) -> Duration {
+        let mut meters = lock(&self.transit_meters);
+        if meters.len() >= MAX_TRANSIT_METERS && !meters.contains_key(&router) {
+            meters.clear();
+        }
+        let meter = meters.entry(router).or_default();
+        meter.record(sent_at, boot_clock::now())
+    }
+
     /// Returns true once the router is stopping.
     #[must_use]
     pub fn is_stopping(&self) -> bool {
--- a/crates/anvilrack-node/src/peers/peer_message.rs
+++ b/crates/anvilrack-node/src/peers/peer_message.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use anvilrack_core::{
-    AdmissionHint, CellRecord, CellVersion, CrashReport, DomainName, Epoch, Incarnation,
+    AdmissionHint, BootTime, CellRecord, CellVersion, CrashReport, DomainName, Epoch, Incarnation,
     MemberReport, NodeId, RefusalReason, RegionName, RenewalAnswer, RequestClass, RunAdmission,
     ServiceName, SiteVersion, TargetLoad, UncertainReason,
 };
@@ -104,6 +104,8 @@
     pub path: String,
     /// The caller's headers without hop-by-hop headers.
     pub headers: Vec<(String, Vec<u8>)>,
+    /// When the call was sent, by the sender's clock.
+    pub sent_at: BootTime,
     /// Time left until the request's deadline.
     pub time_left: Duration,
     /// Time left until the response misses its latency objective.
@@ -122,6 +124,12 @@
 }
 
 impl RunCall {
+    /// Reduces the time left by that for which the call was delayed on its way.
+    pub fn subtract_delay(&mut self, delay: Duration) {
+        self.time_left = self.time_left.saturating_sub(delay);
+        self.objective_left = self.objective_left.saturating_sub(delay);
+    }
+
     /// Returns the content of the request with this body.
     #[must_use]
     pub fn content<'a>(&'a self, body: &'a [u8]) -> RequestContent<'a> {
--- a/crates/anvilrack-node/src/peers/peer_server.rs
+++ b/crates/anvilrack-node/src/peers/peer_server.rs
@@ -1,6 +1,7 @@
 //! Serves calls from other routers.
 
 use std::convert::Infallible;
+use std::net::IpAddr;
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
@@ -72,7 +73,7 @@
         }
     };
     node.remember_linked_router(from);
-    let service = service_fn(|request| respond(request, node.clone()));
+    let service = service_fn(|request| respond(request, from, node.clone()));
     let connection = http2::Builder::new(TokioExecutor::new())
         .timer(TokioTimer::new())
         .keep_alive_interval(PING_INTERVAL)
@@ -101,6 +102,7 @@
 
 async fn respond<D: PlatformDialect>(
     request: Request<Incoming>,
+    from: IpAddr,
     node: Arc<NodeState<D>>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     let frame = match Limited::new(request.into_body(), MAX_CALL_BYTES)
@@ -110,7 +112,7 @@
         Ok(frame) => frame.to_bytes(),
         Err(error) => return Ok(refuse(StatusCode::BAD_REQUEST, &error.to_string())),
     };
-    let call: PeerFrame<PeerCall> = match unpack(frame) {
+    let mut call: PeerFrame<PeerCall> = match unpack(frame) {
         Ok(call) => call,
         Err(error) => return Ok(refuse(StatusCode::BAD_REQUEST, &error.to_string())),
     };
@@ -119,6 +121,9 @@
         _ => None,
     };
     node.site_tracker.on_named(call.site, reader);
+    if let PeerCall::Run(run) = &mut call.message {
+        run.subtract_delay(node.transit_delay(from, run.sent_at));
+    }
     let (reply, body) = dispatch(call.message, call.body, &node).await;
     Ok(match pack(node.site_tracker.version(), &reply, &body) {
         Ok(frame) => Response::new(Full::new(frame)),
--- a/crates/anvilrack-node/src/routing/forward.rs
+++ b/crates/anvilrack-node/src/routing/forward.rs
@@ -494,6 +494,7 @@
             method: request.method.clone(),
             path: request.path.clone(),
             headers: request.headers.clone(),
+            sent_at: boot_clock::now(),
             time_left: self.time_left(),
             objective_left: request.objective.saturating_sub(boot_clock::now()),
             key: request.key,
