Count calls between routers and their bytes by kind

New metrics peer_calls_total, peer_sent_bytes_total and peer_received_bytes_total; nothing else changes.

--- a/crates/anvilrack-node/src/node_process.rs
+++ b/crates/anvilrack-node/src/node_process.rs
@@ -237,7 +237,7 @@
 
 fn metrics_response<D: PlatformDialect>(node: &NodeState<D>, _path: &str) -> Response<Full<Bytes>> {
     let (running, waiting) = node.gateway.load();
-    let mut text = node.metrics.text();
+    let mut text = node.metrics.text() + &node.links.traffic_text();
     let site = node.site().map_or(0, |site| site.version);
     let (newest, behind_for) = {
         let progress = node.site_tracker.progress();
--- a/crates/anvilrack-node/src/peers/mod.rs
+++ b/crates/anvilrack-node/src/peers/mod.rs
@@ -4,6 +4,7 @@
 mod peer_links;
 mod peer_message;
 mod peer_server;
+mod peer_traffic;
 
 pub use peer_frame::{FrameError, PeerFrame, pack, unpack};
 pub use peer_links::{CallError, PeerLinks};
@@ -13,3 +14,4 @@
     TargetStatus,
 };
 pub use peer_server::serve_peers;
+pub use peer_traffic::PeerTraffic;
--- a/crates/anvilrack-node/src/peers/peer_links.rs
+++ b/crates/anvilrack-node/src/peers/peer_links.rs
@@ -18,7 +18,7 @@
 use crate::body_collector::{BodyDeadline, BodyError, collect_body};
 use crate::directory::SiteTracker;
 use crate::mutex_lock::lock;
-use crate::peers::{FrameError, PeerCall, PeerFrame, PeerReply, pack, unpack};
+use crate::peers::{FrameError, PeerCall, PeerFrame, PeerReply, PeerTraffic, pack, unpack};
 use crate::socket_options;
 
 /// Timeout of opening a connection.
@@ -95,6 +95,7 @@
 pub struct PeerLinks {
     links: Arc<Mutex<HashMap<SocketAddr, Arc<PeerLink>>>>,
     tracker: Arc<SiteTracker>,
+    traffic: Arc<PeerTraffic>,
 }
 
 #[derive(Debug)]
@@ -124,10 +125,17 @@
     pub fn new(tracker: Arc<SiteTracker>) -> Self {
         Self {
             links: Arc::default(),
+            traffic: Arc::default(),
             tracker,
         }
     }
 
+    /// Returns the metrics of the calls on these links, in the Prometheus text format.
+    #[must_use]
+    pub fn traffic_text(&self) -> String {
+        self.traffic.text()
+    }
+
     /// Calls a router and returns its reply with the body that follows it.
     ///
     /// Dropping the future resets the stream, which makes the other router cancel the work.
@@ -176,6 +184,7 @@
     ) -> Result<(PeerReply, Bytes), CallError> {
         let until = deadline.at;
         let mut frame = pack(self.tracker.version(), call, body)?;
+        self.traffic.record_call(call, frame.len());
         for is_last in [false, true] {
             let mut sender = self.sender(address, until).await?;
             let request = Request::post(format!("http://{address}/"))
@@ -194,7 +203,8 @@
                     None => return Err(CallError::Lost(error.error().to_string().into())),
                 },
             };
-            let reply = read_reply(response, deadline).await?;
+            let (reply, bytes) = read_reply(response, deadline).await?;
+            self.traffic.record_reply(call, bytes);
             self.tracker.on_named(reply.site, None);
             return Ok((reply.message, reply.body));
         }
@@ -319,10 +329,11 @@
     }
 }
 
+/// Reads a reply; returns it and its size in bytes.
 async fn read_reply(
     response: hyper::Response<hyper::body::Incoming>,
     deadline: BodyDeadline,
-) -> Result<PeerFrame<PeerReply>, CallError> {
+) -> Result<(PeerFrame<PeerReply>, usize), CallError> {
     let status = response.status();
     let body = match collect_body(response.into_body(), MAX_REPLY_BYTES, deadline).await {
         Ok(body) => body,
@@ -332,5 +343,6 @@
     if status != StatusCode::OK {
         return Err(CallError::Lost(format!("status {status}").into()));
     }
-    Ok(unpack(body)?)
+    let bytes = body.len();
+    Ok((unpack(body)?, bytes))
 }
--- a/crates/anvilrack-node/src/peers/peer_message.rs
+++ b/crates/anvilrack-node/src/peers/peer_message.rs
@@ -53,6 +53,31 @@
     Crashes(CrashReport),
 }
 
+impl PeerCall {
+    /// Returns the name of the kind of call, for metrics.
+    #[must_use]
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Run(_) => "run",
+            Self::Room(_) => "body-capacity",
+            Self::Bar(..) => "cancel",
+            Self::Heartbeat(_) => "heartbeat",
+            Self::Takeover(_) => "takeover",
+            Self::Promise(..) => "promise",
+            Self::Cell(_) => "cell-record",
+            Self::Resign(..) => "resign",
+            Self::PullCell(_) => "pull-cell-record",
+            Self::PullSite(_) => "pull-site-document",
+            Self::PullEntries => "pull-entries",
+            Self::ReaderBeat(_) => "reader-heartbeat",
+            Self::ReaderNews(_) => "reader-changes",
+            Self::Entry(_) => "entry",
+            Self::PullEntry => "pull-entry",
+            Self::Crashes(_) => "crashes",
+        }
+    }
+}
+
 /// The reply to a [`PeerCall`]; the body of a response follows the message.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum PeerReply {
