Recognize a store that comes back from an older copy

Operators would see: after a restore, a router renewed a lease that had become another router's, and its own entry stayed lost; readers watched from a revision that the store did not have and listed again every 100 ms.

Cause: revisions and leases were compared without regard to the state of the store that had given them out.

--- a/crates/anvilrack-node/src/directory/entry_maintainer.rs
+++ b/crates/anvilrack-node/src/directory/entry_maintainer.rs
@@ -9,7 +9,7 @@
 use tokio::time::sleep;
 
 use crate::directory::{
-    DirectoryEntry, ENTRY_PREFIX, LeaseId, MetadataStore, MetadataStoreError, StoreWrite,
+    DirectoryEntry, ENTRY_PREFIX, LeaseId, MetadataStore, MetadataStoreError, StoreEra, StoreWrite,
     WriteResult,
 };
 use crate::http_pool::within;
@@ -27,6 +27,9 @@
 /// An entry that expired has to be back within two seconds after the store is available again.
 const RETRY_PAUSES: RetryBackoff = RetryBackoff::new(400, 1_000);
 
+/// Time over which routers spread their writes after a restore of the store.
+const REWRITE_SPREAD: Duration = Duration::from_millis(800);
+
 /// Pause before a write, so that changes close together are written together.
 const COALESCE_PAUSE: Duration = Duration::from_millis(30);
 
@@ -34,6 +37,8 @@
 #[derive(Debug, Default)]
 struct DirectoryRegistration {
     lease: Option<LeaseId>,
+    /// The era of the store in which the lease was opened.
+    era: StoreEra,
     /// The entry as last written under the lease.
     written: Option<DirectoryEntry>,
     next_renewal: BootTime,
@@ -74,12 +79,14 @@
         node: &NodeState<D>,
     ) -> Result<(), MetadataStoreError> {
         let now = boot_clock::now();
+        self.check_era(node).await;
         if let Some(lease) = self.lease
             && now >= self.next_renewal
         {
             let renewed = node.store.renew_lease(lease).await?;
             node.record_store_response();
-            if renewed {
+            self.check_era(node).await;
+            if renewed && self.lease.is_some() {
                 self.next_renewal = now + RENEW_INTERVAL;
             } else {
                 self.lease = None;
@@ -91,6 +98,7 @@
             let time_to_live = TIME_TO_LIVE.max(node.settings.terms.shortest_lease);
             let (lease, _) = node.store.open_lease(time_to_live).await?;
             self.lease = Some(lease);
+            self.era = node.store.era();
             self.written = None;
             self.next_renewal = now + RENEW_INTERVAL;
             lease
@@ -123,6 +131,21 @@
         Ok(())
     }
 
+    /// Gives the lease and the written entry up if the store has come back from an older copy.
+    ///
+    /// The lease may be another router's now. Routers write again at different times, so that the store is
+    /// not called by all of them at once.
+    async fn check_era<D: PlatformDialect>(&mut self, node: &NodeState<D>) {
+        let era = node.store.era();
+        if self.lease.is_none() || era == self.era {
+            return;
+        }
+        emit_event!(Warn, events::STORE_RESTORED, era = era);
+        self.lease = None;
+        self.written = None;
+        sleep(REWRITE_SPREAD.mul_f64(rand::random())).await;
+    }
+
     fn log_store_lost(&mut self, error: &MetadataStoreError) {
         if self.lost_at.is_none() {
             self.lost_at = Some(boot_clock::now());
--- a/crates/anvilrack-node/src/directory/metadata_store.rs
+++ b/crates/anvilrack-node/src/directory/metadata_store.rs
@@ -10,11 +10,19 @@
 /// Revision number that rises with every change in the store; zero means that a key does not exist.
 pub type StoreRevision = u64;
 
+/// Rises each time that the store comes back from an older copy; zero if the store does not state it.
+///
+/// Revisions and leases of different eras have nothing to do with each other, even if they are equal.
+pub type StoreEra = u64;
+
 /// Identifies a lease in the store; zero means no lease.
 pub type LeaseId = u64;
 
 /// A store with conditional writes, leases and watches.
 pub trait MetadataStore: Clone + Send + Sync + 'static {
+    /// Returns the era that the latest response named.
+    fn era(&self) -> StoreEra;
+
     /// Reads one key; returns `None` if it does not exist.
     fn read(
         &self,
--- a/crates/anvilrack-node/src/directory/mod.rs
+++ b/crates/anvilrack-node/src/directory/mod.rs
@@ -17,8 +17,8 @@
 };
 pub use entry_maintainer::maintain_entry;
 pub use metadata_store::{
-    LeaseId, MetadataStore, MetadataStoreError, StoreChange, StoreItem, StoreList, StoreRevision,
-    StoreWrite, WatchUpdate, WriteResult,
+    LeaseId, MetadataStore, MetadataStoreError, StoreChange, StoreEra, StoreItem, StoreList,
+    StoreRevision, StoreWrite, WatchUpdate, WriteResult,
 };
 pub use peer_catch_up::{probe_expired_routers, pull_entries};
 pub use site_archive::{ArchivedDocument, DocumentPacket, SiteArchive};
--- a/crates/anvilrack-node/src/directory/store_watch.rs
+++ b/crates/anvilrack-node/src/directory/store_watch.rs
@@ -124,7 +124,7 @@
             sleep(COALESCE_PAUSE).await;
             return Ok(());
         };
-        after = revision.max(after);
+        after = revision;
         if changes.is_empty() {
             continue;
         }
@@ -195,7 +195,7 @@
     if let Some(item) = list.items.iter().find(|item| *item.key == *key) {
         node.apply_stored_document(&item.value);
     }
-    *after = list.revision.max(*after);
+    *after = list.revision;
     *pauses = RETRY_PAUSES;
     if node.site().is_none() {
         // Until the directory is known, every router takes itself for the reader.
@@ -208,7 +208,7 @@
                 return Ok(());
             }
             WatchUpdate::Changes(changes, revision) => {
-                *after = revision.max(*after);
+                *after = revision;
                 let pause = if changes.is_empty() {
                     Duration::ZERO
                 } else {
--- a/crates/anvilrack-node/src/guard/stored_crashes.rs
+++ b/crates/anvilrack-node/src/guard/stored_crashes.rs
@@ -11,12 +11,16 @@
 use tokio::time::sleep;
 
 use crate::directory::{MetadataStore, MetadataStoreError, StoreWrite, WriteResult};
+use crate::http_pool::within;
 use crate::retry_backoff::RetryBackoff;
 use crate::{NodeState, PlatformDialect, emit_event};
 
 /// Key of the stored crashes.
 const CRASHES_KEY: &str = "anvilrack/crashes";
 
+/// Interval between two checks whether the store has come back from an older copy.
+const ERA_CHECK_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Pause between attempts while the store does not respond, or other routers write at the same time.
 const RETRY_PAUSES: RetryBackoff = RetryBackoff::new(200, 1_200);
 
@@ -74,8 +78,13 @@
 pub async fn maintain_stored_crashes<D: PlatformDialect>(node: Arc<NodeState<D>>) {
     read_at_start(&node).await;
     let mut stored = BTreeSet::new();
+    let mut era = node.store.era();
     loop {
-        node.crash_monitor.observations_added().await;
+        within(ERA_CHECK_INTERVAL, node.crash_monitor.observations_added()).await;
+        if std::mem::replace(&mut era, node.store.era()) != era {
+            // The store has come back from an older copy.
+            stored.clear();
+        }
         store_detected_crashes(&node, &mut stored).await;
     }
 }
--- a/crates/anvilrack-node/src/ownership/coordinator_role.rs
+++ b/crates/anvilrack-node/src/ownership/coordinator_role.rs
@@ -10,7 +10,7 @@
 use rand::Rng;
 use tokio::time::sleep;
 
-use crate::directory::{MetadataStoreError, StoreRevision, WriteResult};
+use crate::directory::{MetadataStore, MetadataStoreError, StoreEra, StoreRevision, WriteResult};
 use crate::http_pool::within;
 use crate::ownership::cell_store::{is_unchanged, read_cell, write_cell};
 use crate::ownership::{PackedCell, SHARD_COUNT};
@@ -224,6 +224,8 @@
     store_responded_at: BootTime,
     next_plan: BootTime,
     next_member_call: BootTime,
+    /// The era of the store to which `revision` belongs.
+    era: StoreEra,
 }
 
 impl RecordWriter {
@@ -239,6 +241,7 @@
             store_responded_at: now,
             next_plan: now,
             next_member_call: now + MEMBER_SILENCE,
+            era: 0,
         }
     }
 
@@ -252,6 +255,11 @@
     /// Does the work that is due; returns false once this router is no longer the coordinator.
     async fn step<D: PlatformDialect>(&mut self, node: &Arc<NodeState<D>>) -> bool {
         let now = boot_clock::now();
+        let era = node.store.era();
+        if std::mem::replace(&mut self.era, era) != era {
+            // The store has come back from an older copy, where the revision may be another record's.
+            self.revision = None;
+        }
         let due = now >= self.next_store_check || (self.revision.is_none() && !self.outage);
         if due && !self.check_store(node).await {
             return false;
@@ -340,6 +348,7 @@
         let service = &node.settings.service;
         if let Some(revision) = self.revision
             && is_unchanged(&node.store, service, revision).await?
+            && node.store.era() == self.era
             && let Some(state) = node.coordinator().as_ref()
         {
             return Ok((state.record().clone(), revision));
