Do not say "not run" of requests that the former process of a router may have sent

Cause: when a link broke, the router asked the next process at the other end whether the request had started. That process knew nothing of its former one's requests and said no.

Change: the question names the time since the request was sent, and a router that has not run for that long does not say that it has not started.

Evidence: restarted_router::request_sent_by_the_former_process_is_not_run_again: 503 "owner-unreachable" before, although the target was running the request; uncertain after.

--- a/crates/anvilrack-node/src/node_shared/mod.rs
+++ b/crates/anvilrack-node/src/node_shared/mod.rs
@@ -269,6 +269,14 @@
         meter.record(sent_at, boot_clock::now())
     }
 
+    /// Returns whether this process has been running for at least `duration`.
+    ///
+    /// Its former process may have sent requests to the target of which this one does not know.
+    #[must_use]
+    pub fn has_run_for(&self, duration: Duration) -> bool {
+        boot_clock::now().saturating_sub(self.started_at) >= duration
+    }
+
     /// Returns true once the router is stopping.
     #[must_use]
     pub fn is_stopping(&self) -> bool {
--- a/crates/anvilrack-node/src/ownership/cell_calls.rs
+++ b/crates/anvilrack-node/src/ownership/cell_calls.rs
@@ -38,7 +38,7 @@
         }
         PeerCall::Run(_)
         | PeerCall::Room(_)
-        | PeerCall::Bar(_)
+        | PeerCall::Bar(..)
         | PeerCall::Entry(_)
         | PeerCall::PullEntry
         | PeerCall::Resign(..)
--- a/crates/anvilrack-node/src/peers/peer_message.rs
+++ b/crates/anvilrack-node/src/peers/peer_message.rs
@@ -23,8 +23,9 @@
     Run(RunCall),
     /// Asks whether the receiver has capacity for the body of a request.
     Room(BodyCapacityCall),
-    /// Cancels a request before it starts; has no effect on a request that has already started.
-    Bar(RequestId),
+    /// Cancels a request before it starts; has no effect on a request that has already started. Names the
+    /// time since the request was sent.
+    Bar(RequestId, Duration),
     /// Heartbeat of a member to its coordinator.
     Heartbeat(Box<MemberHeartbeat>),
     /// Announces that the sender has taken over a cell.
--- a/crates/anvilrack-node/src/peers/peer_server.rs
+++ b/crates/anvilrack-node/src/peers/peer_server.rs
@@ -44,6 +44,9 @@
 /// A link that is shut down before its handshake is reset, with the calls that were sent on it.
 const LINK_CLOSE_DELAY: Duration = Duration::from_millis(50);
 
+/// Maximum time that a call to cancel a request is on its way; its sender waits no longer.
+const MAX_CANCEL_TRANSIT: Duration = Duration::from_millis(400);
+
 /// Maximum number of concurrent streams on one link.
 const MAX_STREAMS: u32 = 2_000;
 
@@ -149,7 +152,10 @@
             let reserved = node.gateway.reserve_body(node, &call);
             PeerReply::Room(reserved, node.gateway.target_load())
         }
-        PeerCall::Bar(request) => PeerReply::Barred(node.gateway.cancel_before_start(&request)),
+        PeerCall::Bar(request, sent_ago) => {
+            let cancelled = node.gateway.cancel_before_start(&request);
+            PeerReply::Barred(cancelled && node.has_run_for(sent_ago + MAX_CANCEL_TRANSIT))
+        }
         PeerCall::Entry(entry) => {
             node.store_entry(entry);
             PeerReply::Done
--- a/crates/anvilrack-node/src/routing/forward.rs
+++ b/crates/anvilrack-node/src/routing/forward.rs
@@ -47,6 +47,8 @@
 const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(600);
 
 /// Timeout of the call that cancels a request before it starts.
+///
+/// The other router assumes that such a call is not on its way for longer.
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(350);
 
 /// Minimum size of a body for which capacity is reserved before it is sent.
@@ -361,10 +363,11 @@
         {
             return (refusal, Bytes::new());
         }
+        let sent_at = call.sent_at;
         let call = PeerCall::Run(call);
         let execution = links.call(address, &call, body, timeout);
         let Some(result) = self
-            .unless_cancelled(execution, self.cancel_at_router(address))
+            .unless_cancelled(execution, self.cancel_at_router(address, sent_at))
             .await
         else {
             return (not_started(RefusalReason::Stopping), Bytes::new());
@@ -388,7 +391,7 @@
         let reply = match error {
             CallError::Timeout => RunReply::MayHaveRun(UncertainReason::TimedOut),
             error if error.is_unsent() => not_started(RefusalReason::OwnerUnreachable),
-            _ => self.resolve_lost_connection(address).await,
+            _ => self.resolve_lost_connection(address, sent_at).await,
         };
         (reply, Bytes::new())
     }
@@ -453,23 +456,24 @@
 
     /// Called after the link to a router broke: cancels the request there over a new link, unless it
     /// has started.
-    async fn resolve_lost_connection(&self, address: SocketAddr) -> RunReply {
+    async fn resolve_lost_connection(&self, address: SocketAddr, sent_at: BootTime) -> RunReply {
         let uncertain = RunReply::MayHaveRun(UncertainReason::ConnectionLost);
         if self.request.route.idempotent {
             return uncertain;
         }
-        if self.cancel_at_router(address).await {
+        if self.cancel_at_router(address, sent_at).await {
             not_started(RefusalReason::OwnerUnreachable)
         } else {
             uncertain
         }
     }
 
-    /// Cancels the request at the router at `address` before it starts.
+    /// Cancels the request, which was sent to the router at `address` at `sent_at`, before it starts.
     ///
-    /// Returns false if the request has started or the router does not reply.
-    async fn cancel_at_router(&self, address: SocketAddr) -> bool {
-        let call = PeerCall::Bar(self.request.request.clone());
+    /// Returns false if the request has started, or the router does not reply or has restarted since.
+    async fn cancel_at_router(&self, address: SocketAddr, sent_at: BootTime) -> bool {
+        let sent_ago = boot_clock::now().saturating_sub(sent_at);
+        let call = PeerCall::Bar(self.request.request.clone(), sent_ago);
         let timeout = CANCEL_TIMEOUT.min(self.time_left());
         let reply = self.node.links.call(address, &call, &[], timeout).await;
         let cancelled = matches!(reply, Ok((PeerReply::Barred(true), _)));
