Let another router coordinate a cell whose standbys cannot

Cause: the coordinator did not come back. Standbys whose targets had restarted are none any more, but their replies kept all other members from taking the cell over.

Change: a member asks the coordinator and the standbys for their directory entries, and waits only for those that can take the cell over.

--- a/crates/anvilrack-node/src/ownership/cell_takeover.rs
+++ b/crates/anvilrack-node/src/ownership/cell_takeover.rs
@@ -10,7 +10,7 @@
 use crate::directory::{MetadataStoreError, StoreRevision, WriteResult};
 use crate::ownership::cell_store::{read_cell, write_cell};
 use crate::ownership::{SHARD_COUNT, coordinator_role};
-use crate::peers::PeerCall;
+use crate::peers::{PeerCall, PeerReply};
 use crate::{NodeState, PlatformDialect, emit_event};
 
 /// Interval between attempts to read back a write whose response was lost.
@@ -70,7 +70,7 @@
         return;
     }
     let outsider = step == TakeoverStep::AsOutsider && !restarted;
-    if outsider && !coordinator_and_standbys_are_silent(node, &record).await {
+    if outsider && may_be_taken_over_by_others(node, &record).await {
         return;
     }
     let Some(member) = node.member() else {
@@ -98,22 +98,38 @@
     }
 }
 
-/// Calls the coordinator and the standbys, and returns whether none of them replies.
+/// Calls the coordinator and the standbys, and returns whether one of them can take over the cell.
 ///
 /// An outsider, which is neither, has to wait long for silent owners because it does not know which
-/// promises the standbys gave. A standby that is alive has to take over the cell instead.
-async fn coordinator_and_standbys_are_silent<D: PlatformDialect>(
+/// promises the standbys gave. A standby that is alive has to take over the cell instead, and a coordinator
+/// that has restarted takes up its role again. A standby whose target has started another incarnation is no
+/// standby any more, and a coordinator without a target cannot be one.
+async fn may_be_taken_over_by_others<D: PlatformDialect>(
     node: &NodeState<D>,
     record: &CellRecord,
 ) -> bool {
-    let candidates = record.standbys.iter().chain([&record.coordinator]);
-    let addresses = candidates
+    let candidates: Vec<_> = record
+        .standbys
+        .iter()
+        .chain([&record.coordinator])
         .filter(|name| **name != node.settings.node)
-        .filter_map(|name| Some(record.member(name)?.peer_address))
+        .filter_map(|name| record.member(name))
         .collect();
-    let call = PeerCall::PullCell(record.service.clone());
-    let replies = node.links.call_all(addresses, &call, PROBE_TIMEOUT).await;
-    replies.iter().all(Result::is_err)
+    let addresses = candidates.iter().map(|member| member.peer_address);
+    let addresses = addresses.collect();
+    let replies = node
+        .links
+        .call_all(addresses, &PeerCall::PullEntry, PROBE_TIMEOUT)
+        .await;
+    let mut replies = candidates.iter().zip(replies);
+    replies.any(|(member, reply)| {
+        let Ok(PeerReply::Entry(entry)) = reply else {
+            return false;
+        };
+        let is_coordinator = member.node == record.coordinator;
+        let target = entry.target.as_ref();
+        target.is_some_and(|target| is_coordinator || target.incarnation == member.incarnation)
+    })
 }
 
 /// Starts the coordinator role with a record that is known to be in the store.
