Bound the memory of all responses that are received from a target at a time

Cause: each response alone was bounded, by 64 MiB.

Change: BodyBudget bounds all of them together by 24 MiB; a response beyond it is broken off, and its request is uncertain. The same for replies of other routers, 96 MiB together.

--- a/crates/anvilrack-node/src/body_collector.rs
+++ b/crates/anvilrack-node/src/body_collector.rs
@@ -1,6 +1,7 @@
 //! Reads message bodies whose size is not known beforehand.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -27,21 +28,67 @@
     /// The connection broke.
     #[error("connection broke: {0}")]
     Broken(Arc<str>),
-    /// The body is too long.
-    #[error("body is longer than {0} bytes")]
+    /// This body and others that are received at the same time are too long.
+    #[error("bodies that are received at the same time are longer than {0} bytes together")]
     TooLong(usize),
 }
 
-/// Reads a complete body of at most `max_bytes` bytes.
+/// Bounds the memory of all bodies that are received at the same time.
+#[derive(Debug)]
+pub struct BodyBudget {
+    max_bytes: usize,
+    held_bytes: AtomicUsize,
+}
+
+/// The part of a [`BodyBudget`] that one body uses, until it is dropped.
+#[derive(Debug)]
+struct BudgetShare<'a> {
+    budget: &'a BodyBudget,
+    bytes: usize,
+}
+
+impl BodyBudget {
+    /// Creates a budget for bodies of `max_bytes` bytes together.
+    #[must_use]
+    pub fn new(max_bytes: usize) -> Self {
+        Self {
+            max_bytes,
+            held_bytes: AtomicUsize::new(0),
+        }
+    }
+}
+
+impl BudgetShare<'_> {
+    /// Adds bytes to the share.
+    fn grow(&mut self, bytes: usize) -> Result<(), BodyError> {
+        self.bytes += bytes;
+        let held_bytes = &self.budget.held_bytes;
+        let held = held_bytes.fetch_add(bytes, Ordering::Relaxed) + bytes;
+        if held > self.budget.max_bytes {
+            return Err(BodyError::TooLong(self.budget.max_bytes));
+        }
+        Ok(())
+    }
+}
+
+impl Drop for BudgetShare<'_> {
+    fn drop(&mut self) {
+        let held_bytes = &self.budget.held_bytes;
+        held_bytes.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
+
+/// Reads a complete body within the budget.
 ///
 /// # Errors
 ///
-/// A [`BodyError`] if the body is late, incomplete or too long.
+/// A [`BodyError`] if the body is late or incomplete, or exceeds the budget.
 pub async fn collect_body(
     mut body: Incoming,
-    max_bytes: usize,
+    budget: &BodyBudget,
     deadline: BodyDeadline,
 ) -> Result<Bytes, BodyError> {
+    let mut share = BudgetShare { budget, bytes: 0 };
     let mut collected = BytesMut::new();
     let mut until = deadline.at;
     loop {
@@ -52,9 +99,7 @@
             Ok(Some(Ok(frame))) => frame,
         };
         if let Ok(data) = frame.into_data() {
-            if collected.len() + data.len() > max_bytes {
-                return Err(BodyError::TooLong(max_bytes));
-            }
+            share.grow(data.len())?;
             collected.extend_from_slice(&data);
         }
         if let Some(stall) = deadline.stall {
--- a/crates/anvilrack-node/src/http_pool.rs
+++ b/crates/anvilrack-node/src/http_pool.rs
@@ -15,11 +15,13 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
-use crate::body_collector::{BodyDeadline, BodyError, collect_body};
+use crate::body_collector::{BodyBudget, BodyDeadline, BodyError, collect_body};
 use crate::socket_options;
 
-/// Maximum size of a response body.
-const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
+/// Maximum size of all response bodies that are received from a server at the same time.
+///
+/// A server may send without end on each of its connections, and small VMs allow the router 160 MB.
+const MAX_RECEIVED_BYTES: usize = 24 * 1024 * 1024;
 
 /// Idle time after which the kernel probes whether the other end of a connection is still there.
 ///
@@ -51,6 +53,7 @@
     address: SocketAddr,
     connect_timeout: Duration,
     stall_timeout: Option<Duration>,
+    body_budget: Arc<BodyBudget>,
     idle: Arc<Mutex<Vec<IdleConnection>>>,
 }
 
@@ -109,6 +112,7 @@
             address,
             connect_timeout,
             stall_timeout: None,
+            body_budget: Arc::new(BodyBudget::new(MAX_RECEIVED_BYTES)),
             idle: Arc::default(),
         }
     }
@@ -183,7 +187,7 @@
             at: deadline,
             stall: self.stall_timeout,
         };
-        let body = match collect_body(body, MAX_RESPONSE_BYTES, deadline).await {
+        let body = match collect_body(body, &self.body_budget, deadline).await {
             Ok(body) => body,
             Err(BodyError::Timeout) => return Err(SendError::Timeout),
             Err(error) => return Err(SendError::Broken(error.to_string().into())),
--- a/crates/anvilrack-node/src/peers/peer_links.rs
+++ b/crates/anvilrack-node/src/peers/peer_links.rs
@@ -15,7 +15,7 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
-use crate::body_collector::{BodyDeadline, BodyError, collect_body};
+use crate::body_collector::{BodyBudget, BodyDeadline, BodyError, collect_body};
 use crate::directory::SiteTracker;
 use crate::mutex_lock::lock;
 use crate::peers::{FrameError, PeerCall, PeerFrame, PeerReply, PeerTraffic, pack, unpack};
@@ -49,7 +49,7 @@
 /// On a link of 10 Mbit/s, uploads alone delay other packets by half a second.
 const STALL_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Maximum size of a reply, in bytes.
+/// Maximum size of all replies that are received at the same time, in bytes.
 const MAX_REPLY_BYTES: usize = 96 * 1024 * 1024;
 
 /// HTTP/2 flow-control window of each stream and of the connection, and the send buffer size of each
@@ -91,11 +91,18 @@
 /// Concurrent calls to a router wait for the same connection attempt. Once an attempt has failed, calls
 /// fail immediately while reconnecting continues in the background, so that a caller does not spend
 /// its time limit on a router that cannot be reached.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct PeerLinks {
     links: Arc<Mutex<HashMap<SocketAddr, Arc<PeerLink>>>>,
     tracker: Arc<SiteTracker>,
     traffic: Arc<PeerTraffic>,
+    reply_budget: Arc<BodyBudget>,
+}
+
+impl Default for PeerLinks {
+    fn default() -> Self {
+        Self::new(Arc::default())
+    }
 }
 
 #[derive(Debug)]
@@ -126,6 +133,7 @@
         Self {
             links: Arc::default(),
             traffic: Arc::default(),
+            reply_budget: Arc::new(BodyBudget::new(MAX_REPLY_BYTES)),
             tracker,
         }
     }
@@ -203,7 +211,7 @@
                     None => return Err(CallError::Lost(error.error().to_string().into())),
                 },
             };
-            let (reply, bytes) = read_reply(response, deadline).await?;
+            let (reply, bytes) = read_reply(response, &self.reply_budget, deadline).await?;
             self.traffic.record_reply(call, bytes);
             self.tracker.on_named(reply.site, None);
             return Ok((reply.message, reply.body));
@@ -332,10 +340,11 @@
 /// Reads a reply; returns it and its size in bytes.
 async fn read_reply(
     response: hyper::Response<hyper::body::Incoming>,
+    budget: &BodyBudget,
     deadline: BodyDeadline,
 ) -> Result<(PeerFrame<PeerReply>, usize), CallError> {
     let status = response.status();
-    let body = match collect_body(response.into_body(), MAX_REPLY_BYTES, deadline).await {
+    let body = match collect_body(response.into_body(), budget, deadline).await {
         Ok(body) => body,
         Err(BodyError::Timeout) => return Err(CallError::Timeout),
         Err(error) => return Err(CallError::Lost(error.to_string().into())),
