--- a/crates/anvilrack-harness/src/deployment.rs
+++ b/crates/anvilrack-harness/src/deployment.rs
@@ -8,7 +8,9 @@
 use std::time::{Duration, Instant};
 
 use anvilrack_fakes::{StoreCounters, StoreFaults, TargetFaults};
-use anvilrack_load::{LoadHistory, LoadOptions, LoadReport, check_history, fetch_runs};
+use anvilrack_load::{
+    LoadHistory, LoadOptions, LoadReport, check_history, fetch_runs, owner_conflicts,
+};
 use eyre::{WrapErr, bail, eyre};
 use serde_json::{Value, json};
 
@@ -524,6 +526,19 @@
     pub fn check_history(&self, history: &LoadHistory) -> eyre::Result<LoadReport> {
         Ok(check_history(history, &fetch_runs(&self.target_addresses)?))
     }
+
+    /// Describes the runs which show that a key had two owners, one a line.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the runs of a target cannot be fetched.
+    pub fn describe_owner_conflicts(&self) -> eyre::Result<String> {
+        let runs = fetch_runs(&self.target_addresses)?;
+        let lines = owner_conflicts(&runs)
+            .into_iter()
+            .map(|conflict| format!("{conflict:?}\n"));
+        Ok(lines.collect())
+    }
 }
 
 impl Drop for Deployment {
--- a/crates/anvilrack-harness/src/failure_trial.rs
+++ b/crates/anvilrack-harness/src/failure_trial.rs
@@ -82,7 +82,11 @@
         };
         self.await_recovery()?;
         let report = self.deployment.check_history(&history)?;
-        ensure!(report.is_clean(), "the history is not clean:\n{report}");
+        ensure!(
+            report.is_clean(),
+            "the history is not clean:\n{report}\n{}",
+            self.deployment.describe_owner_conflicts()?
+        );
         ensure!(report.ran > 0, "no request ran:\n{report}");
         Ok(report)
     }
--- a/crates/anvilrack-load/src/history_check.rs
+++ b/crates/anvilrack-load/src/history_check.rs
@@ -75,12 +75,31 @@
         wrong_answer: count_with_outcome(LoadOutcome::WrongAnswer)
             + count(&|record| record.told == LoadOutcome::Ran && runs_of(record) == 0),
         not_run_but_ran: count(&|record| record.told == LoadOutcome::NotRun && runs_of(record) > 0),
-        two_owners: count_two_owners(runs),
+        two_owners: owner_conflicts(runs).len() as u64,
         ..LoadReport::default()
     }
     .with_latencies(history)
 }
 
+/// A run that conflicts with earlier runs of its key on another target.
+///
+/// The fence of the run names the shard, the fencing token and the end of the lease in milliseconds since
+/// the machine booted. A run that began after that end was sent by a router that was suspended after it had
+/// checked its lease.
+#[derive(Clone, Copy, Debug)]
+pub struct OwnerConflict<'a> {
+    /// Index of the run's target.
+    pub target: usize,
+    /// The run that conflicts.
+    pub run: &'a TargetRun,
+    /// Index of the other target.
+    pub other_target: usize,
+    /// Latest end of the earlier runs there, in microseconds since the machine booted.
+    pub other_end_us: u64,
+    /// Highest fencing token of the earlier runs there.
+    pub other_token: u64,
+}
+
 /// A run with the index of its target and its fencing token.
 struct OwnedRun<'a> {
     target: usize,
@@ -88,8 +107,10 @@
     run: &'a TargetRun,
 }
 
-/// Counts the conflicts that show that a key had two owners, over all keys.
-fn count_two_owners(runs: &[TargetRuns]) -> u64 {
+/// Returns the conflicts between runs of one key on different targets, over all keys: a run that started
+/// before an earlier one on another target ended, or that has an older fencing token.
+#[must_use]
+pub fn owner_conflicts(runs: &[TargetRuns]) -> Vec<OwnerConflict<'_>> {
     let mut by_key: BTreeMap<&str, Vec<OwnedRun<'_>>> = BTreeMap::new();
     for (target, runs) in runs.iter().enumerate() {
         for run in runs {
@@ -100,26 +121,31 @@
                 .push(OwnedRun { target, token, run });
         }
     }
-    by_key.into_values().map(count_conflicts).sum()
+    by_key.into_values().flat_map(key_conflicts).collect()
 }
 
-/// Counts the conflicts between the runs of one key on different targets: a run that started before
-/// an earlier one on another target ended, or that has an older fencing token.
-fn count_conflicts(mut runs: Vec<OwnedRun<'_>>) -> u64 {
+fn key_conflicts(mut runs: Vec<OwnedRun<'_>>) -> Vec<OwnerConflict<'_>> {
     runs.sort_by_key(|owned| owned.run.began_us);
     let mut seen: BTreeMap<usize, TargetSpan> = BTreeMap::new();
-    let mut count = 0;
+    let mut conflicts = Vec::new();
     for owned in runs {
-        let others = seen.iter().filter(|(target, _)| **target != owned.target);
-        let conflicts = others.filter(|(_, span)| {
-            owned.run.began_us < span.last_end_us || owned.token < span.max_token
-        });
-        count += conflicts.count() as u64;
+        for (target, span) in &seen {
+            let overlaps = owned.run.began_us < span.last_end_us || owned.token < span.max_token;
+            if *target != owned.target && overlaps {
+                conflicts.push(OwnerConflict {
+                    target: owned.target,
+                    run: owned.run,
+                    other_target: *target,
+                    other_end_us: span.last_end_us,
+                    other_token: span.max_token,
+                });
+            }
+        }
         let span = seen.entry(owned.target).or_default();
         span.last_end_us = span.last_end_us.max(owned.run.ended_us);
         span.max_token = span.max_token.max(owned.token);
     }
-    count
+    conflicts
 }
 
 /// The latest end and the highest fencing token among a target's runs of one key so far.
--- a/crates/anvilrack-load/src/lib.rs
+++ b/crates/anvilrack-load/src/lib.rs
@@ -13,7 +13,7 @@
 mod request_plan;
 mod run_imbalance;
 
-pub use history_check::{TargetRuns, check_history, fetch_runs};
+pub use history_check::{OwnerConflict, TargetRuns, check_history, fetch_runs, owner_conflicts};
 pub use load_history::{LoadHistory, LoadOutcome, LoadRecord};
 pub use load_options::LoadOptions;
 pub use load_report::LoadReport;
