Do not take a late second copy of a response for the reply to another call

What callers would see: a target that sends a response twice, late, on a connection in use again made its router say that the next request had not run, although the target ran it. Keys went to their next owner without the handover, and while requests could still be running.

Cause: a refusal was believed before its request id was looked at. Responses to grants and releases have no id, so a copy of any response with status 200 confirmed a release.

Change: a response counts only if it names the request, a refusal included. A response that names a request is not the reply to a grant or a release, and a release goes over a connection of its own.

--- a/crates/anvilrack-node/src/guard/target_gateway.rs
+++ b/crates/anvilrack-node/src/guard/target_gateway.rs
@@ -571,6 +571,19 @@
         let info = node
             .dialect
             .read_response_info(parts.status, &parts.headers);
+        if let Some(reason) = rejection_reason(&info, parts.status, &call.request) {
+            // Data pending on the other pooled connections cannot be trusted either.
+            self.pool.clear();
+            emit_event!(
+                Warn,
+                events::REQUEST_TRIED,
+                request = &*call.request,
+                status = parts.status.as_u16(),
+                answered = info.request.as_deref(),
+                outcome = reason.as_str()
+            );
+            return (RunReply::MayHaveRun(reason), Bytes::new());
+        }
         let by_other_target =
             info.other_target.is_some() || parts.status == StatusCode::MISDIRECTED_REQUEST;
         if !by_other_target {
@@ -585,19 +598,6 @@
             }
             return (reply, Bytes::new());
         }
-        if let Some(reason) = rejection_reason(&info, parts.status, &call.request) {
-            // Data pending on the other pooled connections cannot be trusted either.
-            self.pool.clear();
-            emit_event!(
-                Warn,
-                events::REQUEST_TRIED,
-                request = &*call.request,
-                status = parts.status.as_u16(),
-                answered = info.request.as_deref(),
-                outcome = reason.as_str()
-            );
-            return (RunReply::MayHaveRun(reason), Bytes::new());
-        }
         let reply = RunReply::Ran {
             status: parts.status.as_u16(),
             headers: end_to_end_headers::to_list(&parts.headers),
@@ -794,7 +794,9 @@
     })
 }
 
-/// Returns the reason if a response must not be passed on.
+/// Returns the reason if a response says nothing about the request, or must not be passed on.
+///
+/// A response to another request may be a late copy on a connection that is in use again.
 fn rejection_reason(
     info: &TargetResponseInfo,
     status: StatusCode,
@@ -810,6 +812,7 @@
             | StatusCode::REQUEST_TIMEOUT
             | StatusCode::MISDIRECTED_REQUEST
     );
-    let rejected = other_request || unsigned || unconfirmed_refusal || info.encoded;
+    let unusable = unsigned || unconfirmed_refusal || info.encoded;
+    let rejected = other_request || (unusable && !info.not_run);
     rejected.then_some(UncertainReason::AnswerCutShort)
 }
--- a/crates/anvilrack-node/src/http_pool.rs
+++ b/crates/anvilrack-node/src/http_pool.rs
@@ -71,6 +71,8 @@
     Any,
     /// A connection that was used recently, or a new one.
     Fresh,
+    /// A new connection, which is closed after the response.
+    New,
 }
 
 /// The reason why a request got no response.
@@ -172,14 +174,17 @@
                     None => return Err(broken_connection(&error.into_error())),
                 },
             };
-            return self.read_response(response, sender, deadline).await;
+            let response = self.read_response(response, deadline).await?;
+            if age != ConnectionAge::New {
+                self.put_idle(sender, response.headers());
+            }
+            return Ok(response);
         }
     }
 
     async fn read_response(
         &self,
         response: Response<hyper::body::Incoming>,
-        sender: SendRequest<Full<Bytes>>,
         deadline: Instant,
     ) -> Result<Response<Bytes>, SendError> {
         let (parts, body) = response.into_parts();
@@ -192,7 +197,6 @@
             Err(BodyError::Timeout) => return Err(SendError::Timeout),
             Err(error) => return Err(SendError::Broken(error.to_string().into())),
         };
-        self.put_idle(sender, &parts.headers);
         Ok(Response::from_parts(parts, body))
     }
 
@@ -244,7 +248,12 @@
         idle.retain(|connection| connection.expires_at > now && !connection.sender.is_closed());
         let newest = idle.last()?;
         let fresh = now.duration_since(newest.idle_since) < MAX_FRESH_IDLE;
-        if age == ConnectionAge::Fresh && !fresh {
+        let usable = match age {
+            ConnectionAge::Any => true,
+            ConnectionAge::Fresh => fresh,
+            ConnectionAge::New => false,
+        };
+        if !usable {
             return None;
         }
         idle.pop().map(|connection| connection.sender)
--- a/crates/anvilrack-node/src/ownership/grant_maintainer.rs
+++ b/crates/anvilrack-node/src/ownership/grant_maintainer.rs
@@ -215,7 +215,7 @@
     key_range.hold = hold;
     key_range.handover = node.handover_of(shard);
     let call = node.dialect.grant_call(&key_range).map(Full::new);
-    match send(&node, call, GRANT_TIMEOUT).await {
+    match send(&node, call, ConnectionAge::Any, GRANT_TIMEOUT).await {
         Ok(response) if response.status() == StatusCode::OK => {
             node.grants.finish_call(shard, |grant| {
                 grant.until = sent_at + hold;
@@ -304,7 +304,8 @@
         }
         let (_, uncertain_until, until) = node.grants.call_state(shard);
         let call = node.dialect.release_call(&key_range).map(Full::new);
-        let error = match send(node, call, RELEASE_TIMEOUT).await {
+        // On a connection in use again, a copy of another response could count as the release.
+        let error = match send(node, call, ConnectionAge::New, RELEASE_TIMEOUT).await {
             Ok(response) if response.status() == StatusCode::OK => {
                 return node.dialect.read_handover(response.headers());
             }
@@ -348,12 +349,20 @@
 async fn send<D: PlatformDialect>(
     node: &NodeState<D>,
     call: Request<Full<Bytes>>,
+    age: ConnectionAge,
     timeout: Duration,
 ) -> Result<Response<Bytes>, SendError> {
-    node.gateway
-        .pool()
-        .send(call, ConnectionAge::Any, timeout)
-        .await
+    let pool = node.gateway.pool();
+    let response = pool.send(call, age, timeout).await?;
+    let info = node
+        .dialect
+        .read_response_info(response.status(), response.headers());
+    if let Some(request) = info.request {
+        pool.clear();
+        let fault = format!("the response belongs to request {request}");
+        return Err(SendError::Broken(fault.into()));
+    }
+    Ok(response)
 }
 
 /// Returns the grant of a shard's key range, with no hold and no handover.
