Refuse messages with durations that overflow

What operators would see: one malformed message of another router ended the task that read it, with its request. Cause: durations from messages were added to times without a bound, in three places (run calls, cancellations), and the size of a body to the reserved sizes.

BodyCapacity saturates.

--- a/crates/anvilrack-core/src/crash_quarantine.rs
+++ b/crates/anvilrack-core/src/crash_quarantine.rs
@@ -6,6 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::bounded_duration;
 use crate::{BootTime, fingerprint_of};
 
 /// Fingerprint of a request, equal for all resends of it.
@@ -43,6 +44,7 @@
     /// The crash.
     pub crash: CrashId,
     /// Time since the crash was detected.
+    #[serde(deserialize_with = "bounded_duration")]
     pub age: Duration,
     /// Whether a completed run of the request has shown that it did not cause the crash.
     pub disproved: bool,
--- a/crates/anvilrack-core/src/entry_admission.rs
+++ b/crates/anvilrack-core/src/entry_admission.rs
@@ -12,6 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::admitted_shares::WHOLE_SHARE;
+use crate::bounded_duration;
 use crate::{AdmittedShares, BootTime, Incarnation, NodeId, ServiceName, ShareMilli};
 
 /// Divisor for the weight of the newest shares in a moving average.
@@ -64,6 +65,7 @@
     /// Shares that the target takes.
     pub shares: AdmittedShares,
     /// Mean time between two requests at the limit.
+    #[serde(deserialize_with = "bounded_duration")]
     pub interval: Duration,
 }
 
--- a/crates/anvilrack-core/src/lib.rs
+++ b/crates/anvilrack-core/src/lib.rs
@@ -15,6 +15,7 @@
 mod admission_queue;
 mod admitted_shares;
 mod at_most_once_record;
+mod bounded_duration;
 mod call_routes;
 mod cell_history;
 mod cell_record;
@@ -60,6 +61,7 @@
     AtMostOnceKey, AtMostOnceLimits, AtMostOnceRecord, AtMostOnceRequest, ExportedRun,
     ExportedShard, RunDecision, RunOutcome,
 };
+pub use bounded_duration::{bounded_duration, optional_bounded_duration};
 pub use call_routes::CallRoutes;
 pub use cell_record::{CellMember, CellRecord, ShardOwner, WriterStamp};
 pub use clock::BootTime;
--- a/crates/anvilrack-node/src/guard/body_capacity.rs
+++ b/crates/anvilrack-node/src/guard/body_capacity.rs
@@ -60,14 +60,13 @@
     ) -> Result<(), Duration> {
         self.reservations
             .retain(|_, reservation| now < reservation.expires_at);
-        let reserved_bytes: usize = self
-            .reservations
-            .values()
-            .map(|reservation| reservation.bytes)
-            .sum();
-        if reserved_bytes > 0 && reserved_bytes + bytes > self.capacity_bytes {
-            let used_percent = u32::try_from(reserved_bytes * 100 / self.capacity_bytes.max(1))
-                .unwrap_or(u32::MAX);
+        let reserved = self.reservations.values();
+        let reserved_bytes = reserved.fold(0_usize, |sum, reservation| {
+            sum.saturating_add(reservation.bytes)
+        });
+        if reserved_bytes > 0 && reserved_bytes.saturating_add(bytes) > self.capacity_bytes {
+            let used_percent = reserved_bytes.saturating_mul(100) / self.capacity_bytes.max(1);
+            let used_percent = u32::try_from(used_percent).unwrap_or(u32::MAX);
             return Err(MAX_LINK_TIME.saturating_mul(used_percent) / 100);
         }
         let expires_at = now + RESERVATION_TIMEOUT;
--- a/crates/anvilrack-node/src/peers/peer_message.rs
+++ b/crates/anvilrack-node/src/peers/peer_message.rs
@@ -7,7 +7,7 @@
 use anvilrack_core::{
     AdmissionHint, BootTime, CellRecord, CellVersion, CrashReport, DomainName, Epoch, Incarnation,
     MemberReport, NodeId, RefusalReason, RegionName, RenewalAnswer, RequestClass, RunAdmission,
-    ServiceName, SiteVersion, TargetLoad, UncertainReason,
+    ServiceName, SiteVersion, TargetLoad, UncertainReason, bounded_duration,
 };
 use anvilrack_wire::{DocumentDigest, PacketHeader};
 use serde::{Deserialize, Serialize};
@@ -25,7 +25,10 @@
     Room(BodyCapacityCall),
     /// Cancels a request before it starts; has no effect on a request that has already started. Names the
     /// time since the request was sent.
-    Bar(RequestId, Duration),
+    Bar(
+        RequestId,
+        #[serde(deserialize_with = "bounded_duration")] Duration,
+    ),
     /// Heartbeat of a member to its coordinator.
     Heartbeat(Box<MemberHeartbeat>),
     /// Announces that the sender has taken over a cell.
@@ -131,10 +134,13 @@
     /// The caller's headers without hop-by-hop headers.
     pub headers: Vec<(String, Vec<u8>)>,
     /// When the call was sent, by the sender's clock.
+    #[serde(deserialize_with = "bounded_duration")]
     pub sent_at: BootTime,
     /// Time left until the request's deadline.
+    #[serde(deserialize_with = "bounded_duration")]
     pub time_left: Duration,
     /// Time left until the response misses its latency objective.
+    #[serde(deserialize_with = "bounded_duration")]
     pub objective_left: Duration,
     /// Key of the request, used if the service is divided by key; `None` if the caller named none.
     pub key: Option<KeyNumber>,
@@ -194,6 +200,7 @@
         /// Why the request was refused.
         reason: RefusalReason,
         /// Time after which a retry is worthwhile.
+        #[serde(deserialize_with = "bounded_duration")]
         retry_after: Duration,
         /// Whether the target itself refused the request, which costs the target some work.
         by_target: bool,
@@ -243,6 +250,7 @@
     /// The sender's link is occupied by other documents.
     Busy {
         /// Time after which a retry is worthwhile.
+        #[serde(deserialize_with = "bounded_duration")]
         retry_after: Duration,
         /// Routers that were sent the document and may pass it on.
         receivers: Vec<SocketAddr>,
--- a/crates/anvilrack-wire/src/forward_message.rs
+++ b/crates/anvilrack-wire/src/forward_message.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anvilrack_core::{RefusalReason, RequestVerdict, ServiceName, TargetAnswer, UncertainReason};
+use anvilrack_core::{
+    RefusalReason, RequestVerdict, ServiceName, TargetAnswer, UncertainReason, bounded_duration,
+};
 use serde::{Deserialize, Serialize};
 
 use crate::BodyBytes;
@@ -27,6 +29,7 @@
     /// The caller's IP address, by which capacity is shared fairly.
     pub caller: Arc<str>,
     /// Time left until the request's deadline.
+    #[serde(deserialize_with = "bounded_duration")]
     pub timeout: Duration,
     /// The request body.
     pub body: BodyBytes,
@@ -62,7 +65,10 @@
         body: BodyBytes,
     },
     /// The request was refused and has not run; it may be retried after the given time.
-    NotRun(RefusalReason, Duration),
+    NotRun(
+        RefusalReason,
+        #[serde(deserialize_with = "bounded_duration")] Duration,
+    ),
     /// The outcome is uncertain: the request may have run.
     MayHaveRun(UncertainReason),
 }
--- a/crates/anvilrack-wire/src/peer_message.rs
+++ b/crates/anvilrack-wire/src/peer_message.rs
@@ -6,6 +6,7 @@
 use anvilrack_core::{
     CellRecord, CellVersion, ConfigRecord, CrashReport, Epoch, FencingToken, MemberReport,
     PlacementDecision, RecordDelta, RenewalAnswer, Revision, ServiceName, ShardId, UncertainReason,
+    bounded_duration, optional_bounded_duration,
 };
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
@@ -155,6 +156,7 @@
     pub entries: Vec<RecordEntry>,
     /// Time since an earlier owner's record of this shard was lost, or `None` if no loss is still
     /// relevant.
+    #[serde(deserialize_with = "optional_bounded_duration")]
     pub lost_age: Option<Duration>,
 }
 
@@ -168,6 +170,7 @@
     /// Fingerprint of method, path and body.
     pub fingerprint: u64,
     /// Time since its outcome was recorded.
+    #[serde(deserialize_with = "bounded_duration")]
     pub age: Duration,
     /// The outcome of the request.
     pub outcome: RecordOutcome,
