Start a long-lived task again if it panics, and log each panic

A panic in a task such as the watch of the store ended this task alone, without a line in the log, and the router went on without it. None is known since durations are bounded; this is for those that are not known.

Change: the tasks that run for the life of the process are started again after half a second, with task.restarted; each panic is logged as router.panicked with its place.

Evidence: supervised_task::task_that_panics_is_started_again.

--- a/crates/anvilrack-core/src/event_catalogue.rs
+++ b/crates/anvilrack-core/src/event_catalogue.rs
@@ -37,6 +37,8 @@
     LOG_DROPPED = 1004, "log.dropped", "The log writer could not keep up; reports how many lines were dropped.";
     SETTINGS_KEPT = 1005, "settings.kept", "The process was notified of changed settings but kept the current ones.";
     TARGET_WITHDRAWN = 1006, "target.withdrawn", "During a graceful shutdown, the target gets no new requests from now on; reports the requests that it runs and whether it will be served again by the next process.";
+    ROUTER_PANICKED = 1007, "router.panicked", "A task of the router ended with an unexpected error, a defect of the router; reports the place in the code and the error.";
+    TASK_RESTARTED = 1008, "task.restarted", "A task that runs for the life of the process was started again after an unexpected error.";
     TARGET_ANNOUNCED = 1101, "target.announced", "A target announced itself to the router next to it.";
     TARGET_READY = 1102, "target.ready", "The readiness that the target reports has changed.";
     TARGET_SEEN = 1103, "target.seen", "The target next to this router started a new incarnation; reports its id, start time and slots.";
--- a/crates/anvilrack-node/src/lib.rs
+++ b/crates/anvilrack-node/src/lib.rs
@@ -31,6 +31,7 @@
 mod retry_backoff;
 pub mod routing;
 mod socket_options;
+mod supervised_task;
 
 pub use node_process::{accept_loop, run};
 pub use node_settings::{DeploymentLimits, ListenAddresses, NodeSettings, parse_duration};
@@ -41,3 +42,4 @@
     TargetResponseInfo,
 };
 pub use request_content::RequestContent;
+pub use supervised_task::spawn_supervised;
--- a/crates/anvilrack-node/src/node_process.rs
+++ b/crates/anvilrack-node/src/node_process.rs
@@ -28,7 +28,7 @@
 use crate::guard::{exchange_crashes, maintain_stored_crashes, report_crashes, serve_control};
 use crate::ownership::{maintain_grants, resign, run_member};
 use crate::peers::serve_peers;
-use crate::{NodeSettings, NodeState, PlatformDialect, emit_event, observe};
+use crate::{NodeSettings, NodeState, PlatformDialect, emit_event, observe, spawn_supervised};
 
 /// Pause after accepting a connection failed.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -84,19 +84,29 @@
     tokio::spawn(serve_status(ready, node.clone(), ready_response));
     tokio::spawn(serve_status(metrics, node.clone(), metrics_response));
     tokio::spawn(serve_control(control, node.clone()));
-    tokio::spawn(watch_site(node.clone()));
-    tokio::spawn(follow_site(node.clone()));
-    tokio::spawn(watch_entries(node.clone()));
-    tokio::spawn(send_reader_heartbeats(node.clone()));
-    tokio::spawn(maintain_entry(node.clone()));
-    tokio::spawn(probe_expired_routers(node.clone()));
-    tokio::spawn(expire_entries(node.clone()));
-    tokio::spawn(run_member(node.clone()));
-    tokio::spawn(maintain_grants(node.clone()));
-    tokio::spawn(follow_leaving_target(node.clone()));
-    tokio::spawn(report_crashes(node.clone()));
-    tokio::spawn(exchange_crashes(node.clone()));
-    tokio::spawn(maintain_stored_crashes(node.clone()));
+    macro_rules! supervise {
+        ($($task:ident),* $(,)?) => {
+            $({
+                let node = node.clone();
+                spawn_supervised(stringify!($task), move || $task(node.clone()));
+            })*
+        };
+    }
+    supervise![
+        watch_site,
+        follow_site,
+        watch_entries,
+        send_reader_heartbeats,
+        maintain_entry,
+        probe_expired_routers,
+        expire_entries,
+        run_member,
+        maintain_grants,
+        follow_leaving_target,
+        report_crashes,
+        exchange_crashes,
+        maintain_stored_crashes,
+    ];
     loop {
         tokio::select! {
             _ = stop.recv() => break,
--- a/crates/anvilrack-node/src/observe/event_line.rs
+++ b/crates/anvilrack-node/src/observe/event_line.rs
@@ -1,6 +1,7 @@
 //! Structured log lines in JSON.
 
 use std::io::{self, Write};
+use std::panic;
 use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::Duration;
 
@@ -55,9 +56,21 @@
             )
         })
         .init();
+    log_panics();
     writer
 }
 
+/// Adds a log line for each panic; it ends the task in which it occurs, and not the process.
+fn log_panics() {
+    let print = panic::take_hook();
+    panic::set_hook(Box::new(move |info| {
+        let place = info.location().map(ToString::to_string);
+        let fault = info.payload_as_str();
+        crate::emit_event!(Error, events::ROUTER_PANICKED, place = place, fault = fault);
+        print(info);
+    }));
+}
+
 /// Sets the router name that is added to all further log lines.
 pub fn set_node(node: Arc<str>) {
     // Later calls are ignored, since a process runs a single router.
