Give a lease up that was opened while the store came back from a copy

The era of a new lease was read after the call that opened it. If another response had named a new era meanwhile, a lease of the old one counted as one of the new. The era before the call is kept now, except for the first call. Found by reading; the moment is too short for a test.

--- a/crates/anvilrack-node/src/directory/entry_maintainer.rs
+++ b/crates/anvilrack-node/src/directory/entry_maintainer.rs
@@ -96,9 +96,11 @@
             lease
         } else {
             let time_to_live = TIME_TO_LIVE.max(node.settings.terms.shortest_lease);
+            let era = node.store.era();
             let (lease, _) = node.store.open_lease(time_to_live).await?;
             self.lease = Some(lease);
-            self.era = node.store.era();
+            // If the store comes back from a copy during the call, the lease is given up again.
+            self.era = if era == 0 { node.store.era() } else { era };
             self.written = None;
             self.next_renewal = now + RENEW_INTERVAL;
             lease
