Check the lease immediately before a request is written to the target

A router that is suspended there sends the request after its lease.

Change: the connection itself checks the lease before the first bytes are written, and the request is then refused as not run.

--- a/crates/anvilrack-router/src/stages/deliver.rs
+++ b/crates/anvilrack-router/src/stages/deliver.rs
@@ -11,8 +11,11 @@
 use anvilrack_wire::ForwardRequest;
 use ureq::Agent;
 use ureq::http::{Request, Response};
+use ureq::unversioned::resolver::DefaultResolver;
+use ureq::unversioned::transport::{Connector, TcpConnector};
 
 use super::RETRY_SOON;
+use super::lease_transport::{LeaseConnector, LeaseEnded, set_lease_end};
 use crate::boot_clock;
 
 /// Timeout for opening a connection to the target, which runs on the same VM.
@@ -65,16 +68,17 @@
             .timeout_connect(Some(CONNECT_TIMEOUT))
             .allow_non_standard_methods(true)
             .build();
+        let connector = TcpConnector::default().chain(LeaseConnector);
         Self {
-            agent: config.new_agent(),
+            agent: Agent::with_parts(config, connector, DefaultResolver::default()),
         }
     }
 }
 
 /// Sends a request to the target and returns the verdict.
 ///
-/// The lease is checked again immediately before sending. It can still expire between this check
-/// and the write to the connection. A target that checks fences closes this gap: the fence contains
+/// The lease is checked again immediately before the request is written to the connection. It can still
+/// expire between this check and the write. A target that checks fences closes this gap: the fence contains
 /// the end of the lease, on the clock that router and target share.
 #[must_use]
 pub fn process(
@@ -98,6 +102,7 @@
         .configure_request(message)
         .timeout_global(Some(remaining))
         .build();
+    set_lease_end(parameters.lease_until);
     match client.agent.run(configured) {
         Ok(response) => read_response(response),
         Err(error) => verdict_of(&error),
@@ -174,6 +179,9 @@
 /// Maps a transport error to a verdict: `NotRun` only if no connection was established.
 fn verdict_of(error: &ureq::Error) -> RequestVerdict {
     match error {
+        ureq::Error::Other(error) if error.is::<LeaseEnded>() => {
+            RequestVerdict::NotRun(RefusalReason::LeaseEnded, RETRY_SOON)
+        }
         ureq::Error::Timeout(ureq::Timeout::Connect) | ureq::Error::ConnectionFailed => {
             RequestVerdict::NotRun(RefusalReason::TargetRefused, RETRY_SOON)
         }
--- a/crates/anvilrack-router/src/stages/mod.rs
+++ b/crates/anvilrack-router/src/stages/mod.rs
@@ -10,6 +10,7 @@
 pub mod deliver;
 pub mod forward;
 pub mod guard;
+mod lease_transport;
 pub mod reply;
 pub mod resolve;
 
