Sort the modules of the core into folders by decision

Cause: `src/` of the core was one flat folder of 43 files, and the parts that come next would add a dozen. Change: ownership, targets, admission, requests, site and catalogue have a folder each, whose `mod.rs` says what is decided there. Moves alone: the paths under which the crate exports its types are as before.

--- a/crates/anvilrack-core/src/demand_meter.rs
+++ b/crates/anvilrack-core/src/admission/demand_meter.rs
@@ -3,8 +3,10 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use crate::admitted_shares::{PRIORITY_COUNT, WHOLE_SHARE, priority_index};
-use crate::{AdmittedShares, BootTime, RequestRate, RunAdmission, ShareMilli};
+use super::admitted_shares::priority_index;
+use crate::{
+    AdmittedShares, BootTime, PRIORITY_COUNT, RequestRate, RunAdmission, ShareMilli, WHOLE_SHARE,
+};
 
 /// Period over which work is added up before it moves to the next bucket.
 const BUCKET: Duration = Duration::from_millis(200);
--- a/crates/anvilrack-core/src/entry_admission.rs
+++ b/crates/anvilrack-core/src/admission/entry_admission.rs
@@ -11,9 +11,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::admitted_shares::WHOLE_SHARE;
 use crate::bounded_duration;
-use crate::{AdmittedShares, BootTime, Incarnation, NodeId, ServiceName, ShareMilli};
+use crate::{AdmittedShares, BootTime, Incarnation, NodeId, ServiceName, ShareMilli, WHOLE_SHARE};
 
 /// Divisor for the weight of the newest shares in a moving average.
 const AVERAGE_WEIGHT_DIVISOR: i32 = 6;
--- /dev/null
+++ b/crates/anvilrack-core/src/admission/mod.rs
@@ -0,0 +1,25 @@
+//! Which requests are served, in which order, and which are refused where they enter.
+
+mod admission_queue;
+mod admitted_shares;
+mod call_routes;
+mod demand_meter;
+mod entry_admission;
+mod fair_share;
+mod key_sketch;
+mod latency_limit;
+mod rate_limiter;
+mod service_time_meter;
+mod upload_pacer;
+
+pub use admission_queue::{AdmissionQueue, AdmissionRequest, AdmissionStep, TicketId};
+pub use admitted_shares::{AdmittedShares, PRIORITY_COUNT, ShareMilli, WHOLE_SHARE};
+pub use call_routes::CallRoutes;
+pub use demand_meter::{DemandMeter, OfferedRequest};
+pub use entry_admission::{AdmissionHint, EntryAdmission, RateHint, RunAdmission};
+pub use fair_share::FairShare;
+pub use key_sketch::{KeyCount, KeySketch};
+pub use latency_limit::LatencyLimit;
+pub use rate_limiter::{RateLimiter, RequestRate};
+pub use service_time_meter::ServiceTimeMeter;
+pub use upload_pacer::UploadPacer;
--- a/crates/anvilrack-core/src/lib.rs
+++ b/crates/anvilrack-core/src/lib.rs
@@ -12,100 +12,51 @@
 //! * [`CoordinatorState`] decides which member should own which shard.
 //! * [`StandbyState`] decides whether this router may replace its coordinator.
 
-mod admission_queue;
-mod admitted_shares;
-mod at_most_once_record;
+mod admission;
 mod bounded_duration;
-mod call_routes;
-mod cell_history;
-mod cell_record;
+mod catalogue;
 mod clock;
-mod coordinator_state;
-mod crash_quarantine;
-mod demand_meter;
-mod entry_admission;
-mod event_catalogue;
-mod fair_share;
 mod ids;
-mod key_sketch;
-mod latency_limit;
-mod lease_terms;
-mod load_view;
-mod metric_catalogue;
 mod moving_average;
-mod owner_state;
-mod placement_decision;
-mod placement_policy;
+mod ownership;
 mod planned_stop;
-mod rate_limiter;
-mod record_delta;
-mod request_identity;
-mod request_verdict;
-mod retry_budget;
-mod route_table;
-mod service_rules;
-mod service_time_meter;
-mod shard_hash;
-mod shard_meter;
-mod site_progress;
-mod site_routes;
-mod standby_state;
-mod target_health;
-mod target_selector;
-mod transit_meter;
-mod upload_pacer;
+mod requests;
+mod site;
+mod targets;
 
-pub use admission_queue::{AdmissionQueue, AdmissionRequest, AdmissionStep, TicketId};
-pub use admitted_shares::{AdmittedShares, PRIORITY_COUNT, ShareMilli, WHOLE_SHARE};
-pub use at_most_once_record::{
-    AtMostOnceKey, AtMostOnceLimits, AtMostOnceRecord, AtMostOnceRequest, ExportedRun,
-    ExportedShard, RunDecision, RunOutcome,
+pub use admission::{
+    AdmissionHint, AdmissionQueue, AdmissionRequest, AdmissionStep, AdmittedShares, CallRoutes,
+    DemandMeter, EntryAdmission, FairShare, KeyCount, KeySketch, LatencyLimit, OfferedRequest,
+    PRIORITY_COUNT, RateHint, RateLimiter, RequestRate, RunAdmission, ServiceTimeMeter, ShareMilli,
+    TicketId, UploadPacer, WHOLE_SHARE,
 };
 pub use bounded_duration::{bounded_duration, optional_bounded_duration};
-pub use call_routes::CallRoutes;
-pub use cell_record::{CellMember, CellRecord, ShardOwner, WriterStamp};
+pub use catalogue::{EVENT_CATALOGUE, LogEvent, METRIC_CATALOGUE, MetricInfo, events, metrics};
 pub use clock::BootTime;
-pub use coordinator_state::{
-    CoordinatorState, MemberReport, ReleaseOrder, ReleaseReport, RenewalAnswer, ReportSequence,
-};
-pub use crash_quarantine::{
-    CrashId, CrashObservation, CrashQuarantine, CrashReport, RequestFingerprint,
-};
-pub use demand_meter::{DemandMeter, OfferedRequest};
-pub use entry_admission::{AdmissionHint, EntryAdmission, RateHint, RunAdmission};
-pub use event_catalogue::{EVENT_CATALOGUE, LogEvent, events};
-pub use fair_share::FairShare;
 pub use ids::{
     CellVersion, DomainName, Epoch, FencingToken, Incarnation, NodeId, RegionName, Revision,
     ServiceName, ShardId,
 };
-pub use key_sketch::{KeyCount, KeySketch};
-pub use latency_limit::LatencyLimit;
-pub use lease_terms::LeaseTerms;
-pub use load_view::LoadView;
-pub use metric_catalogue::{METRIC_CATALOGUE, MetricInfo, metrics};
-pub use owner_state::{OwnerState, ShardPermit};
-pub use placement_decision::{
-    PlacementDecision, PlacementHistory, PlacementReason, placement_decisions,
+pub use ownership::{
+    CellMember, CellRecord, CoordinatorState, LeaseTerms, LoadView, MemberReport, OwnerState,
+    PlacementDecision, PlacementHistory, PlacementPolicy, PlacementReason, PlacementView,
+    RecordDelta, RecordStamp, ReleaseOrder, ReleaseReport, RenewalAnswer, ReportSequence,
+    RouteError, RouteTable, ShardHash, ShardLoad, ShardMeter, ShardOwner, ShardPermit, ShardRoute,
+    StandbyState, TableChanges, TakeoverStep, WriterStamp, placement_decisions,
 };
-pub use placement_policy::{PlacementPolicy, PlacementView};
 pub use planned_stop::{PlannedStop, StopBacklog, StopPhase};
-pub use rate_limiter::{RateLimiter, RequestRate};
-pub use record_delta::{RecordDelta, RecordStamp};
-pub use request_identity::{fingerprint_of, first_sent_at};
-pub use request_verdict::{RefusalReason, RequestVerdict, TargetAnswer, UncertainReason};
-pub use retry_budget::{ResendSafety, RetryBudget, RetryStep, retry_backoff, retry_step};
-pub use route_table::{RouteError, RouteTable, ShardRoute, TableChanges};
-pub use service_rules::{
-    ConfigDocument, ConfigRecord, PlacementWeights, RequestClass, ServiceRules, SitePlan,
+pub use requests::{
+    AtMostOnceKey, AtMostOnceLimits, AtMostOnceRecord, AtMostOnceRequest, CrashId,
+    CrashObservation, CrashQuarantine, CrashReport, ExportedRun, ExportedShard, RefusalReason,
+    RequestFingerprint, RequestVerdict, ResendSafety, RetryBudget, RetryStep, RunDecision,
+    RunOutcome, TargetAnswer, UncertainReason, fingerprint_of, first_sent_at, retry_backoff,
+    retry_step,
+};
+pub use site::{
+    CallerLimits, ConfigDocument, ConfigRecord, PlacementWeights, RequestClass, RouteRules,
+    RoutedService, ServiceRules, SitePlan, SiteProgress, SiteRoutes, SiteSource, SiteVersion,
+};
+pub use targets::{
+    ChoiceDraws, HealthOutcome, TargetDistance, TargetHealth, TargetLoad, TargetSelector,
+    TransitMeter,
 };
-pub use service_time_meter::ServiceTimeMeter;
-pub use shard_hash::ShardHash;
-pub use shard_meter::{ShardLoad, ShardMeter};
-pub use site_progress::{SiteProgress, SiteSource};
-pub use site_routes::{CallerLimits, RouteRules, RoutedService, SiteRoutes, SiteVersion};
-pub use standby_state::{StandbyState, TakeoverStep};
-pub use target_health::{HealthOutcome, TargetHealth};
-pub use target_selector::{ChoiceDraws, TargetDistance, TargetLoad, TargetSelector};
-pub use transit_meter::TransitMeter;
-pub use upload_pacer::UploadPacer;
--- a/crates/anvilrack-core/src/route_table.rs
+++ b/crates/anvilrack-core/src/ownership/route_table.rs
@@ -6,7 +6,7 @@
 
 use thiserror::Error;
 
-use crate::cell_history::CellHistory;
+use super::cell_history::CellHistory;
 use crate::{
     CellRecord, CellVersion, ConfigRecord, FencingToken, NodeId, RecordDelta, Revision,
     ServiceName, ServiceRules, ShardHash, ShardId,
--- /dev/null
+++ b/crates/anvilrack-core/src/requests/mod.rs
@@ -0,0 +1,18 @@
+//! What happened to a request: its verdict, whether it may be sent again, and what it did to targets.
+
+mod at_most_once_record;
+mod crash_quarantine;
+mod request_identity;
+mod request_verdict;
+mod retry_budget;
+
+pub use at_most_once_record::{
+    AtMostOnceKey, AtMostOnceLimits, AtMostOnceRecord, AtMostOnceRequest, ExportedRun,
+    ExportedShard, RunDecision, RunOutcome,
+};
+pub use crash_quarantine::{
+    CrashId, CrashObservation, CrashQuarantine, CrashReport, RequestFingerprint,
+};
+pub use request_identity::{fingerprint_of, first_sent_at};
+pub use request_verdict::{RefusalReason, RequestVerdict, TargetAnswer, UncertainReason};
+pub use retry_budget::{ResendSafety, RetryBudget, RetryStep, retry_backoff, retry_step};
--- /dev/null
+++ b/crates/anvilrack-core/src/targets/mod.rs
@@ -0,0 +1,9 @@
+//! Which target takes a request that any target of its service can serve.
+
+mod target_health;
+mod target_selector;
+mod transit_meter;
+
+pub use target_health::{HealthOutcome, TargetHealth};
+pub use target_selector::{ChoiceDraws, TargetDistance, TargetLoad, TargetSelector};
+pub use transit_meter::TransitMeter;
