Decode allowed regions, evacuations, cold targets and reported load

Cause: the site document, the settings and targets' responses have fields that the router did not read, so no part could act on them: allowed regions of routes, the rate that cold targets tolerate, the load that targets report, keys that request an evacuation, and the deployment's limits on retries and on the memory of a VM. Change: `platform/` decodes them once into types of the core: `RegionRule`, `TargetReport`, `RoutedService::cold_rate` and `cold_start`. All are optional; nothing acts on them yet.

--- a/crates/anvilrack-bench/src/slopes/site_document.rs
+++ b/crates/anvilrack-bench/src/slopes/site_document.rs
@@ -4,7 +4,7 @@
 use std::hint::black_box;
 use std::time::Duration;
 
-use anvilrack_core::{RouteRules, SiteRoutes};
+use anvilrack_core::{RegionRule, RouteRules, SiteRoutes};
 use anvilrack_wire::{pack_document, unpack_document};
 
 use super::ROUNDS;
@@ -125,6 +125,7 @@
         priority: 2,
         max_attempts: 2,
         splits: vec![("catalogo".into(), 1)],
+        allowed_regions: RegionRule::default(),
     };
     let site = (0..routes).fold(SiteRoutes::new(1), |site, route| {
         site.with_route("a.example", rules(route))
--- a/crates/anvilrack-core/src/lib.rs
+++ b/crates/anvilrack-core/src/lib.rs
@@ -53,10 +53,11 @@
     retry_step,
 };
 pub use site::{
-    CallerLimits, ConfigDocument, ConfigRecord, PlacementWeights, RequestClass, RouteRules,
-    RoutedService, ServiceRules, SitePlan, SiteProgress, SiteRoutes, SiteSource, SiteVersion,
+    CallerLimits, ConfigDocument, ConfigRecord, PlacementWeights, RegionRule, RequestClass,
+    RouteRules, RoutedService, ServiceRules, SitePlan, SiteProgress, SiteRoutes, SiteSource,
+    SiteVersion,
 };
 pub use targets::{
-    ChoiceDraws, HealthOutcome, TargetDistance, TargetHealth, TargetLoad, TargetSelector,
-    TransitMeter,
+    ChoiceDraws, HealthOutcome, TargetDistance, TargetHealth, TargetLoad, TargetReport,
+    TargetSelector, TransitMeter, USUAL_PACE_PERCENT,
 };
--- a/crates/anvilrack-core/src/site/site_routes.rs
+++ b/crates/anvilrack-core/src/site/site_routes.rs
@@ -4,13 +4,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::{RequestClass, ServiceName};
+use crate::{RegionRule, RequestClass, RequestRate, ServiceName};
 
 /// Version number of a site document; it rises with each new document.
 pub type SiteVersion = u64;
 
 /// One complete site document.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct SiteRoutes {
     /// Version of the document.
     pub version: SiteVersion,
@@ -46,10 +46,12 @@
     pub max_attempts: u32,
     /// Services that share the route, with their weights.
     pub splits: Vec<(ServiceName, u32)>,
+    /// Regions whose targets may run the requests.
+    pub allowed_regions: RegionRule,
 }
 
 /// What the site document says about one service.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct RoutedService {
     /// Whether each key is owned by one target.
     pub divided_by_key: bool,
@@ -57,6 +59,10 @@
     pub health_path: Arc<str>,
     /// Maximum number of connections to a target, from all callers together.
     pub connections: u32,
+    /// Rate of requests that a cold target tolerates; `None` if it is not limited.
+    pub cold_rate: Option<RequestRate>,
+    /// Time for which a target is cold after it has started.
+    pub cold_start: Duration,
 }
 
 /// Limits for the requests and connections of callers.
--- a/crates/anvilrack-core/tests/site_routes.rs
+++ b/crates/anvilrack-core/tests/site_routes.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use anvilrack_core::{RouteRules, SiteRoutes};
+use anvilrack_core::{RegionRule, RouteRules, SiteRoutes};
 
 fn rules(prefix: &str, splits: &[(&str, u32)]) -> RouteRules {
     RouteRules {
@@ -17,6 +17,7 @@
             .iter()
             .map(|(name, weight)| ((*name).into(), *weight))
             .collect(),
+        allowed_regions: RegionRule::default(),
     }
 }
 
@@ -61,3 +62,17 @@
     assert!((0..100).all(|draw| rules.pick_service(draw).is_some_and(|s| &**s == "maps")));
     assert_eq!(self::rules("/", &[("views", 0)]).pick_service(5), None);
 }
+
+// Guards against a request that runs in a region which one of two rules forbids.
+#[test]
+fn both_region_rules_bind() {
+    let route = RegionRule::default().with_regions(["north".into(), "south".into()]);
+    let both = route.with_regions(["south".into(), "east".into()]);
+    assert!(both.allows("south"));
+    for region in ["north", "east", "west"] {
+        assert!(!both.allows(region), "{region}");
+    }
+    let contradictory = both.with_regions(["north".into()]);
+    assert!(!contradictory.allows("south"));
+    assert!(!contradictory.allows_all());
+}
--- a/crates/anvilrack-node/src/lib.rs
+++ b/crates/anvilrack-node/src/lib.rs
@@ -34,7 +34,9 @@
 mod supervised_task;
 
 pub use node_process::{accept_loop, run};
-pub use node_settings::{DeploymentLimits, ListenAddresses, NodeSettings, parse_duration};
+pub use node_settings::{
+    DeploymentLimits, ListenAddresses, NodeSettings, RetryLimits, parse_duration,
+};
 pub use node_shared::NodeState;
 pub use platform_dialect::{
     CallerRequestInfo, KEY_SPACE, KeyNumber, KeyRangeGrant, NotificationError, PlatformDialect,
--- a/crates/anvilrack-node/src/node_settings.rs
+++ b/crates/anvilrack-node/src/node_settings.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Deserializer};
 
 /// Settings of one router process, read at startup.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct NodeSettings {
     /// Unique name of the router.
@@ -33,7 +33,10 @@
     /// Bandwidth of the VM's network link, in megabits per second.
     #[serde(default = "default_link_mbps", deserialize_with = "rounded_mbps")]
     pub link_mbps: u32,
-    /// Time limits of the deployment.
+    /// Memory of the VM that the router may use, in megabytes; `None` if it is not limited.
+    #[serde(default)]
+    pub memory_mb: Option<u32>,
+    /// Limits of the deployment.
     #[serde(default)]
     pub terms: DeploymentLimits,
 }
@@ -54,8 +57,8 @@
     pub metrics: SocketAddr,
 }
 
-/// Time limits that apply to the whole deployment.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+/// Limits that apply to the whole deployment.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct DeploymentLimits {
     /// Time after which a target that is stopping gets no new requests.
@@ -70,6 +73,25 @@
     /// Minimum time to live of a lease in the store.
     #[serde(deserialize_with = "deserialize_duration")]
     pub shortest_lease: Duration,
+    /// Time after which the targets of an evacuated failure domain get no new requests; `None` if the
+    /// deployment does not evacuate domains.
+    #[serde(deserialize_with = "deserialize_optional_duration")]
+    pub evacuate_within: Option<Duration>,
+    /// Limit on repeated requests; `None` if the deployment sets none.
+    pub retries: Option<RetryLimits>,
+}
+
+/// Limit on the repeated requests that all routers send to a service in any period of `window`.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RetryLimits {
+    /// Repeated requests for each request that callers sent.
+    pub ratio: f64,
+    /// Repeated requests that are allowed in addition, whatever the load.
+    pub slack: u32,
+    /// Length of the period.
+    #[serde(deserialize_with = "deserialize_duration")]
+    pub window: Duration,
 }
 
 /// The default bandwidth of a VM's link, in megabits per second.
@@ -92,6 +114,8 @@
             stop_grace: Duration::from_secs(6),
             longest_hold: Duration::from_secs(10),
             shortest_lease: Duration::from_secs(1),
+            evacuate_within: None,
+            retries: None,
         }
     }
 }
@@ -126,6 +150,23 @@
         if self.terms.stop_grace < Duration::from_secs(1) {
             return Err(FieldError::new("terms.stop_grace", "must be at least 1s"));
         }
+        if self.memory_mb == Some(0) {
+            return Err(FieldError::new("memory_mb", "must be at least 1"));
+        }
+        if let Some(retries) = self.terms.retries {
+            if !(retries.ratio.is_finite() && retries.ratio >= 0.0) {
+                return Err(FieldError::new(
+                    "terms.retries.ratio",
+                    "must be zero or more",
+                ));
+            }
+            if retries.window.is_zero() {
+                return Err(FieldError::new(
+                    "terms.retries.window",
+                    "must be more than 0s",
+                ));
+            }
+        }
         Ok(())
     }
 }
@@ -146,3 +187,9 @@
     parse_duration(&text)
         .ok_or_else(|| serde::de::Error::custom("must be a duration such as `1500ms` or `2.5s`"))
 }
+
+fn deserialize_optional_duration<'de, D: Deserializer<'de>>(
+    deserializer: D,
+) -> Result<Option<Duration>, D::Error> {
+    deserialize_duration(deserializer).map(Some)
+}
--- a/crates/anvilrack-node/src/platform_dialect.rs
+++ b/crates/anvilrack-node/src/platform_dialect.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anvilrack_core::{FencingToken, RequestRate, ServiceName, SiteRoutes};
+use anvilrack_core::{
+    DomainName, FencingToken, RequestRate, ServiceName, SiteRoutes, TargetReport,
+};
 use bytes::Bytes;
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use thiserror::Error;
@@ -45,6 +47,12 @@
     /// Returns the store key of the site document.
     fn site_key(&self) -> &'static str;
 
+    /// Returns the prefix of all store keys that the operators write.
+    fn operator_prefix(&self) -> &'static str;
+
+    /// Returns the failure domain whose evacuation a store key requests; `None` for other keys.
+    fn evacuated_domain(&self, key: &str) -> Option<DomainName>;
+
     /// Parses the site document.
     ///
     /// # Errors
@@ -124,6 +132,10 @@
     pub rate_limit: RateLimitNotice,
     /// Whether it is leaving.
     pub leaving: bool,
+    /// Remaining time for which it is cold; `None` if it does not state it.
+    pub cold_for: Option<Duration>,
+    /// Its load; `None` if it states none, or an invalid one.
+    pub report: Option<TargetReport>,
 }
 
 /// What a response says about the rate of requests that its target takes.
--- a/crates/anvilrack-node/tests/node_settings.rs
+++ b/crates/anvilrack-node/tests/node_settings.rs
@@ -29,6 +29,22 @@
     let settings = read("good", VALID).expect("the settings are valid");
     assert_eq!(settings.terms.drain, Duration::from_secs(2));
     assert_eq!(settings.terms.longest_hold, Duration::from_secs(10));
+    assert_eq!(settings.terms.retries, None);
+    assert_eq!(settings.terms.evacuate_within, None);
+}
+
+// Guards against optional limits that the platform sets and the router ignores.
+#[test]
+fn optional_limits_are_read() {
+    let text = VALID.replace(
+        r#""stop_grace""#,
+        r#""evacuate_within": "5000ms", "retries": { "ratio": 0.2, "slack": 164, "window": "10s" }, "stop_grace""#,
+    );
+    let terms = read("limits", &text).expect("the settings are valid").terms;
+    assert_eq!(terms.evacuate_within, Some(Duration::from_secs(5)));
+    let retries = terms.retries.expect("a limit on retries");
+    assert_eq!(retries.slack, 164);
+    assert_eq!(retries.window, Duration::from_secs(10));
 }
 
 #[test]
@@ -56,6 +72,7 @@
 
 invalid_settings! {
     unknown_field_is_reported: "\"region\"" => "\"regoin\"", "regoin";
+    negative_retry_ratio_is_reported: "\"stop_grace\"" => "\"retries\": { \"ratio\": -1, \"slack\": 1, \"window\": \"1s\" }, \"stop_grace\"", "`terms.retries.ratio`";
     empty_name_is_reported: "\"r1\"" => "\"\"", "`node`";
     address_without_port_is_reported: "127.0.0.1:7" => "127.0.0.1", "`store`";
     time_without_unit_is_reported: "2000ms" => "2000", "`terms.drain`";
