Run requests only in the regions that their routes allow

Cause: a route's `allowed-regions` was decoded and ignored, so requests ran at targets of any region, and members of any region owned keys. Change: `TargetSelector::choose` takes the rule and judges probes, suspects and rate limits among the allowed targets. A request without an allowed target, or whose owner is outside, is refused where it enters, before its body is read, and again before each attempt by the newest document. The router beside the target checks by its own newest document, also after each wait. Only members in regions that some route to the service allows are eligible as owners. Without a rule in the document, a request costs one atomic load more at each end.

--- a/crates/anvilrack-core/src/catalogue/event_catalogue.rs
+++ b/crates/anvilrack-core/src/catalogue/event_catalogue.rs
@@ -71,6 +71,7 @@
     SITE_REFUSED = 1505, "site.refused", "A site document is invalid; the previous one stays in use.";
     SITE_BEHIND = 1506, "site.behind", "Another router has a newer site document; reports both versions, and the reader if it was named by the reader of the failure domain.";
     SITE_FETCH_FAILED = 1507, "site.fetch-failed", "A newer site document could not be fetched from one source; reports the source, the reason and the elapsed time.";
+    SITE_REGIONS_EMPTY = 1508, "site.regions-empty", "No router is in the regions that some routes of the site document allow, so their requests are refused; reports the version, the number of these routes and some of their names.";
     STORE_LOST = 1601, "store.lost", "The platform's store does not respond to this router.";
     STORE_BACK = 1602, "store.back", "The platform's store responds to this router again; reports the duration of the outage.";
     ENTRY_WRITTEN = 1603, "entry.written", "This router's directory entry was written to the store.";
--- a/crates/anvilrack-core/src/site/site_routes.rs
+++ b/crates/anvilrack-core/src/site/site_routes.rs
@@ -1,10 +1,10 @@
 //! Routes by host and path prefix, from the operators' site document.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::{RegionRule, RequestClass, RequestRate, ServiceName};
+use crate::{RegionName, RegionRule, RequestClass, RequestRate, ServiceName};
 
 /// Version number of a site document; it rises with each new document.
 pub type SiteVersion = u64;
@@ -19,6 +19,8 @@
     /// The services by name.
     pub services: BTreeMap<ServiceName, RoutedService>,
     hosts: HashMap<Arc<str>, HostRoutes>,
+    /// Whether a route is restricted to some regions.
+    restricts_regions: bool,
 }
 
 /// The routes of one host, by path prefix.
@@ -102,6 +104,7 @@
     /// Adds a route for a host.
     #[must_use]
     pub fn with_route(mut self, host: &str, rules: RouteRules) -> Self {
+        self.restricts_regions |= !rules.allowed_regions.allows_all();
         let routes = &mut self.hosts.entry(host.into()).or_default().routes;
         routes.insert(rules.prefix.clone(), Arc::new(rules));
         self
@@ -127,7 +130,55 @@
     /// Returns the number of routes of all hosts.
     #[must_use]
     pub fn route_count(&self) -> usize {
-        self.hosts.values().map(|host| host.routes.len()).sum()
+        self.routes().count()
+    }
+
+    // --- regions ---------------------------------------------------------------------------------
+
+    /// Returns whether a route is restricted to some regions.
+    #[must_use]
+    pub fn restricts_regions(&self) -> bool {
+        self.restricts_regions
+    }
+
+    /// Returns the regions in which some route allows its requests to a service to run; `None` if they may
+    /// run everywhere.
+    ///
+    /// A route on which the service has no share sends it no requests, so its rule does not count.
+    #[must_use]
+    pub fn regions_of_service(&self, service: &str) -> Option<BTreeSet<RegionName>> {
+        if !self.restricts_regions {
+            return None;
+        }
+        let mut routes = self
+            .routes()
+            .filter(|route| route.leads_to(service))
+            .peekable();
+        routes.peek()?;
+        let mut regions = BTreeSet::new();
+        for route in routes {
+            regions.extend(route.allowed_regions.regions()?.iter().cloned());
+        }
+        Some(regions)
+    }
+
+    /// Returns the routes whose rules name none of the given regions, in the order of their names.
+    #[must_use]
+    pub fn routes_outside(&self, regions: &BTreeSet<RegionName>) -> Vec<&Arc<RouteRules>> {
+        if !self.restricts_regions {
+            return Vec::new();
+        }
+        let is_outside = |route: &&Arc<RouteRules>| {
+            let allowed = &route.allowed_regions;
+            !allowed.allows_all() && !regions.iter().any(|region| allowed.allows(region))
+        };
+        let mut routes: Vec<_> = self.routes().filter(is_outside).collect();
+        routes.sort_by(|left, right| left.name.cmp(&right.name));
+        routes
+    }
+
+    fn routes(&self) -> impl Iterator<Item = &Arc<RouteRules>> {
+        self.hosts.values().flat_map(|host| host.routes.values())
     }
 }
 
@@ -151,6 +202,13 @@
         None
     }
 
+    /// Returns whether a service has a share of the route.
+    #[must_use]
+    pub fn leads_to(&self, service: &str) -> bool {
+        let mut splits = self.splits.iter();
+        splits.any(|(name, weight)| **name == *service && *weight > 0)
+    }
+
     /// Returns the class in which a target admits requests of this route.
     #[must_use]
     pub fn class(&self) -> RequestClass {
--- a/crates/anvilrack-core/src/targets/target_selector.rs
+++ b/crates/anvilrack-core/src/targets/target_selector.rs
@@ -7,7 +7,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::moving_average::moving_average;
-use crate::{BootTime, CellMember, HealthOutcome, Incarnation, NodeId, TargetHealth};
+use crate::{
+    BootTime, CellMember, HealthOutcome, Incarnation, NodeId, RegionName, RegionRule, TargetHealth,
+};
 
 /// Divisor for the weight of the newest sample in the moving average of a target's latency.
 const AVERAGE_WEIGHT_DIVISOR: u32 = 8;
@@ -84,6 +86,7 @@
     node: NodeId,
     incarnation: Incarnation,
     distance: TargetDistance,
+    region: RegionName,
     in_flight: u32,
     latency: Duration,
     measured_at: Option<BootTime>,
@@ -170,17 +173,26 @@
 
     // --- choosing -------------------------------------------------------------------------------
 
-    /// Chooses a target by cost, with preference for near ones; a suspect that is due for a probe
-    /// comes first.
-    pub fn choose(&mut self, draws: ChoiceDraws, now: BootTime) -> Option<NodeId> {
+    /// Chooses a target in the allowed regions by cost, with preference for near ones; a suspect that is
+    /// due for a probe comes first.
+    pub fn choose(
+        &mut self,
+        draws: ChoiceDraws,
+        rule: &RegionRule,
+        now: BootTime,
+    ) -> Option<NodeId> {
         for target in &mut self.targets {
             target.health.check_stall(target.latency, now);
         }
-        if let Some(probed) = self.targets.iter().find(|t| t.health.may_probe(now)) {
+        if let Some(probed) = self.allowed(rule).find(|t| t.health.may_probe(now)) {
             return Some(probed.node.clone());
         }
-        let avoid_suspects = self.suspicions_are_credible();
-        let usable = |index: &usize| !avoid_suspects || !self.targets[*index].health.is_suspect();
+        let avoid_suspects = self.suspicions_are_credible(rule);
+        // If a region is not allowed, the nearer groups may be empty, and the group of all targets is left.
+        let usable = |index: &usize| {
+            let target = &self.targets[*index];
+            rule.allows(&target.region) && !(avoid_suspects && target.health.is_suspect())
+        };
         let near: Vec<usize> = self.near.iter().copied().filter(usable).collect();
         let all: Vec<usize> = (0..self.targets.len()).filter(usable).collect();
         let region: Vec<usize> = self.region.iter().copied().filter(usable).collect();
@@ -202,15 +214,27 @@
         Some(self.targets[chosen].node.clone())
     }
 
-    /// Returns whether more requests arrive at every target than the rate that it takes, as far as recent
-    /// load reports tell.
+    /// Returns whether more requests arrive at every target in the allowed regions than the rate that it
+    /// takes, as far as recent load reports tell.
     #[must_use]
-    pub fn all_rate_limited(&self, now: BootTime) -> bool {
+    pub fn all_rate_limited(&self, rule: &RegionRule, now: BootTime) -> bool {
         let is_limited = |target: &TargetStats| {
             let load = target.load.filter(|(_, at)| now < *at + LOAD_TTL);
             load.is_some_and(|(load, _)| load.rate_limited)
         };
-        !self.targets.is_empty() && self.targets.iter().all(is_limited)
+        self.has_allowed(rule) && self.allowed(rule).all(is_limited)
+    }
+
+    /// Returns whether a target is in an allowed region.
+    #[must_use]
+    pub fn has_allowed(&self, rule: &RegionRule) -> bool {
+        self.allowed(rule).next().is_some()
+    }
+
+    /// Returns the targets in the allowed regions.
+    fn allowed<'a>(&'a self, rule: &'a RegionRule) -> impl Iterator<Item = &'a TargetStats> {
+        let targets = self.targets.iter();
+        targets.filter(|target| rule.allows(&target.region))
     }
 
     /// Returns the number of targets.
@@ -277,15 +301,18 @@
         sum.checked_div(count).unwrap_or(DEFAULT_LATENCY_US).max(1)
     }
 
-    /// Returns `false` if so many targets are suspect that the fault is more likely this router's
-    /// own.
-    fn suspicions_are_credible(&self) -> bool {
-        let suspects = self
-            .targets
-            .iter()
-            .filter(|t| t.health.is_suspect())
-            .count();
-        suspects <= self.targets.len() / MAX_SUSPECTS_DIVISOR
+    /// Returns `false` if so many targets in the allowed regions are suspect that the fault is more likely
+    /// this router's own.
+    fn suspicions_are_credible(&self, rule: &RegionRule) -> bool {
+        let (suspects, count) = self
+            .allowed(rule)
+            .fold((0, 0), |(suspects, count), target| {
+                (
+                    suspects + usize::from(target.health.is_suspect()),
+                    count + 1,
+                )
+            });
+        suspects <= count / MAX_SUSPECTS_DIVISOR
     }
 
     // --- observations ---------------------------------------------------------------------------
@@ -366,6 +393,7 @@
             node: member.node.clone(),
             incarnation: member.incarnation,
             distance,
+            region: member.region.clone(),
             in_flight: 0,
             latency: Duration::ZERO,
             measured_at: None,
--- a/crates/anvilrack-core/tests/target_selector.rs
+++ b/crates/anvilrack-core/tests/target_selector.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use anvilrack_core::{BootTime, CellMember, HealthOutcome, TargetLoad, TargetSelector};
+use anvilrack_core::{BootTime, CellMember, HealthOutcome, RegionRule, TargetLoad, TargetSelector};
 
 const LOCATIONS: [(&str, &str); 6] = [
     ("norte", "norte-a"),
@@ -66,7 +66,11 @@
             selector.end(&members[target].node, &"read".into(), outcome, took, now);
         }
         let node = selector
-            .choose(std::array::from_fn(|_| draws.draw()), now)
+            .choose(
+                std::array::from_fn(|_| draws.draw()),
+                &RegionRule::default(),
+                now,
+            )
             .unwrap();
         let target = members
             .iter()
@@ -127,7 +131,11 @@
     {
         for _ in 0..1_000 {
             let node = selector
-                .choose(std::array::from_fn(|_| draws.draw()), at)
+                .choose(
+                    std::array::from_fn(|_| draws.draw()),
+                    &RegionRule::default(),
+                    at,
+                )
                 .unwrap();
             counts[index] += usize::from(node == members[0].node);
         }
@@ -163,7 +171,9 @@
             ("look-up", 4)
         };
         let choices = std::array::from_fn(|_| draws.draw());
-        let node = selector.choose(choices, now).unwrap();
+        let node = selector
+            .choose(choices, &RegionRule::default(), now)
+            .unwrap();
         remote += usize::from(members[1..].iter().any(|member| member.node == node));
         selector.begin(&node, now);
         let took = Duration::from_millis(took);
@@ -202,19 +212,27 @@
     selector.set_load(&members[0].node, limited, now);
     let mut draws = DrawSource(7);
     for _ in 0..1_000 {
-        let node = selector.choose(std::array::from_fn(|_| draws.draw()), now);
+        let node = selector.choose(
+            std::array::from_fn(|_| draws.draw()),
+            &RegionRule::default(),
+            now,
+        );
         assert_ne!(node.unwrap(), members[0].node);
     }
-    assert!(!selector.all_rate_limited(now));
+    assert!(!selector.all_rate_limited(&RegionRule::default(), now));
     for member in &members {
         selector.set_load(&member.node, limited, now);
     }
-    assert!(selector.all_rate_limited(now));
+    assert!(selector.all_rate_limited(&RegionRule::default(), now));
     assert!(
         selector
-            .choose(std::array::from_fn(|_| draws.draw()), now)
+            .choose(
+                std::array::from_fn(|_| draws.draw()),
+                &RegionRule::default(),
+                now
+            )
             .is_some()
     );
     // Without news, the limits may be gone.
-    assert!(!selector.all_rate_limited(now + Duration::from_secs(1)));
+    assert!(!selector.all_rate_limited(&RegionRule::default(), now + Duration::from_secs(1)));
 }
--- a/crates/anvilrack-node/src/callers/caller_request.rs
+++ b/crates/anvilrack-node/src/callers/caller_request.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anvilrack_core::{BootTime, SiteRoutes, UncertainReason, events};
+use anvilrack_core::{BootTime, RefusalReason, SiteRoutes, UncertainReason, events};
 use anvilrack_router::boot_clock;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -125,6 +125,13 @@
         StatusCode::SERVICE_UNAVAILABLE,
         "no service has a share of the route",
     ))?;
+    if node.lacks_allowed_target(&route, &service, head.key) {
+        node.count_region_refusal(&service);
+        return Err(EarlyRefusal::new(
+            StatusCode::SERVICE_UNAVAILABLE,
+            RefusalReason::RegionNotAllowed.as_str(),
+        ));
+    }
     let body = read_body(body, &site).await?;
     let timeout = head.time_left.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
     let path = parts.uri.path_and_query();
--- a/crates/anvilrack-node/src/guard/target_gateway.rs
+++ b/crates/anvilrack-node/src/guard/target_gateway.rs
@@ -457,6 +457,9 @@
             .current_incarnation()
             .filter(|_| *call.service == *node.settings.service)
             .ok_or((RefusalReason::TargetRefused, GONE_RETRY_AFTER))?;
+        if !node.allows_here(call) {
+            return Err((RefusalReason::RegionNotAllowed, OUTDATED_RETRY_AFTER));
+        }
         // The end of the process could interrupt a request that starts now.
         if node.is_withdrawn() {
             return Err((RefusalReason::Stopping, GONE_RETRY_AFTER));
--- a/crates/anvilrack-node/src/node_process.rs
+++ b/crates/anvilrack-node/src/node_process.rs
@@ -205,6 +205,7 @@
     loop {
         sleep(EXPIRE_INTERVAL).await;
         node.expire_entries();
+        node.log_routes_without_routers();
     }
 }
 
--- a/crates/anvilrack-node/src/node_shared/cell_records.rs
+++ b/crates/anvilrack-node/src/node_shared/cell_records.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use anvilrack_core::{
-    CellMember, CellRecord, MemberReport, NodeId, OwnerState, RecordDelta, ReportSequence, ShardId,
-    events,
+    CellMember, CellRecord, MemberReport, NodeId, OwnerState, RecordDelta, RegionRule,
+    ReportSequence, ShardId, events,
 };
 use anvilrack_router::boot_clock;
 
@@ -157,12 +157,20 @@
     }
 
     /// Returns the router of the target that owns a shard, and its address for other routers; `None` also
-    /// while that router is about to restart.
+    /// while that router is about to restart, or if it is in a region that is not allowed.
     #[must_use]
-    pub fn owner_of(&self, service: &str, shard: ShardId) -> Option<(NodeId, SocketAddr)> {
+    pub fn owner_of(
+        &self,
+        service: &str,
+        shard: ShardId,
+        rule: &RegionRule,
+    ) -> Option<(NodeId, SocketAddr)> {
         let cell = self.cell(service)?;
         let owner = cell.owner(shard)?;
         let member = cell.member(&owner.node)?;
+        if !rule.allows(&member.region) {
+            return None;
+        }
         if lock(&self.withdrawn_routers).is_ending(&member.node, boot_clock::now()) {
             return None;
         }
--- a/crates/anvilrack-node/src/node_shared/mod.rs
+++ b/crates/anvilrack-node/src/node_shared/mod.rs
@@ -2,6 +2,7 @@
 
 mod cell_records;
 mod leaving_targets;
+mod region_rules;
 mod router_directory;
 mod withdrawn_routers;
 
@@ -91,6 +92,10 @@
     entry_version: AtomicU64,
     own_entry: Mutex<Option<DirectoryEntry>>,
     site: Mutex<Option<Arc<SiteRoutes>>>,
+    /// Whether the site document restricts a route to some regions.
+    restricts_regions: AtomicBool,
+    /// Version of the last site document whose regions were compared with those of the routers.
+    checked_regions_of: AtomicU64,
     site_archive: Mutex<SiteArchive>,
     upload_pacer: Mutex<UploadPacer>,
     /// Addresses of routers that have opened a link to this one.
@@ -154,6 +159,8 @@
             entry_version: AtomicU64::new(0),
             own_entry: Mutex::default(),
             site: Mutex::default(),
+            restricts_regions: AtomicBool::new(false),
+            checked_regions_of: AtomicU64::new(0),
             site_archive: Mutex::default(),
             upload_pacer: Mutex::new(UploadPacer::new(settings.link_mbps)),
             linked_routers: Mutex::default(),
--- a/crates/anvilrack-node/src/node_shared/router_directory.rs
+++ b/crates/anvilrack-node/src/node_shared/router_directory.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 
 use super::NodeState;
+use super::region_rules::find_route;
 use crate::directory::{
     DirectoryEntry, DirectoryView, HeartbeatEffect, ReaderHeartbeat, entries_digest, pull_entries,
     reader_rank, send_reader_heartbeat,
@@ -62,11 +63,18 @@
                 bytes = document.len(),
                 source = source
             );
+            let restricts_regions = site.restricts_regions();
+            self.restricts_regions
+                .store(restricts_regions, Ordering::Relaxed);
             *known = Some(Arc::new(site));
         }
         self.site_archive().insert(version, document);
         self.site_tracker.on_applied(version);
         self.member_updates.notify_one();
+        if self.restricts_regions.load(Ordering::Relaxed) {
+            // Requests that wait for the target may not be allowed here any more.
+            self.gateway.wake_waiting_requests();
+        }
         let node = self.clone();
         // A heartbeat names the new version at once.
         tokio::spawn(async move { send_reader_heartbeat(&node).await });
@@ -103,13 +111,10 @@
         if in_force_for < Some(MAX_ROUTE_LAG) {
             return false;
         }
-        let host = call.headers.iter().find(|(name, _)| name == "host");
-        let Some(host) = host.and_then(|(_, host)| std::str::from_utf8(host).ok()) else {
+        if !call.headers.iter().any(|(name, _)| name == "host") {
             return false;
-        };
-        let host = host.split(':').next().unwrap_or(host);
-        let path = call.path.split('?').next().unwrap_or(&call.path);
-        let route = site.find(host, path);
+        }
+        let route = find_route(&site, &call.headers, &call.path);
         !route.is_some_and(|route| route.splits.iter().any(|split| split.0 == call.service))
     }
 
--- a/crates/anvilrack-node/src/ownership/coordinator_role.rs
+++ b/crates/anvilrack-node/src/ownership/coordinator_role.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use anvilrack_core::{
-    BootTime, CellRecord, Epoch, PlacementWeights, RequestClass, ServiceRules, events,
+    BootTime, CellRecord, Epoch, PlacementWeights, RegionName, RequestClass, ServiceRules, events,
 };
 use anvilrack_router::boot_clock;
 use rand::Rng;
@@ -365,6 +365,7 @@
         base: StoreRevision,
     ) {
         let now = boot_clock::now();
+        let rules = shard_rules(node.shard_regions().unwrap_or_default());
         let next = {
             let mut coordinator = node.coordinator();
             let Some(state) = coordinator.as_mut() else {
@@ -379,7 +380,7 @@
             self.next_plan = now + MIN_PLAN_INTERVAL;
             state.set_weights(PlacementWeights::default());
             let pending = state.pending().cloned();
-            pending.or_else(|| state.plan(&shard_rules(), 0, now))
+            pending.or_else(|| state.plan(&rules, 0, now))
         };
         let Some(next) = next else { return };
         let sent_at = boot_clock::now();
@@ -477,11 +478,11 @@
     tokio::spawn(async move { push_cell(&node, update).await });
 }
 
-/// Returns the rules by which shards are assigned.
+/// Returns the rules by which shards are assigned to members in the given regions; in all if it is empty.
 ///
 /// Targets reject older fencing tokens, so a shard can be assigned to the next owner as soon as the
 /// previous one has ended.
-fn shard_rules() -> ServiceRules {
+fn shard_rules(regions: Vec<RegionName>) -> ServiceRules {
     ServiceRules {
         divided_by_key: true,
         shards: SHARD_COUNT,
@@ -490,7 +491,7 @@
         checks_fence: true,
         max_timeout_ms: 0,
         class: RequestClass::default(),
-        regions: Vec::new(),
+        regions,
         pinned_keys: std::collections::BTreeMap::default(),
     }
 }
--- a/crates/anvilrack-node/src/routing/forward.rs
+++ b/crates/anvilrack-node/src/routing/forward.rs
@@ -8,7 +8,7 @@
 use anvilrack_core::{
     AdmissionHint, AdmittedShares, BootTime, HealthOutcome, NodeId, RefusalReason,
     RequestFingerprint, RetryBudget, RouteRules, RunAdmission, ServiceName, ShardId, SiteVersion,
-    TargetLoad, UncertainReason, WHOLE_SHARE, events, retry_backoff,
+    TargetLoad, TargetSelector, UncertainReason, WHOLE_SHARE, events, retry_backoff,
 };
 use anvilrack_router::boot_clock;
 use bytes::Bytes;
@@ -180,7 +180,12 @@
         if let Some(left) = monitor.remaining_quarantine(self.fingerprint) {
             return self.refuse_quarantined(left);
         }
-        let Some((router, address)) = self.find_router() else {
+        let rules = self.node.newest_rules(self.request);
+        let (service, key) = (&self.request.service, self.request.key);
+        if self.node.lacks_allowed_target(&rules, service, key) {
+            return self.refuse(RefusalReason::RegionNotAllowed, NO_TARGET_RETRY_AFTER);
+        }
+        let Some((router, address)) = self.find_router(&rules) else {
             return self.await_router().await;
         };
         if let Err(reason) = self.check_admission(&router) {
@@ -233,7 +238,9 @@
         let all_limited = {
             let choices = self.node.target_choices();
             let selector = choices.get(service);
-            self.shard.is_none() && selector.is_some_and(|selector| selector.all_rate_limited(now))
+            let rule = &self.request.route.allowed_regions;
+            let is_limited = |selector: &TargetSelector| selector.all_rate_limited(rule, now);
+            self.shard.is_none() && selector.is_some_and(is_limited)
         };
         let limits = self.node.entry_admission().rate_limits(service, now);
         limits
@@ -277,17 +284,20 @@
 
     // --- target selection ------------------------------------------------------------------------
 
-    fn find_router(&self) -> Option<(NodeId, SocketAddr)> {
+    /// Finds a router whose target may run the request by these rules.
+    fn find_router(&self, rules: &RouteRules) -> Option<(NodeId, SocketAddr)> {
         let service = &self.request.service;
         if let Some(shard) = self.shard {
-            return self.node.owner_of(service, shard);
+            return self.node.owner_of(service, shard, &rules.allowed_regions);
         }
         let random_draws = rand::random();
         let router = {
             let mut selectors = self.node.target_choices();
-            selectors
-                .get_mut(service)?
-                .choose(random_draws, boot_clock::now())?
+            selectors.get_mut(service)?.choose(
+                random_draws,
+                &rules.allowed_regions,
+                boot_clock::now(),
+            )?
         };
         let address = if router == self.node.settings.node {
             self.node.settings.listen.peers
@@ -585,6 +595,9 @@
     }
 
     fn refuse(&self, reason: RefusalReason, retry_after: Duration) -> NextStep {
+        if reason == RefusalReason::RegionNotAllowed {
+            self.node.count_region_refusal(&self.request.service);
+        }
         let reply = if self.uncertain_attempts > 0 {
             // An earlier attempt may have run.
             RunReply::MayHaveRun(UncertainReason::ConnectionLost)
--- a/crates/anvilrack-router/src/service_selectors.rs
+++ b/crates/anvilrack-router/src/service_selectors.rs
@@ -5,7 +5,7 @@
 
 use anvilrack_core::{
     BootTime, CellMember, CellRecord, CellVersion, HealthOutcome, NodeId, RefusalReason,
-    RequestVerdict, RouteTable, ServiceName, TargetSelector, events,
+    RegionRule, RequestVerdict, RouteTable, ServiceName, TargetSelector, events,
 };
 use anvilrack_settings::TargetSelectionMode;
 use rand::Rng;
@@ -55,7 +55,9 @@
 
     fn choose_node(&self, selector: &mut TargetSelector, now: BootTime) -> Option<NodeId> {
         match self.mode {
-            TargetSelectionMode::TwoChoices => selector.choose(rand::rng().random(), now),
+            TargetSelectionMode::TwoChoices => {
+                selector.choose(rand::rng().random(), &RegionRule::default(), now)
+            }
             TargetSelectionMode::Random => selector.choose_random(rand::rng().random()),
             TargetSelectionMode::RoundRobin => selector.choose_round_robin(),
             TargetSelectionMode::Owner => None,
