Send the change of a cell's record to routers that ask for it

Cause: a router that finds no owner for a request asks two others for the cell's record, up to six times a second, and got the whole record each time: 11.7 KB, also if it had the latest one. Change: the request names the record that its sender has. The reply is the change from that record, kept for the last 64 writes (`RecordHistory`), nothing if there is no newer one, and the whole record only if the history does not reach back. Data that owners hand over is left out for routers that only route to the cell.

--- a/crates/anvilrack-core/src/lib.rs
+++ b/crates/anvilrack-core/src/lib.rs
@@ -40,9 +40,10 @@
 pub use ownership::{
     CellMember, CellRecord, CoordinatorState, LeaseTerms, LoadView, MemberReport, OwnerState,
     PlacementDecision, PlacementHistory, PlacementPolicy, PlacementReason, PlacementView,
-    RecordDelta, RecordStamp, ReleaseOrder, ReleaseReport, RenewalAnswer, ReportSequence,
-    RouteError, RouteTable, ShardHash, ShardLoad, ShardMeter, ShardOwner, ShardPermit, ShardRoute,
-    StandbyState, TableChanges, TakeoverStep, WriterStamp, placement_decisions,
+    RecordDelta, RecordHistory, RecordStamp, ReleaseOrder, ReleaseReport, RenewalAnswer,
+    ReportSequence, RouteError, RouteTable, ShardHash, ShardLoad, ShardMeter, ShardOwner,
+    ShardPermit, ShardRoute, StandbyState, TableChanges, TakeoverStep, WriterStamp,
+    placement_decisions,
 };
 pub use planned_stop::{PlannedStop, StopBacklog, StopPhase};
 pub use requests::{
--- a/crates/anvilrack-core/src/ownership/mod.rs
+++ b/crates/anvilrack-core/src/ownership/mod.rs
@@ -9,6 +9,7 @@
 mod placement_decision;
 mod placement_policy;
 mod record_delta;
+mod record_history;
 mod route_table;
 mod shard_hash;
 mod shard_meter;
@@ -26,6 +27,7 @@
 };
 pub use placement_policy::{PlacementPolicy, PlacementView};
 pub use record_delta::{RecordDelta, RecordStamp};
+pub use record_history::RecordHistory;
 pub use route_table::{RouteError, RouteTable, ShardRoute, TableChanges};
 pub use shard_hash::ShardHash;
 pub use shard_meter::{ShardLoad, ShardMeter};
--- a/crates/anvilrack-core/src/ownership/record_delta.rs
+++ b/crates/anvilrack-core/src/ownership/record_delta.rs
@@ -1,6 +1,6 @@
 //! Differences between two records of one cell.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
@@ -117,6 +117,30 @@
         true
     }
 
+    /// Returns the delta with the effect of this one and then of `next`, whose base is the result of this
+    /// one.
+    #[must_use]
+    pub fn followed_by(self, next: Self) -> Self {
+        let replaced = |member: &CellMember| {
+            next.gone.contains(&member.node) || next.members.iter().any(|m| m.node == member.node)
+        };
+        let members = self.members.into_iter().filter(|member| !replaced(member));
+        let members = members.chain(next.members.iter().cloned()).collect();
+        let mut gone = self.gone;
+        gone.extend(next.gone.iter().cloned());
+        gone.sort_unstable();
+        gone.dedup();
+        let mut shards: BTreeMap<_, _> = self.shards.into_iter().collect();
+        shards.extend(next.shards.iter().cloned());
+        Self {
+            base: self.base,
+            members,
+            gone,
+            shards: shards.into_iter().collect(),
+            ..next
+        }
+    }
+
     fn apply_members(&self, members: &mut Vec<CellMember>) {
         let replaced = |node: &NodeId| self.members.iter().any(|changed| changed.node == *node);
         members.retain(|member| !self.gone.contains(&member.node) && !replaced(&member.node));
--- a/crates/anvilrack-core/tests/record_delta.rs
+++ b/crates/anvilrack-core/tests/record_delta.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 
 use anvilrack_core::{
-    CellMember, CellRecord, RecordDelta, RouteTable, ServiceName, ShardOwner, WriterStamp,
+    CellMember, CellRecord, RecordDelta, RecordHistory, RecordStamp, RouteTable, ServiceName,
+    ShardOwner, WriterStamp,
 };
 
 /// Returns the record of a cell with four members and eight shards.
@@ -190,3 +191,63 @@
     assert_eq!(ahead.cell("bookings"), behind.cell("bookings"));
     assert_eq!(behind.digest().len(), 1);
 }
+
+/// Changes of a cell in turn: owners move, a member leaves and comes back as another incarnation, shards are
+/// lost, and the coordinator changes.
+fn nth_change(record: &mut CellRecord, write: u64) {
+    match write % 5 {
+        0 => record.shards[(write % 8) as usize] = Some(new_owner(write % 4, 100 + write)),
+        1 => record.members.retain(|member| &*member.node != "router-3"),
+        2 => {
+            let mut back = new_member(3);
+            back.incarnation += write;
+            record.members.push(back);
+        }
+        3 => record.shards[(write % 3) as usize] = None,
+        _ => record.coordinator = format!("router-{}", write % 4).into(),
+    }
+    record.last_token = 100 + write;
+}
+
+// Guards against a router that takes a wrong record after it has missed some writes.
+#[test]
+fn history_leads_from_each_kept_record_to_the_latest() {
+    let mut records = vec![first_record()];
+    let mut history = RecordHistory::default();
+    for write in 0..100 {
+        let old = &records[records.len() - 1];
+        let new = next_record(old, |record| nth_change(record, write));
+        history.advance(old, &new);
+        records.push(new);
+    }
+    let latest = &records[100];
+    let mut reached = 0;
+    for record in &records[..100] {
+        let Some(delta) = history.delta_since(&RecordStamp::new(record)) else {
+            continue;
+        };
+        let mut result = record.clone();
+        assert!(
+            delta.apply_to(&mut result),
+            "from version {}",
+            record.version
+        );
+        assert_eq!(result, *latest, "from version {}", record.version);
+        reached += 1;
+    }
+    assert_eq!(reached, 64);
+}
+
+// Guards against a difference that is applied to another record with the same version, as after a restore of
+// the store.
+#[test]
+fn history_does_not_know_a_record_of_another_write() {
+    let old = first_record();
+    let new = next_record(&old, |record| record.last_token += 1);
+    let mut history = RecordHistory::default();
+    history.advance(&old, &new);
+    assert!(history.delta_since(&RecordStamp::new(&old)).is_some());
+    let mut other = old;
+    other.writer.sequence += 9;
+    assert_eq!(history.delta_since(&RecordStamp::new(&other)), None);
+}
--- a/crates/anvilrack-node/src/node_shared/cell_records.rs
+++ b/crates/anvilrack-node/src/node_shared/cell_records.rs
@@ -15,7 +15,7 @@
 use crate::guard::TargetIncarnation;
 use crate::mutex_lock::lock;
 use crate::ownership::{PackedCell, PackedDelta, refresh_cell, release_all};
-use crate::peers::{CellUpdate, RecordVersion};
+use crate::peers::{CellRequest, CellUpdate, RecordVersion};
 use crate::{PlatformDialect, emit_event};
 
 /// Maximum number of shards in a delta; a larger delta is no smaller than the packed record.
@@ -46,6 +46,9 @@
             if known.is_some_and(|known| RecordVersion::new(known) >= version) {
                 return;
             }
+            let mut histories = lock(&self.cell_histories);
+            let history = histories.entry(service.clone()).or_default();
+            history.advance(known.map_or(&CellRecord::default(), |known| known), &record);
             cells.insert(service.clone(), record.clone());
         }
         if service == self.settings.service {
@@ -55,6 +58,33 @@
         self.route_updates.notify_waiters();
     }
 
+    /// Returns the update that a router asks for; `None` if this router has no newer record.
+    #[must_use]
+    pub fn newer_cell(&self, request: &CellRequest) -> Option<CellUpdate> {
+        let record = self.cell(&request.service)?;
+        let known = request.known.as_ref();
+        if known.is_some_and(|known| (known.epoch, known.version) >= (record.epoch, record.version))
+        {
+            return None;
+        }
+        let delta = {
+            let histories = lock(&self.cell_histories);
+            let history = histories.get(&request.service)?;
+            known.and_then(|known| history.delta_since(known))
+        };
+        // The history may have advanced since the record was read.
+        let delta = delta.filter(|delta| delta.stamp.is_of(&record));
+        let update = delta.map_or_else(
+            || CellUpdate::Full(PackedCell::new(&record)),
+            |delta| CellUpdate::Step(Box::new(PackedDelta::new(&delta))),
+        );
+        Some(if request.is_member {
+            update
+        } else {
+            update.without_handovers()
+        })
+    }
+
     /// Applies an update of a cell's record: a complete record, or a delta from the previous version.
     ///
     /// Requests the complete record if the delta does not apply to the known one.
--- a/crates/anvilrack-node/src/node_shared/mod.rs
+++ b/crates/anvilrack-node/src/node_shared/mod.rs
@@ -13,8 +13,8 @@
 
 use anvilrack_core::{
     BootTime, CellRecord, CoordinatorState, EntryAdmission, LeaseTerms, OwnerState, RecordDelta,
-    RetryBudget, ServiceName, SiteRoutes, StandbyState, TargetSelector, TransitMeter, UploadPacer,
-    events,
+    RecordHistory, RetryBudget, ServiceName, SiteRoutes, StandbyState, TargetSelector,
+    TransitMeter, UploadPacer, events,
 };
 use anvilrack_router::boot_clock;
 use tokio::sync::{Notify, watch};
@@ -102,6 +102,8 @@
     /// Whether the reader's directory entries are being fetched.
     pulling_entries: AtomicBool,
     cells: Mutex<HashMap<ServiceName, Arc<CellRecord>>>,
+    /// Locked while `cells` is.
+    cell_histories: Mutex<HashMap<ServiceName, RecordHistory>>,
     last_delta: Mutex<Option<RecordDelta>>,
     report_count: AtomicU64,
     store_seen_at: Mutex<BootTime>,
@@ -162,6 +164,7 @@
             directory: Mutex::default(),
             pulling_entries: AtomicBool::new(false),
             cells: Mutex::default(),
+            cell_histories: Mutex::default(),
             last_delta: Mutex::default(),
             report_count: AtomicU64::new(0),
             store_seen_at: Mutex::default(),
--- a/crates/anvilrack-node/src/ownership/cell_calls.rs
+++ b/crates/anvilrack-node/src/ownership/cell_calls.rs
@@ -33,9 +33,7 @@
             node.apply_cell_update(update);
             PeerReply::Done
         }
-        PeerCall::PullCell(service) => {
-            PeerReply::Cell(node.cell(&service).map(|cell| PackedCell::new(&cell)))
-        }
+        PeerCall::PullCell(request) => PeerReply::Cell(node.newer_cell(&request)),
         PeerCall::Run(_)
         | PeerCall::Room(_)
         | PeerCall::Bar(..)
--- a/crates/anvilrack-node/src/ownership/cell_refresh.rs
+++ b/crates/anvilrack-node/src/ownership/cell_refresh.rs
@@ -3,12 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anvilrack_core::{BootTime, ServiceName};
+use anvilrack_core::{BootTime, RecordStamp, ServiceName};
 use anvilrack_router::boot_clock;
 use rand::seq::IndexedRandom;
 
 use crate::ownership::read_cell;
-use crate::peers::{PeerCall, PeerReply};
+use crate::peers::{CellRequest, PeerCall, PeerReply};
 use crate::{NodeState, PlatformDialect};
 
 /// Minimum time between two refreshes for one service, however many requests ask for one.
@@ -73,10 +73,14 @@
         .choose_multiple(&mut rand::rng(), PEERS_TO_ASK)
         .copied()
         .collect();
-    let call = PeerCall::PullCell(service.clone());
+    let call = PeerCall::PullCell(CellRequest {
+        service: service.clone(),
+        known: node.cell(&service).map(|cell| RecordStamp::new(&cell)),
+        is_member: node.settings.service == service,
+    });
     for reply in node.links.call_all(addresses, &call, ASK_TIMEOUT).await {
-        if let Ok(PeerReply::Cell(Some(packed))) = reply {
-            node.store_cell_record(packed.unpack());
+        if let Ok(PeerReply::Cell(Some(update))) = reply {
+            node.apply_cell_update(update);
         }
     }
     let newer = node.cell(&service).map(|cell| cell.version) != known;
--- a/crates/anvilrack-node/src/peers/mod.rs
+++ b/crates/anvilrack-node/src/peers/mod.rs
@@ -9,9 +9,9 @@
 pub use peer_frame::{FrameError, PeerFrame, pack, unpack};
 pub use peer_links::{CallError, PeerLinks};
 pub use peer_message::{
-    BodyCapacityCall, CellUpdate, MemberHeartbeat, MemberHeartbeatReply, PeerCall, PeerLocation,
-    PeerReply, ReaderChanges, RecordVersion, RunCall, RunReply, SitePacket, SiteReply, SiteRequest,
-    TargetStatus,
+    BodyCapacityCall, CellRequest, CellUpdate, MemberHeartbeat, MemberHeartbeatReply, PeerCall,
+    PeerLocation, PeerReply, ReaderChanges, RecordVersion, RunCall, RunReply, SitePacket,
+    SiteReply, SiteRequest, TargetStatus,
 };
 pub use peer_server::serve_peers;
 pub use peer_traffic::PeerTraffic;
--- a/crates/anvilrack-node/src/peers/peer_message.rs
+++ b/crates/anvilrack-node/src/peers/peer_message.rs
@@ -6,8 +6,8 @@
 
 use anvilrack_core::{
     AdmissionHint, BootTime, CellRecord, CellVersion, CrashReport, DomainName, Epoch, Incarnation,
-    MemberReport, NodeId, RefusalReason, RegionName, RenewalAnswer, RequestClass, RunAdmission,
-    ServiceName, SiteVersion, TargetLoad, UncertainReason, bounded_duration,
+    MemberReport, NodeId, RecordStamp, RefusalReason, RegionName, RenewalAnswer, RequestClass,
+    RunAdmission, ServiceName, SiteVersion, TargetLoad, UncertainReason, bounded_duration,
 };
 use anvilrack_wire::{DocumentDigest, PacketHeader};
 use serde::{Deserialize, Serialize};
@@ -40,7 +40,7 @@
     /// Asks a standby to become the coordinator, provided that it reaches the store.
     Resign(ServiceName, Epoch),
     /// Asks for the receiver's record of a cell.
-    PullCell(ServiceName),
+    PullCell(CellRequest),
     /// Asks for the receiver's site document, if it is newer than the sender's.
     PullSite(SiteRequest),
     /// Asks for the directory entries that the receiver knows, its own included.
@@ -107,8 +107,8 @@
     Entries(Vec<DirectoryEntry>),
     /// The sender's own directory entry.
     Entry(Box<DirectoryEntry>),
-    /// The requested record; `None` if the sender has none.
-    Cell(Option<PackedCell>),
+    /// The requested record, or the change to it; `None` if the sender has no newer one.
+    Cell(Option<CellUpdate>),
     /// Acknowledges a call that needs no further reply.
     Done,
     /// Observations of crashes that the receiver lacks, and whether the sender knows those from before
@@ -277,6 +277,17 @@
     pub confirmed: Vec<DirectoryEntry>,
 }
 
+/// Asks for a newer record of a cell.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct CellRequest {
+    /// Service of the cell.
+    pub service: ServiceName,
+    /// The record that the sender has; `None` if it has none.
+    pub known: Option<RecordStamp>,
+    /// Whether the sender's target belongs to the service, so that it needs the data that owners hand over.
+    pub is_member: bool,
+}
+
 /// Update of a cell's record.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum CellUpdate {
--- a/crates/anvilrack-node/tests/peer_links.rs
+++ b/crates/anvilrack-node/tests/peer_links.rs
@@ -7,7 +7,7 @@
 use std::os::fd::OwnedFd;
 use std::time::{Duration, Instant};
 
-use anvilrack_node::peers::{CallError, PeerCall, PeerLinks};
+use anvilrack_node::peers::{CallError, CellRequest, PeerCall, PeerLinks};
 use rustix::net::{AddressFamily, SocketType, bind, listen, socket};
 use tokio::runtime::{Builder, Runtime};
 
@@ -47,7 +47,11 @@
 }
 
 fn call() -> PeerCall {
-    PeerCall::PullCell("bookings".into())
+    PeerCall::PullCell(CellRequest {
+        service: "bookings".into(),
+        known: None,
+        is_member: false,
+    })
 }
 
 #[test]
