Read a cell's record from the store less often while other routers reply

Members get each write within milliseconds, so the store has a newer record only if they are cut off as well. Change: the pause between two reads is 3 s while members reply; as before, 0.9 s if none does.

--- a/crates/anvilrack-node/src/ownership/cell_refresh.rs
+++ b/crates/anvilrack-node/src/ownership/cell_refresh.rs
@@ -14,12 +14,16 @@
 /// Minimum time between two refreshes for one service, however many requests ask for one.
 const MIN_REFRESH_INTERVAL: Duration = Duration::from_millis(150);
 
-/// Minimum time between two store reads for one service.
-///
-/// Routers send each other new records within milliseconds; the store is the fallback for a router
-/// that gets no newer record from its peers.
+/// Minimum time between two store reads for one service while no other router replies.
 const MIN_STORE_READ_INTERVAL: Duration = Duration::from_millis(900);
 
+/// Minimum time between two store reads for one service while other routers reply that they have no newer
+/// record.
+///
+/// Routers send each other new records within milliseconds, so the store has a newer one only if these
+/// routers are cut off from the coordinator as well.
+const REPLIED_STORE_READ_INTERVAL: Duration = Duration::from_secs(3);
+
 /// Number of routers that are asked in parallel.
 const PEERS_TO_ASK: usize = 2;
 
@@ -48,10 +52,8 @@
     }
 
     /// Returns whether the store may be read now and, if so, counts it as read.
-    fn claim_store_read(&mut self, now: BootTime) -> bool {
-        let due = self
-            .read_at
-            .is_none_or(|at| now >= at + MIN_STORE_READ_INTERVAL);
+    fn claim_store_read(&mut self, interval: Duration, now: BootTime) -> bool {
+        let due = self.read_at.is_none_or(|at| now >= at + interval);
         if due {
             self.read_at = Some(now);
         }
@@ -78,15 +80,18 @@
         known: node.cell(&service).map(|cell| RecordStamp::new(&cell)),
         is_member: node.settings.service == service,
     });
+    let mut interval = MIN_STORE_READ_INTERVAL;
     for reply in node.links.call_all(addresses, &call, ASK_TIMEOUT).await {
-        if let Ok(PeerReply::Cell(Some(update))) = reply {
-            node.apply_cell_update(update);
+        if let Ok(PeerReply::Cell(update)) = reply {
+            interval = REPLIED_STORE_READ_INTERVAL;
+            if let Some(update) = update {
+                node.apply_cell_update(update);
+            }
         }
     }
     let newer = node.cell(&service).map(|cell| cell.version) != known;
-    if newer
-        || !node.with_refresh_times(&service, |times| times.claim_store_read(boot_clock::now()))
-    {
+    let may_read = |times: &mut RefreshTimes| times.claim_store_read(interval, boot_clock::now());
+    if newer || !node.with_refresh_times(&service, may_read) {
         return;
     }
     match read_cell(&node.store, &service).await {
