Decide in the core which failure domains are evacuated and how keys leave them

Cause: the dialect decodes requests to evacuate a failure domain, but nothing acts on them (section 2 of docs/design/README.md).

Coordinators assign nothing to members of evacuated domains and move their shards away, those with the highest load first, with up to one in 16 shards moving at a time.

--- a/crates/anvilrack-core/src/catalogue/event_catalogue.rs
+++ b/crates/anvilrack-core/src/catalogue/event_catalogue.rs
@@ -64,6 +64,11 @@
     MEMBER_UNREACHABLE = 1309, "member.unreachable", "A member sends heartbeats but calls to it fail; its shards move away.";
     PLACEMENT_DECIDED = 1401, "placement.decided", "A shard was assigned to an owner; reports the owner and the reason.";
     MOVE_PLANNED = 1402, "placement.move-planned", "A shard move was planned; reports the source, the destination and the reason.";
+    EVACUATION_BEGAN = 1410, "evacuation.began", "This router learned that a failure domain is evacuated; reports the state of the store, the source, and for how long the keys of the domain may still be served there.";
+    EVACUATION_ENDED = 1411, "evacuation.ended", "This router learned that a failure domain is no longer evacuated; reports the state of the store and the source.";
+    EVACUATION_KEYS_RELEASED = 1412, "evacuation.keys-released", "The failure domain of this router is evacuated and the time for planned moves is over; reports how many shards are released without a next owner.";
+    EVACUATION_KEYS_LEFT = 1413, "evacuation.keys-left", "The target of an evacuated failure domain holds no keys any more; reports the time since this router learned of the evacuation.";
+    EVACUATION_FETCH_FAILED = 1414, "evacuation.fetch-failed", "The evacuated failure domains could not be read from another router; reports the router and the reason.";
     CONFIG_TAKEN = 1501, "config.taken", "This router applied a newer configuration.";
     CONFIG_REFUSED = 1502, "config.refused", "An older configuration was received and refused.";
     CONFIG_PUT_BACK = 1503, "config.put-back", "The store held an older configuration; the newest one was written again.";
--- a/crates/anvilrack-core/src/lib.rs
+++ b/crates/anvilrack-core/src/lib.rs
@@ -38,11 +38,12 @@
     ServiceName, ShardId,
 };
 pub use ownership::{
-    CellMember, CellRecord, CoordinatorState, LeaseTerms, LoadView, MemberReport, OwnerState,
-    PlacementDecision, PlacementHistory, PlacementPolicy, PlacementReason, PlacementView,
-    RecordDelta, RecordStamp, ReleaseOrder, ReleaseReport, RenewalAnswer, ReportSequence,
-    RouteError, RouteTable, ShardHash, ShardLoad, ShardMeter, ShardOwner, ShardPermit, ShardRoute,
-    StandbyState, TableChanges, TakeoverStep, WriterStamp, placement_decisions,
+    CellMember, CellRecord, CoordinatorState, EvacuatedDomain, EvacuationChange, EvacuationSet,
+    Evacuations, LeaseTerms, LoadView, MemberReport, OwnerState, PlacementDecision,
+    PlacementHistory, PlacementPolicy, PlacementReason, PlacementView, RecordDelta, RecordStamp,
+    ReleaseOrder, ReleaseReport, RenewalAnswer, ReportSequence, RouteError, RouteTable, ShardHash,
+    ShardLoad, ShardMeter, ShardOwner, ShardPermit, ShardRoute, StandbyState, StoreReading,
+    StoreStamp, TableChanges, TakeoverStep, WriterStamp, placement_decisions,
 };
 pub use planned_stop::{PlannedStop, StopBacklog, StopPhase};
 pub use requests::{
--- a/crates/anvilrack-core/src/ownership/coordinator_state.rs
+++ b/crates/anvilrack-core/src/ownership/coordinator_state.rs
@@ -6,9 +6,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    BootTime, CellMember, CellRecord, CellVersion, Epoch, FencingToken, Incarnation, LeaseTerms,
-    LoadView, NodeId, PlacementPolicy, PlacementView, PlacementWeights, Revision, ServiceRules,
-    ShardId, ShardLoad, ShardOwner, WriterStamp,
+    BootTime, CellMember, CellRecord, CellVersion, DomainName, Epoch, FencingToken, Incarnation,
+    LeaseTerms, LoadView, NodeId, PlacementPolicy, PlacementView, PlacementWeights, Revision,
+    ServiceRules, ShardId, ShardLoad, ShardOwner, WriterStamp,
 };
 
 /// The coordinator's view of its cell.
@@ -27,6 +27,7 @@
     members: BTreeMap<NodeId, MemberView>,
     moves: BTreeMap<ShardId, NodeId>,
     loads: LoadView,
+    evacuated: BTreeSet<DomainName>,
     authority_until: BootTime,
     last_store_contact: BootTime,
     promises: BTreeMap<NodeId, BootTime>,
@@ -173,6 +174,7 @@
             members,
             moves: BTreeMap::new(),
             loads: LoadView::default(),
+            evacuated: BTreeSet::new(),
             authority_until: sent_at + terms.own_authority(),
             last_store_contact: sent_at,
             promises: BTreeMap::new(),
@@ -354,6 +356,44 @@
         }
     }
 
+    /// Sets the failure domains that are evacuated.
+    ///
+    /// Members in such a domain are assigned no shards, and theirs move away. If the evacuation of a domain
+    /// has ended, the moves out of it that have not begun are cancelled.
+    pub fn set_evacuated(&mut self, domains: BTreeSet<DomainName>) {
+        if domains == self.evacuated {
+            return;
+        }
+        let before = self.evacuated_members();
+        self.evacuated = domains;
+        let after = self.evacuated_members();
+        let is_returning = |node: &NodeId| before.contains(node) && !after.contains(node);
+        let record = &self.record;
+        self.moves.retain(|shard, _| {
+            let owner = record.owner(*shard);
+            !owner.is_some_and(|owner| is_returning(&owner.node))
+        });
+    }
+
+    /// Returns the members in evacuated failure domains.
+    fn evacuated_members(&self) -> BTreeSet<NodeId> {
+        if self.evacuated.is_empty() {
+            return BTreeSet::new();
+        }
+        // A member that has not reported to this coordinator is known from the record alone.
+        let recorded = self.record.members.iter();
+        let reported = self.members.values().filter_map(|v| v.member.as_ref());
+        recorded
+            .chain(reported)
+            .filter(|member| self.is_evacuated(member))
+            .map(|member| member.node.clone())
+            .collect()
+    }
+
+    fn is_evacuated(&self, member: &CellMember) -> bool {
+        self.evacuated.contains(&member.failure_domain)
+    }
+
     // --- the store ------------------------------------------------------------------------------
 
     /// Processes the record `stored` that a call sent at `sent_at` read from the store.
@@ -555,7 +595,9 @@
             .filter(|(_, view)| !(trusts_health_reports && view.unhealthy))
             .filter(|(_, view)| {
                 let member = view.member.as_ref();
-                member.is_some_and(|member| !member.leaving && rules.allows(&member.region))
+                member.is_some_and(|member| {
+                    !member.leaving && rules.allows(&member.region) && !self.is_evacuated(member)
+                })
             })
             .map(|(node, _)| node.clone())
             .collect()
@@ -580,9 +622,10 @@
     fn record_holder(&self, shard: ShardId, now: BootTime) -> Option<&NodeId> {
         let (node, incarnation) = self.release_of(shard)?.record_at.as_ref()?;
         let view = self.members.get(node)?;
-        let same_incarnation = view.member.as_ref()?.incarnation == *incarnation;
+        let member = view.member.as_ref()?;
+        let same_incarnation = member.incarnation == *incarnation;
         let alive = view.ready && !view.unreachable && now < view.lease_until;
-        (same_incarnation && alive).then_some(node)
+        (same_incarnation && alive && !self.is_evacuated(member)).then_some(node)
     }
 
     /// Returns true if no earlier owner can still be serving the shard.
@@ -618,6 +661,15 @@
             moving: &self.moves,
             now,
         };
+        let evacuated = self.evacuated_members();
+        let policy = &self.policy;
+        let leaving = policy.evacuation_moves(&self.record, &eligible, &evacuated, &view);
+        self.moves.extend(leaving);
+        let view = PlacementView {
+            loads: &self.loads,
+            moving: &self.moves,
+            now,
+        };
         let planned = self.policy.moves(&self.record, &eligible, &view);
         if !self.loads.is_empty() {
             for (shard, _) in &planned {
--- a/crates/anvilrack-core/src/ownership/mod.rs
+++ b/crates/anvilrack-core/src/ownership/mod.rs
@@ -3,6 +3,7 @@
 mod cell_history;
 mod cell_record;
 mod coordinator_state;
+mod evacuations;
 mod lease_terms;
 mod load_view;
 mod owner_state;
@@ -18,6 +19,9 @@
 pub use coordinator_state::{
     CoordinatorState, MemberReport, ReleaseOrder, ReleaseReport, RenewalAnswer, ReportSequence,
 };
+pub use evacuations::{
+    EvacuatedDomain, EvacuationChange, EvacuationSet, Evacuations, StoreReading, StoreStamp,
+};
 pub use lease_terms::LeaseTerms;
 pub use load_view::LoadView;
 pub use owner_state::{OwnerState, ShardPermit};
--- a/crates/anvilrack-core/src/ownership/placement_policy.rs
+++ b/crates/anvilrack-core/src/ownership/placement_policy.rs
@@ -1,6 +1,6 @@
 //! Decides which member should own a shard.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::{BootTime, CellRecord, LoadView, NodeId, PlacementWeights, ShardId};
 
@@ -11,6 +11,11 @@
 /// So a cell with many small shards rebalances as fast as one with few large shards.
 const CONCURRENT_MOVES_DIVISOR: usize = 64;
 
+/// The same divisor for moves out of evacuated failure domains, which have to end within the bound.
+///
+/// A move takes up to 300 ms, so that 1,024 shards of two members, half of them evacuated, leave in 2.4 s.
+const EVACUATION_MOVES_DIVISOR: usize = 16;
+
 /// Load that each shard counts for in addition to its requests, in requests per ten seconds.
 ///
 /// With it, shards of unknown load are spread evenly by number.
@@ -115,6 +120,47 @@
         picked
     }
 
+    /// Picks shards to move away from members in evacuated failure domains, those with the highest load
+    /// first.
+    ///
+    /// The shards with the highest load thus wait for few others while they have no owner. The rest stay
+    /// with their owner until it is their turn.
+    #[must_use]
+    pub fn evacuation_moves(
+        &self,
+        record: &CellRecord,
+        eligible: &[NodeId],
+        evacuated: &BTreeSet<NodeId>,
+        view: &PlacementView<'_>,
+    ) -> Vec<(ShardId, NodeId)> {
+        if evacuated.is_empty() {
+            return Vec::new();
+        }
+        let is_evacuated = |shard: &ShardId| {
+            let owner = record.owner(*shard);
+            owner.is_some_and(|owner| evacuated.contains(&owner.node))
+        };
+        let max_moves = BASE_CONCURRENT_MOVES.max(record.shards.len() / EVACUATION_MOVES_DIVISOR);
+        let moving = view.moving.keys().filter(|shard| is_evacuated(shard));
+        let capacity = max_moves.saturating_sub(moving.count());
+        let owners = owners_after_moves(record, view.moving);
+        let mut load_by_member = member_loads(&owners, eligible, view.loads);
+        let waiting = owners.keys().copied();
+        let mut order: Vec<ShardId> = waiting
+            .filter(|shard| is_evacuated(shard) && !view.moving.contains_key(shard))
+            .collect();
+        order.sort_by_key(|shard| std::cmp::Reverse(view.loads.rate(*shard)));
+        order.truncate(capacity);
+        order
+            .into_iter()
+            .filter_map(|shard| {
+                let node = least_loaded(&load_by_member, view.loads)?;
+                *load_by_member.entry(node.clone()).or_default() += load(view.loads, shard);
+                Some((shard, node))
+            })
+            .collect()
+    }
+
     /// Returns the shard whose move to the least loaded member reduces the imbalance most.
     fn rebalancing_shard(
         &self,
