Evacuate failure domains: read, spread and act on the operators' requests

Cause: requests to evacuate a failure domain were not read, so its targets went on to get requests.

Change: where terms.evacuate_within is set, readers watch and list all keys of the operators with the call that read the site document alone. The set spreads as site documents do: in the readers' heartbeats, by a message to two routers of each other domain on a change, and on request by routers that the store does not answer or whose request was refused. The gateway refuses requests for an evacuated target (Evacuated, not run), selectors leave it out, and the owner releases at the end of its time the keys that have not moved. Where all targets of a service are evacuated, requests are refused at once. Without the setting, the site key alone is watched and nothing else changes.

--- a/crates/anvilrack-node/src/directory/domain_reader.rs
+++ b/crates/anvilrack-node/src/directory/domain_reader.rs
@@ -9,7 +9,7 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
-use anvilrack_core::BootTime;
+use anvilrack_core::{BootTime, EvacuationSet};
 use serde::{Deserialize, Serialize};
 
 use crate::directory::DirectoryEntry;
@@ -42,6 +42,8 @@
     pub entry: DirectoryEntry,
     /// Digest of the reader's directory entries, from [`entries_digest`].
     pub digest: u64,
+    /// The evacuated failure domains that the reader knows; `None` if it knows no set.
+    pub evacuations: Option<EvacuationSet>,
 }
 
 /// A router's record of the heartbeats from its domain's reader.
--- a/crates/anvilrack-node/src/directory/mod.rs
+++ b/crates/anvilrack-node/src/directory/mod.rs
@@ -3,6 +3,7 @@
 mod directory_view;
 mod domain_reader;
 mod entry_maintainer;
+mod evacuation_spread;
 mod metadata_store;
 mod peer_catch_up;
 mod site_archive;
@@ -16,6 +17,7 @@
     reader_rank,
 };
 pub use entry_maintainer::maintain_entry;
+pub use evacuation_spread::{fetch_evacuations, spread_evacuations};
 pub use metadata_store::{
     LeaseId, MetadataStore, MetadataStoreError, StoreChange, StoreEra, StoreItem, StoreList,
     StoreRevision, StoreWrite, WatchUpdate, WriteResult,
--- a/crates/anvilrack-node/src/directory/peer_catch_up.rs
+++ b/crates/anvilrack-node/src/directory/peer_catch_up.rs
@@ -10,6 +10,7 @@
 use tokio::time::sleep;
 
 use crate::directory::DirectoryEntry;
+use crate::directory::fetch_evacuations;
 use crate::directory::site_fetch::ask_router;
 use crate::peers::{PeerCall, PeerReply, ReaderChanges};
 use crate::{NodeState, PlatformDialect, emit_event};
@@ -24,7 +25,7 @@
 /// such a router counts as gone.
 const PROBE_INTERVAL: Duration = Duration::from_millis(800);
 
-/// Asks routers for a newer site document, and for all entries if this router knows none.
+/// Asks routers for a newer site document and the evacuated failure domains, and for all entries if this router knows none.
 ///
 /// A router that restarted during a store outage knows only the routers that have called it.
 pub async fn catch_up<D: PlatformDialect>(node: &Arc<NodeState<D>>) {
@@ -36,6 +37,9 @@
     let knows_no_router = node.peer_addresses().is_empty();
     for address in addresses {
         ask_router(node, address).await;
+        if node.evacuates() {
+            fetch_evacuations(node, address).await;
+        }
         if knows_no_router {
             pull_entries(node, address).await;
         }
--- a/crates/anvilrack-node/src/directory/store_watch.rs
+++ b/crates/anvilrack-node/src/directory/store_watch.rs
@@ -1,9 +1,10 @@
 //! Watches the site document and the other routers' entries in the store.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
+use anvilrack_core::{DomainName, StoreReading, StoreStamp};
 use anvilrack_router::boot_clock;
 use anvilrack_wire::decode;
 use tokio::time::sleep;
@@ -11,8 +12,8 @@
 use crate::directory::READER_HEARTBEAT_INTERVAL;
 use crate::directory::peer_catch_up::catch_up;
 use crate::directory::{
-    DirectoryEntry, ENTRY_PREFIX, MetadataStore, MetadataStoreError, StoreChange, StoreRevision,
-    WatchUpdate,
+    DirectoryEntry, ENTRY_PREFIX, MetadataStore, MetadataStoreError, StoreChange, StoreEra,
+    StoreRevision, WatchUpdate,
 };
 use crate::peers::{PeerCall, ReaderChanges};
 use crate::retry_backoff::RetryBackoff;
@@ -182,19 +183,43 @@
     }
 }
 
-/// Reads the site document, then applies its changes while this router watches the store.
+/// Reads the site document and the evacuated failure domains, then applies their changes while this router
+/// watches the store.
+///
+/// If the deployment evacuates domains, all keys of the operators are read together, so that this needs no
+/// further calls.
 async fn sync_site<D: PlatformDialect>(
     node: &Arc<NodeState<D>>,
     after: &mut StoreRevision,
     pauses: &mut RetryBackoff,
 ) -> Result<(), MetadataStoreError> {
     let key = node.dialect.site_key();
+    let evacuates = node.evacuates();
+    let prefix = if evacuates {
+        node.dialect.operator_prefix()
+    } else {
+        key
+    };
+    let era_before = node.store.era();
     // The document may be older than the store's watch history, so the watch starts at the revision of
     // the list.
-    let list = node.store.list(key).await?;
+    let list = node.store.list(prefix).await?;
     if let Some(item) = list.items.iter().find(|item| *item.key == *key) {
         node.apply_stored_document(&item.value);
     }
+    let era = node.store.era();
+    if evacuates && era_before != 0 && era != era_before {
+        // It is not known which era the list belongs to.
+        return Ok(());
+    }
+    let domain_of = |key: &str| node.dialect.evacuated_domain(key);
+    let mut domains: BTreeSet<DomainName> = list
+        .items
+        .iter()
+        .filter_map(|item| domain_of(&item.key))
+        .collect();
+    let stamp = |revision| StoreStamp { era, revision };
+    node.apply_stored_evacuations(stamp(list.revision), &domains, StoreReading::List);
     *after = list.revision;
     *pauses = RETRY_PAUSES;
     if node.site().is_none() {
@@ -202,7 +227,12 @@
         sleep(START_DELAY * 2).await;
     }
     while node.watches_store() {
-        match node.store.watch(key, *after, WATCH_WAIT).await? {
+        let watch = node.store.watch(prefix, *after, WATCH_WAIT);
+        let watched = tokio::select! {
+            watched = watch => watched?,
+            () = era_ended(node, era), if evacuates => WatchUpdate::HistoryGone,
+        };
+        match watched {
             WatchUpdate::HistoryGone => {
                 sleep(SITE_COALESCE_PAUSE).await;
                 return Ok(());
@@ -219,9 +249,15 @@
                         StoreChange::Written(item) if *item.key == *key => {
                             node.apply_stored_document(&item.value);
                         }
-                        _ => {}
+                        StoreChange::Written(item) => domains.extend(domain_of(&item.key)),
+                        StoreChange::Removed(key) => {
+                            if let Some(domain) = domain_of(&key) {
+                                domains.remove(&domain);
+                            }
+                        }
                     }
                 }
+                node.apply_stored_evacuations(stamp(revision), &domains, StoreReading::Watch);
                 sleep(pause).await;
             }
         }
@@ -229,6 +265,15 @@
     Ok(())
 }
 
+/// Completes once another call has shown that the store was restored.
+///
+/// The evacuations of the earlier state are over then, but a watch may not respond for a long time.
+async fn era_ended<D: PlatformDialect>(node: &NodeState<D>, era: StoreEra) {
+    while node.store.era() == era {
+        sleep(ROLE_CHECK_INTERVAL).await;
+    }
+}
+
 /// Sends reader heartbeats to the routers of the failure domain while this router watches the store for
 /// them.
 pub async fn send_reader_heartbeats<D: PlatformDialect>(node: Arc<NodeState<D>>) {
--- a/crates/anvilrack-node/src/guard/target_gateway.rs
+++ b/crates/anvilrack-node/src/guard/target_gateway.rs
@@ -55,6 +55,9 @@
 /// `Retry-After` time of a router that has just started.
 const STARTING_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// `Retry-After` time while the failure domain of the target is evacuated.
+const EVACUATED_RETRY_AFTER: Duration = Duration::from_millis(400);
+
 /// Maximum time that a suspect waits for another one to end.
 const MAX_SUSPECT_WAIT: Duration = Duration::from_millis(300);
 
@@ -447,7 +450,7 @@
         call: &RunCall,
         content: RequestFingerprint,
     ) -> Result<TargetIncarnation, Refusal> {
-        if !node.crash_monitor.has_joined() {
+        if !node.crash_monitor.has_joined() || !node.has_joined_evacuations() {
             return Err((RefusalReason::Starting, STARTING_RETRY_AFTER));
         }
         if let Some(left) = node.crash_monitor.remaining_quarantine(content) {
@@ -473,7 +476,11 @@
                 }
             }
         }
-        if let Some(shard) = node.shard_of(&call.service, call.key) {
+        let shard = node.shard_of(&call.service, call.key);
+        if node.refuses_evacuated(shard, now) {
+            return Err((RefusalReason::Evacuated, EVACUATED_RETRY_AFTER));
+        }
+        if let Some(shard) = shard {
             let refusal = |reason| (reason, MOVING_RETRY_AFTER);
             let grant = node.owner().grant(shard, now).map_err(refusal)?;
             if !node.grants.is_confirmed(shard, grant.token, now) {
--- a/crates/anvilrack-node/src/node_shared/mod.rs
+++ b/crates/anvilrack-node/src/node_shared/mod.rs
@@ -1,6 +1,7 @@
 //! State shared by the parts of a router process.
 
 mod cell_records;
+mod evacuated_domains;
 mod leaving_targets;
 mod router_directory;
 mod withdrawn_routers;
@@ -12,9 +13,9 @@
 use std::time::Duration;
 
 use anvilrack_core::{
-    BootTime, CellRecord, CoordinatorState, EntryAdmission, LeaseTerms, OwnerState, RecordDelta,
-    RetryBudget, ServiceName, SiteRoutes, StandbyState, TargetSelector, TransitMeter, UploadPacer,
-    events,
+    BootTime, CellRecord, CoordinatorState, EntryAdmission, Evacuations, LeaseTerms, OwnerState,
+    RecordDelta, RetryBudget, ServiceName, SiteRoutes, StandbyState, TargetSelector, TransitMeter,
+    UploadPacer, events,
 };
 use anvilrack_router::boot_clock;
 use tokio::sync::{Notify, watch};
@@ -108,6 +109,10 @@
     target_choices: Mutex<HashMap<ServiceName, TargetSelector>>,
     leaving_targets: Mutex<LeavingTargets>,
     withdrawn_routers: Mutex<WithdrawnRouters>,
+    /// The evacuated failure domains; `None` if the deployment evacuates none.
+    evacuations: Option<Mutex<Evacuations>>,
+    /// Whether the evacuated failure domains are being fetched from another router.
+    fetching_evacuations: AtomicBool,
     entry_admission: Mutex<EntryAdmission>,
     budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
     refresh_times: Mutex<HashMap<ServiceName, RefreshTimes>>,
@@ -168,6 +173,8 @@
             target_choices: Mutex::default(),
             leaving_targets: Mutex::default(),
             withdrawn_routers: Mutex::default(),
+            evacuations: evacuated_domains::new_view(&settings),
+            fetching_evacuations: AtomicBool::new(false),
             entry_admission: Mutex::default(),
             budgets: Mutex::default(),
             refresh_times: Mutex::default(),
--- a/crates/anvilrack-node/src/node_shared/router_directory.rs
+++ b/crates/anvilrack-node/src/node_shared/router_directory.rs
@@ -217,6 +217,7 @@
             let members = ready.map(DirectoryEntry::as_member);
             members
                 .filter(|member| self.leaving_for(&member.node, member.incarnation).is_none())
+                .filter(|member| !self.is_domain_evacuated(&member.failure_domain))
                 .collect()
         };
         let mut selectors = self.target_choices();
@@ -304,6 +305,7 @@
         ReaderHeartbeat {
             digest: entries_digest(directory.entries().chain([&own])),
             entry: own,
+            evacuations: self.evacuation_set(),
         }
     }
 
@@ -355,6 +357,9 @@
     pub fn handle_reader_heartbeat(self: &Arc<Self>, heartbeat: &ReaderHeartbeat) {
         // The store may have expired the entry, and the reader may be new.
         self.store_confirmed_entries([heartbeat.entry.clone()]);
+        if let Some(set) = &heartbeat.evacuations {
+            self.apply_peer_evacuations(set, &heartbeat.entry.place.failure_domain);
+        }
         let own = self.reader_heartbeat();
         let effect = lock(&self.reader).on_heartbeat(heartbeat, &own, boot_clock::now());
         // A large directory may take longer than the next heartbeats.
--- a/crates/anvilrack-node/src/ownership/cell_calls.rs
+++ b/crates/anvilrack-node/src/ownership/cell_calls.rs
@@ -46,7 +46,9 @@
         | PeerCall::PullEntries
         | PeerCall::ReaderBeat(_)
         | PeerCall::ReaderNews(_)
-        | PeerCall::Crashes(_) => PeerReply::Done,
+        | PeerCall::Crashes(_)
+        | PeerCall::Evacuations(..)
+        | PeerCall::PullEvacuations => PeerReply::Done,
     }
 }
 
--- a/crates/anvilrack-node/src/ownership/coordinator_role.rs
+++ b/crates/anvilrack-node/src/ownership/coordinator_role.rs
@@ -370,7 +370,9 @@
             let Some(state) = coordinator.as_mut() else {
                 return;
             };
-            let must_wait = now < self.next_plan || self.is_settling(state.record(), node, now);
+            let must_wait = now < self.next_plan
+                || self.is_settling(state.record(), node, now)
+                || !node.has_joined_evacuations();
             // A released shard cannot be assigned during a store outage, so no moves are planned.
             let is_contact_stale = now > state.last_store_contact() + MAX_STORE_CONTACT_AGE;
             if state.pending().is_none() && (must_wait || is_contact_stale) {
@@ -378,6 +380,7 @@
             }
             self.next_plan = now + MIN_PLAN_INTERVAL;
             state.set_weights(PlacementWeights::default());
+            state.set_evacuated(node.evacuated_domains());
             let pending = state.pending().cloned();
             pending.or_else(|| state.plan(&shard_rules(), 0, now))
         };
--- a/crates/anvilrack-node/src/ownership/member_role.rs
+++ b/crates/anvilrack-node/src/ownership/member_role.rs
@@ -95,7 +95,8 @@
         .current_incarnation()
         .is_some_and(|target| target.state == IncarnationState::Serving);
     let mut owner = node.owner();
-    if keep.is_empty() || owner.epoch() != epoch || !serving {
+    let evacuated = node.must_release_keys(boot_clock::now());
+    if keep.is_empty() || owner.epoch() != epoch || !serving || evacuated {
         return;
     }
     let released = node.grants.released().into_iter();
--- a/crates/anvilrack-node/src/peers/peer_message.rs
+++ b/crates/anvilrack-node/src/peers/peer_message.rs
@@ -5,9 +5,10 @@
 use std::time::Duration;
 
 use anvilrack_core::{
-    AdmissionHint, BootTime, CellRecord, CellVersion, CrashReport, DomainName, Epoch, Incarnation,
-    MemberReport, NodeId, RefusalReason, RegionName, RenewalAnswer, RequestClass, RunAdmission,
-    ServiceName, SiteVersion, TargetLoad, UncertainReason, bounded_duration,
+    AdmissionHint, BootTime, CellRecord, CellVersion, CrashReport, DomainName, Epoch,
+    EvacuationSet, Incarnation, MemberReport, NodeId, RefusalReason, RegionName, RenewalAnswer,
+    RequestClass, RunAdmission, ServiceName, SiteVersion, TargetLoad, UncertainReason,
+    bounded_duration,
 };
 use anvilrack_wire::{DocumentDigest, PacketHeader};
 use serde::{Deserialize, Serialize};
@@ -55,6 +56,10 @@
     PullEntry,
     /// Exchanges observations of crashes; contains those that the sender has.
     Crashes(CrashReport),
+    /// Passes on the evacuated failure domains; names the failure domain of the sender.
+    Evacuations(DomainName, EvacuationSet),
+    /// Asks for the evacuated failure domains that the receiver knows.
+    PullEvacuations,
 }
 
 impl PeerCall {
@@ -78,6 +83,8 @@
             Self::Entry(_) => "entry",
             Self::PullEntry => "pull-entry",
             Self::Crashes(_) => "crashes",
+            Self::Evacuations(..) => "evacuations",
+            Self::PullEvacuations => "pull-evacuations",
         }
     }
 }
@@ -114,6 +121,8 @@
     /// Observations of crashes that the receiver lacks, and whether the sender knows those from before
     /// its own start.
     Crashes(CrashReport, bool),
+    /// The evacuated failure domains that the sender knows; `None` if it knows no set.
+    Evacuations(Option<EvacuationSet>),
 }
 
 /// A request that is forwarded to the router of its target.
--- a/crates/anvilrack-node/src/peers/peer_server.rs
+++ b/crates/anvilrack-node/src/peers/peer_server.rs
@@ -181,6 +181,11 @@
             let monitor = &node.crash_monitor;
             PeerReply::Crashes(monitor.exchange(&report), monitor.knows_earlier_crashes())
         }
+        PeerCall::Evacuations(domain, set) => {
+            node.apply_peer_evacuations(&set, &domain);
+            PeerReply::Done
+        }
+        PeerCall::PullEvacuations => PeerReply::Evacuations(node.evacuation_set()),
         call => cell_calls::handle_call(node, call),
     };
     (reply, Bytes::new())
--- a/crates/anvilrack-node/src/routing/forward.rs
+++ b/crates/anvilrack-node/src/routing/forward.rs
@@ -41,6 +41,9 @@
 /// `Retry-After` time when no target is available.
 const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// `Retry-After` time while all targets that could run a request are evacuated.
+const EVACUATED_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Average `Retry-After` time while a service that the request needs is overloaded.
 ///
 /// Shares are measured over a second, so they have changed by then if the load has.
@@ -201,6 +204,9 @@
                 retry_after,
                 by_target,
             } => {
+                if reason == RefusalReason::Evacuated {
+                    self.node.on_evacuated_refusal(&router, address);
+                }
                 if by_target && !self.consume_retry() {
                     return self.refuse(reason, retry_after);
                 }
@@ -300,7 +306,9 @@
     /// Handles the lack of a router: waits for the next owner if the request has a shard, and refuses
     /// the request otherwise.
     async fn await_router(&mut self) -> NextStep {
-        if self.shard.is_some() {
+        if self.node.is_service_evacuated(&self.request.service) {
+            self.refuse(RefusalReason::Evacuated, EVACUATED_RETRY_AFTER)
+        } else if self.shard.is_some() {
             self.await_owner(RefusalReason::NoOwner, NO_OWNER_RETRY_AFTER)
                 .await
         } else {
@@ -309,6 +317,9 @@
     }
 
     async fn await_owner(&mut self, reason: RefusalReason, retry_after: Duration) -> NextStep {
+        if self.node.is_service_evacuated(&self.request.service) {
+            return self.refuse(RefusalReason::Evacuated, EVACUATED_RETRY_AFTER);
+        }
         let max_wait = MAX_OWNER_WAIT.min((self.time_left() + self.waited) / OWNER_WAIT_DIVISOR);
         // A request that waits here delays the end of the process, and so the restart.
         if self.waited >= max_wait || self.node.is_withdrawn() {
@@ -524,6 +535,7 @@
                 | RefusalReason::LeaseEnded
                 | RefusalReason::NoOwner
                 | RefusalReason::Stopping
+                | RefusalReason::Evacuated
         );
         let unreachable = matches!(
             reason,
--- a/crates/anvilrack-node/tests/domain_reader.rs
+++ b/crates/anvilrack-node/tests/domain_reader.rs
@@ -35,6 +35,7 @@
     ReaderHeartbeat {
         entry: entry(reader, "norte-a", 1, false),
         digest,
+        evacuations: None,
     }
 }
 
