--- a/crates/anvilrack-core/src/requests/request_verdict.rs
+++ b/crates/anvilrack-core/src/requests/request_verdict.rs
@@ -114,6 +114,8 @@
     RateLimited,
     /// The route does not allow the regions in which targets could run the request.
     RegionNotAllowed,
+    /// The failure domain of the target is evacuated.
+    Evacuated,
 }
 
 impl RefusalReason {
@@ -142,6 +144,7 @@
             Self::Starting => "starting",
             Self::RateLimited => "rate-limited",
             Self::RegionNotAllowed => "region-not-allowed",
+            Self::Evacuated => "evacuated",
         }
     }
 
