Limit the requests to cold targets in the core

Cause: a cold target crashes at a rate well above the `cold-per-s` of its service, and nothing in the core kept requests at that rate. Change: `ColdStart` knows until when the local target is cold and joins `RateLimiter`; the smaller of both limits is in force. Routers avoid a target that reported that it is cold, or was cold when it started. The events 2310 to 2312 are in the catalogue; the router does not act on any of it yet.

--- a/crates/anvilrack-bench/src/sample_cell.rs
+++ b/crates/anvilrack-bench/src/sample_cell.rs
@@ -83,6 +83,7 @@
         sick: false,
         loads: Vec::new(),
         pace_us: 0,
+        cold_rate: None,
     }
 }
 
--- a/crates/anvilrack-core/src/admission/mod.rs
+++ b/crates/anvilrack-core/src/admission/mod.rs
@@ -3,18 +3,23 @@
 mod admission_queue;
 mod admitted_shares;
 mod call_routes;
+mod cold_check;
+mod cold_start;
 mod demand_meter;
 mod entry_admission;
 mod fair_share;
 mod key_sketch;
 mod latency_limit;
 mod rate_limiter;
+mod refusal_backlog;
 mod service_time_meter;
 mod upload_pacer;
 
 pub use admission_queue::{AdmissionQueue, AdmissionRequest, AdmissionStep, TicketId};
 pub use admitted_shares::{AdmittedShares, PRIORITY_COUNT, ShareMilli, WHOLE_SHARE};
 pub use call_routes::CallRoutes;
+pub use cold_check::{CheckReason, ColdCheck};
+pub use cold_start::{ColdRules, ColdStart};
 pub use demand_meter::{DemandMeter, OfferedRequest};
 pub use entry_admission::{AdmissionHint, EntryAdmission, RateHint, RunAdmission};
 pub use fair_share::FairShare;
--- a/crates/anvilrack-core/src/admission/rate_limiter.rs
+++ b/crates/anvilrack-core/src/admission/rate_limiter.rs
@@ -2,16 +2,17 @@
 
 use std::time::Duration;
 
-use crate::BootTime;
+use super::refusal_backlog::RefusalBacklog;
+use crate::{BootTime, ColdStart};
 
 /// Requests a second.
 pub type RequestRate = f64;
 
 /// Rate of requests to a target that takes none, because only a response can tell that its limit is gone.
-const MIN_RATE: RequestRate = 0.25;
+pub(super) const MIN_RATE: RequestRate = 0.25;
 
 /// Maximum rate that is told apart from no limit; it keeps times finite.
-const MAX_RATE: RequestRate = 1e9;
+pub(super) const MAX_RATE: RequestRate = 1e9;
 
 /// Time whose requests may come all at once.
 const BURST_TIME: Duration = Duration::from_millis(500);
@@ -19,10 +20,8 @@
 /// Time for which responses must have named no limit before it is lifted.
 const LIFT_DELAY: Duration = Duration::from_millis(500);
 
-/// Maximum time that a refused request is told to wait, unless the next request takes longer.
-const MAX_RETRY_AFTER: Duration = Duration::from_secs(2);
-
-/// A token bucket whose rate follows the limit that the target names in its responses.
+/// A token bucket whose rate follows the limit that the target names in its responses, together with the limit
+/// on the requests to a cold target ([`ColdStart`]); the smaller of both is in force.
 ///
 /// Requests that the target's callers begin take a token each. Calls of other targets may overdraw the
 /// bucket, because the run that waits for them would fail: they take the tokens of later requests.
@@ -41,6 +40,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct RateLimiter {
     limit: Option<NamedLimit>,
+    cold: ColdStart,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -49,8 +49,7 @@
     named_at: BootTime,
     tokens: f64,
     updated_at: BootTime,
-    /// Time at which the requests that were refused so far can have run, if they all return.
-    backlog_until: BootTime,
+    backlog: RefusalBacklog,
 }
 
 impl RateLimiter {
@@ -75,12 +74,38 @@
             named_at: now,
             tokens: 1.0,
             updated_at: now,
-            backlog_until: now,
+            backlog: RefusalBacklog::new(now),
         });
         true
     }
 
-    /// Returns the limit in requests a second; `None` if there is none.
+    /// Applies the start of an incarnation, which names no limit yet. `cold_for` is the time for which it states
+    /// that it is cold; `None` if it does not state it.
+    pub fn on_new_incarnation(&mut self, cold_for: Option<Duration>, now: BootTime) {
+        self.limit = None;
+        self.cold.on_new_incarnation(cold_for, now);
+    }
+
+    /// Returns what is known about whether the target is cold.
+    #[must_use]
+    pub fn cold(&self) -> &ColdStart {
+        &self.cold
+    }
+
+    /// Returns what is known about whether the target is cold, for updates.
+    pub fn cold_mut(&mut self) -> &mut ColdStart {
+        &mut self.cold
+    }
+
+    /// Returns the limit in requests a second that is in force: the smaller one of that which the target names
+    /// and that of a cold target; `None` if there is none.
+    #[must_use]
+    pub fn rate_in_force(&self, now: BootTime) -> Option<RequestRate> {
+        let rates = [self.rate(), self.cold.rate(now)];
+        rates.into_iter().flatten().min_by(f64::total_cmp)
+    }
+
+    /// Returns the limit that the target names in requests a second; `None` if it names none.
     #[must_use]
     pub fn rate(&self) -> Option<RequestRate> {
         self.limit.map(|limit| limit.rate)
@@ -92,9 +117,13 @@
     ///
     /// Returns the time after which a retry is worthwhile.
     pub fn check(&mut self, is_call: bool, now: BootTime) -> Result<(), Duration> {
-        match &mut self.limit {
+        let named = match &mut self.limit {
             Some(limit) => limit.check(is_call, now),
             None => Ok(()),
+        };
+        match (named, self.cold.check(is_call, now)) {
+            (Err(named), Err(cold)) => Err(named.max(cold)),
+            (Ok(()), result) | (result, Ok(())) => result,
         }
     }
 
@@ -108,6 +137,7 @@
         if let Some(limit) = &mut self.limit {
             limit.tokens -= 1.0;
         }
+        self.cold.record_sent(now);
         Ok(())
     }
 }
@@ -130,10 +160,6 @@
             return Ok(());
         }
         let next = Duration::from_secs_f64((1.0 - self.tokens) / self.rate);
-        let interval = Duration::from_secs_f64(1.0 / self.rate);
-        self.backlog_until = (self.backlog_until + interval).max(now + next);
-        let max_wait = MAX_RETRY_AFTER.max(next);
-        self.backlog_until = self.backlog_until.min(now + max_wait);
-        Err(self.backlog_until.saturating_sub(now))
+        Err(self.backlog.add(next, self.rate, now))
     }
 }
--- a/crates/anvilrack-core/src/catalogue/event_catalogue.rs
+++ b/crates/anvilrack-core/src/catalogue/event_catalogue.rs
@@ -95,6 +95,9 @@
     BODY_REFUSED = 2304, "body.refused", "The network link of this VM has no capacity for a large body; reports how many are in transfer.";
     TARGET_LIMIT = 2305, "target.limit", "The target named another limit on the rate of requests that it takes, or none any more; reports the limit in requests a second.";
     TARGET_LIMIT_INVALID = 2306, "target.limit-invalid", "The target named a limit on the rate of requests that is not a decimal number; the limit before stays in force.";
+    TARGET_COLD = 2310, "target.cold", "The target next to this router is cold, so it gets requests at the rate that the site document allows; reports how this was learned, the rate and the remaining time.";
+    TARGET_WARM = 2311, "target.warm", "The target next to this router is warm again; reports for how long it was cold.";
+    TARGET_CHECKED = 2312, "target.checked", "The health check of the target next to this router was called to learn whether the target is cold; reports the reason and the remaining time, or the error.";
     REQUEST_ANSWERED = 2401, "request.answered", "A response was sent to a caller; reports the outcome, the number of attempts and the elapsed time.";
     REQUEST_TRIED = 2402, "request.tried", "One attempt of a request ended without a response from the target; reports the target and the reason.";
     REQUEST_BARRED = 2403, "request.barred", "The router next to the target was asked whether a request has started, and to cancel it if it has not.";
--- a/crates/anvilrack-core/src/lib.rs
+++ b/crates/anvilrack-core/src/lib.rs
@@ -26,9 +26,9 @@
 
 pub use admission::{
     AdmissionHint, AdmissionQueue, AdmissionRequest, AdmissionStep, AdmittedShares, CallRoutes,
-    DemandMeter, EntryAdmission, FairShare, KeyCount, KeySketch, LatencyLimit, OfferedRequest,
-    PRIORITY_COUNT, RateHint, RateLimiter, RequestRate, RunAdmission, ServiceTimeMeter, ShareMilli,
-    TicketId, UploadPacer, WHOLE_SHARE,
+    CheckReason, ColdCheck, ColdRules, ColdStart, DemandMeter, EntryAdmission, FairShare, KeyCount,
+    KeySketch, LatencyLimit, OfferedRequest, PRIORITY_COUNT, RateHint, RateLimiter, RequestRate,
+    RunAdmission, ServiceTimeMeter, ShareMilli, TicketId, UploadPacer, WHOLE_SHARE,
 };
 pub use bounded_duration::{bounded_duration, optional_bounded_duration};
 pub use catalogue::{EVENT_CATALOGUE, LogEvent, METRIC_CATALOGUE, MetricInfo, events, metrics};
--- a/crates/anvilrack-core/src/ownership/coordinator_state.rs
+++ b/crates/anvilrack-core/src/ownership/coordinator_state.rs
@@ -90,6 +90,10 @@
     /// Service time of the member's target in microseconds; zero if unknown.
     #[serde(default)]
     pub pace_us: u32,
+    /// Rate that the member's target tolerates because it is cold, in requests per ten seconds; `None` if it is
+    /// warm or not limited.
+    #[serde(default)]
+    pub cold_rate: Option<u32>,
 }
 
 /// Report that a shard was released by its owner.
@@ -214,6 +218,8 @@
                 .apply_report(owned, &report.member.node, &report.loads);
             self.loads
                 .set_service_time(&report.member.node, report.pace_us);
+            self.loads
+                .set_cold_rate(&report.member.node, report.cold_rate);
         }
         if renewed {
             view.lease_until = view.lease_until.max(now + lease);
@@ -513,7 +519,7 @@
         let free: Vec<ShardId> = (0..rules.shards.max(1))
             .filter(|shard| self.is_free(*shard, rules, now))
             .collect();
-        let eligible = self.eligible(rules, now);
+        let eligible = self.loads.receivers(&self.eligible(rules, now));
         let mut placed = self
             .policy
             .place(&self.record, &eligible, &free, &self.loads);
@@ -611,8 +617,9 @@
 
     fn plan_moves(&mut self, rules: &ServiceRules, now: BootTime) {
         let eligible = self.eligible(rules, now);
+        let receivers = self.loads.receivers(&eligible);
         self.moves
-            .retain(|_, successor| eligible.contains(successor));
+            .retain(|_, successor| receivers.contains(successor));
         let view = PlacementView {
             loads: &self.loads,
             moving: &self.moves,
--- a/crates/anvilrack-core/src/ownership/load_view.rs
+++ b/crates/anvilrack-core/src/ownership/load_view.rs
@@ -18,6 +18,8 @@
     rates: BTreeMap<ShardId, u32>,
     moved_at: BTreeMap<ShardId, BootTime>,
     service_times_us: BTreeMap<NodeId, u32>,
+    /// Rates that cold targets tolerate, by member.
+    cold_rates: BTreeMap<NodeId, u32>,
 }
 
 impl LoadView {
@@ -46,6 +48,34 @@
         }
     }
 
+    /// Sets the rate that a member's target tolerates while it is cold, in requests per ten seconds; `None` if the
+    /// target is warm.
+    pub fn set_cold_rate(&mut self, node: &NodeId, rate: Option<u32>) {
+        if let Some(rate) = rate {
+            self.cold_rates.insert(node.clone(), rate);
+        } else {
+            self.cold_rates.remove(node);
+        }
+    }
+
+    /// Returns the rate that a member's target tolerates because it is cold; `None` if it is warm.
+    #[must_use]
+    pub fn cold_rate(&self, node: &str) -> Option<u32> {
+        self.cold_rates.get(node).copied()
+    }
+
+    /// Returns the members that may be given shards: those with warm targets, or all if no target is warm.
+    #[must_use]
+    pub fn receivers(&self, eligible: &[NodeId]) -> Vec<NodeId> {
+        let is_warm = |node: &&NodeId| self.cold_rate(node).is_none();
+        let warm: Vec<NodeId> = eligible.iter().filter(is_warm).cloned().collect();
+        if warm.is_empty() {
+            eligible.to_vec()
+        } else {
+            warm
+        }
+    }
+
     /// Returns whether the service time of any member is known.
     #[must_use]
     pub fn has_service_times(&self) -> bool {
--- a/crates/anvilrack-core/src/ownership/mod.rs
+++ b/crates/anvilrack-core/src/ownership/mod.rs
@@ -2,6 +2,7 @@
 
 mod cell_history;
 mod cell_record;
+mod cold_members;
 mod coordinator_state;
 mod lease_terms;
 mod load_view;
--- a/crates/anvilrack-core/src/ownership/placement_policy.rs
+++ b/crates/anvilrack-core/src/ownership/placement_policy.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use super::cold_members::shard_of_cold_owner;
 use crate::{BootTime, CellRecord, LoadView, NodeId, PlacementWeights, ShardId};
 
 /// Concurrent planned moves that a cell of any size may have.
@@ -67,7 +68,8 @@
         free: &[ShardId],
         loads: &LoadView,
     ) -> Vec<(ShardId, NodeId)> {
-        let mut load_by_member = member_loads_without(record, eligible, free, loads);
+        let receivers = loads.receivers(eligible);
+        let mut load_by_member = member_loads_without(record, &receivers, free, loads);
         let mut order = free.to_vec();
         order.sort_by_key(|shard| std::cmp::Reverse(loads.rate(*shard)));
         order
@@ -96,7 +98,12 @@
         let mut picked = Vec::new();
         while picked.len() < capacity {
             let evacuated = shard_of_ineligible_owner(&owners, eligible);
-            let next = evacuated.or_else(|| self.rebalancing_shard(&owners, &load_by_member, view));
+            let next = evacuated
+                .or_else(|| {
+                    let warm_load = self.max_warm_load(&load_by_member, view.loads);
+                    shard_of_cold_owner(&owners, &load_by_member, warm_load, view)
+                })
+                .or_else(|| self.rebalancing_shard(&owners, &load_by_member, view));
             let Some((shard, destination)) =
                 next.and_then(|s| Some((s, least_loaded(&load_by_member, view.loads)?)))
             else {
@@ -125,7 +132,8 @@
         let scaled_loads = load_by_member.iter();
         let scaled_loads = scaled_loads.map(|(node, load)| (view.loads.scaled(node, *load), node));
         let (highest, most_loaded) = scaled_loads.clone().max_by_key(|(load, _)| *load)?;
-        let (lowest, _) = scaled_loads.clone().min_by_key(|(load, _)| *load)?;
+        let receiver = least_loaded(load_by_member, view.loads)?;
+        let lowest = view.loads.scaled(&receiver, load_by_member[&receiver]);
         let gap = highest - lowest;
         let mut band = self.band(owners, load_by_member.len(), view.loads);
         if view.loads.has_service_times() {
@@ -151,6 +159,19 @@
         best.map(|(shard, _)| shard)
     }
 
+    /// Returns the scaled load up to which a warm member takes shards of cold ones: the highest load of a warm
+    /// member, or the average load with the hysteresis band.
+    fn max_warm_load(&self, load_by_member: &BTreeMap<NodeId, u64>, loads: &LoadView) -> u64 {
+        let total: u64 = load_by_member.values().sum();
+        let warm = load_by_member
+            .iter()
+            .filter(|(node, _)| loads.cold_rate(node).is_none());
+        let warm_loads: Vec<u64> = warm.map(|(node, load)| loads.scaled(node, *load)).collect();
+        let average = total / u64::try_from(warm_loads.len()).unwrap_or(1).max(1);
+        let with_band = average + average * self.band_percent() / 100;
+        warm_loads.into_iter().max().unwrap_or(0).max(with_band)
+    }
+
     /// Returns the largest load difference between two members that causes no move.
     fn band(&self, owners: &BTreeMap<ShardId, NodeId>, members: usize, loads: &LoadView) -> u64 {
         let total: u64 = owners
@@ -223,13 +244,20 @@
     load_by_member
 }
 
-fn load(loads: &LoadView, shard: ShardId) -> u64 {
+pub(super) fn load(loads: &LoadView, shard: ShardId) -> u64 {
     u64::from(loads.rate(shard)) + BASE_SHARD_LOAD
 }
 
-fn least_loaded(load_by_member: &BTreeMap<NodeId, u64>, loads: &LoadView) -> Option<NodeId> {
+/// Returns the member that gets the next shard: one with a warm target if there is any.
+pub(super) fn least_loaded(
+    load_by_member: &BTreeMap<NodeId, u64>,
+    loads: &LoadView,
+) -> Option<NodeId> {
     load_by_member
         .iter()
-        .min_by_key(|(node, load)| loads.scaled(node, **load))
+        .min_by_key(|(node, load)| {
+            let is_cold = loads.cold_rate(node).is_some();
+            (is_cold, loads.scaled(node, **load))
+        })
         .map(|(node, _)| node.clone())
 }
--- a/crates/anvilrack-core/src/ownership/shard_meter.rs
+++ b/crates/anvilrack-core/src/ownership/shard_meter.rs
@@ -39,8 +39,13 @@
 impl ShardMeter {
     /// Counts one request.
     pub fn count(&mut self, shard: ShardId, now: BootTime) {
+        self.count_many(shard, 1, now);
+    }
+
+    /// Counts requests, for instance those that were refused on their way here.
+    pub fn count_many(&mut self, shard: ShardId, count: u32, now: BootTime) {
         self.close_window(now);
-        *self.counts.entry(shard).or_default() += 1;
+        *self.counts.entry(shard).or_default() += count;
     }
 
     /// Returns the rates of the busiest shards, highest first.
--- a/crates/anvilrack-core/src/targets/target_selector.rs
+++ b/crates/anvilrack-core/src/targets/target_selector.rs
@@ -40,6 +40,10 @@
 /// before.
 const RATE_LIMIT_FACTOR: u128 = 32;
 
+/// A target that reported that it is cold is believed for this time at most; it may have become warm earlier, and
+/// only a reply tells.
+const MAX_COLD_TIME: Duration = Duration::from_secs(3);
+
 /// Time over which the share of a newly added target rises to its full share.
 const SLOW_START_DURATION: Duration = Duration::from_secs(10);
 
@@ -89,6 +93,8 @@
     measured_at: Option<BootTime>,
     busy_until: BootTime,
     load: Option<(TargetLoad, BootTime)>,
+    /// Time until which the target counts as cold, which many routers would otherwise learn by a request each.
+    cold_until: BootTime,
     /// When the target was added; `None` if it was among the first targets.
     added_at: Option<BootTime>,
     health: TargetHealth,
@@ -105,6 +111,8 @@
     pub overloaded: bool,
     /// Whether more requests arrive than the rate that the target takes.
     pub rate_limited: bool,
+    /// Remaining time for which the target is cold, in milliseconds; zero if it is warm or not limited.
+    pub cold_ms: u32,
 }
 
 /// Distance between a target and the router that chooses.
@@ -330,6 +338,15 @@
     pub fn set_load(&mut self, node: &str, load: TargetLoad, now: BootTime) {
         if let Some(target) = self.target(node) {
             target.load = Some((load, now));
+            let cold_for = Duration::from_millis(load.cold_ms.into());
+            target.cold_until = now + cold_for.min(MAX_COLD_TIME);
+        }
+    }
+
+    /// Records that a target which has not reported its load yet was cold for this time when it started.
+    pub fn expect_cold(&mut self, node: &str, cold_for: Duration, now: BootTime) {
+        if let Some(target) = self.target(node).filter(|target| target.load.is_none()) {
+            target.cold_until = now + cold_for.min(MAX_COLD_TIME);
         }
     }
 
@@ -371,6 +388,7 @@
             measured_at: None,
             busy_until: BootTime::ZERO,
             load: None,
+            cold_until: BootTime::ZERO,
             added_at,
             health: TargetHealth::default(),
         }
@@ -400,7 +418,7 @@
             Some((load, _)) if load.slots > 0 => {
                 let used = 100 * u128::from(load.busy.max(self.in_flight) + 1);
                 let threshold = u128::from(load.slots) * BUSY_THRESHOLD_PERCENT;
-                let overload = if load.rate_limited {
+                let overload = if load.rate_limited || now < self.cold_until {
                     RATE_LIMIT_FACTOR
                 } else if load.overloaded {
                     OVERLOAD_FACTOR
@@ -409,6 +427,9 @@
                 };
                 latency * overload * used.max(threshold) / threshold
             }
+            _ if now < self.cold_until => {
+                latency * RATE_LIMIT_FACTOR * (u128::from(self.in_flight) + 1)
+            }
             _ => latency * (u128::from(self.in_flight) + 1),
         }
     }
--- a/crates/anvilrack-core/tests/coordinator_state.rs
+++ b/crates/anvilrack-core/tests/coordinator_state.rs
@@ -38,6 +38,7 @@
         sick: false,
         loads: Vec::new(),
         pace_us: 0,
+        cold_rate: None,
     }
 }
 
--- a/crates/anvilrack-core/tests/member_reach.rs
+++ b/crates/anvilrack-core/tests/member_reach.rs
@@ -79,5 +79,6 @@
         sick: false,
         loads: Vec::new(),
         pace_us: 0,
+        cold_rate: None,
     }
 }
--- a/crates/anvilrack-core/tests/placement_load.rs
+++ b/crates/anvilrack-core/tests/placement_load.rs
@@ -183,6 +183,7 @@
             sick: index < unhealthy,
             loads: Vec::new(),
             pace_us: 0,
+            cold_rate: None,
         };
         state.on_heartbeat(&report, now);
     }
--- a/crates/anvilrack-core/tests/target_selector.rs
+++ b/crates/anvilrack-core/tests/target_selector.rs
@@ -188,8 +188,8 @@
     let limited = TargetLoad {
         busy: 1,
         slots: 8,
-        overloaded: false,
         rate_limited: true,
+        ..TargetLoad::default()
     };
     let free = TargetLoad {
         rate_limited: false,
@@ -218,3 +218,47 @@
     // Without news, the limits may be gone.
     assert!(!selector.all_rate_limited(now + Duration::from_secs(1)));
 }
+
+/// Returns how many of 1,000 requests at `now` are sent to the first of six targets.
+fn choices_of_first(selector: &mut TargetSelector, now: BootTime) -> usize {
+    let mut draws = DrawSource(7);
+    let chosen = (0..1_000).filter_map(|_| {
+        let draws = std::array::from_fn(|_| draws.draw());
+        selector.choose(draws, now)
+    });
+    chosen.filter(|node| *node == member(0).node).count()
+}
+
+/// Guards against many routers that each send requests to a target that has just come back, as soon as they have
+/// no recent report of it.
+#[test]
+fn cold_target_is_chosen_only_if_all_are() {
+    let members: Vec<CellMember> = (0..6).map(member).collect();
+    let mut selector = TargetSelector::default();
+    selector.set_members(&members[0], members.iter(), BootTime::ZERO);
+    let first = &members[0].node;
+    let at = BootTime::from_millis;
+    selector.expect_cold(first, Duration::from_secs(2), at(1_000));
+    assert_eq!(choices_of_first(&mut selector, at(2_900)), 0);
+    assert!(choices_of_first(&mut selector, at(3_100)) > 500);
+    let cold = TargetLoad {
+        busy: 1,
+        slots: 8,
+        cold_ms: 1_500,
+        ..TargetLoad::default()
+    };
+    selector.set_load(first, cold, at(4_000));
+    assert_eq!(choices_of_first(&mut selector, at(5_400)), 0);
+    assert!(choices_of_first(&mut selector, at(5_600)) > 500);
+    // It reports itself what state it is in, whatever its directory entry says.
+    selector.set_load(first, TargetLoad { cold_ms: 0, ..cold }, at(6_000));
+    selector.expect_cold(first, Duration::from_secs(2), at(6_000));
+    assert!(choices_of_first(&mut selector, at(6_100)) > 500);
+    // A target that says that it is cold for long is asked again.
+    let forever = TargetLoad {
+        cold_ms: u32::MAX,
+        ..cold
+    };
+    selector.set_load(first, forever, at(7_000));
+    assert!(choices_of_first(&mut selector, at(10_100)) > 500);
+}
--- a/crates/anvilrack-model/src/router_model.rs
+++ b/crates/anvilrack-model/src/router_model.rs
@@ -117,6 +117,7 @@
             sick: false,
             loads: Vec::new(),
             pace_us: 0,
+            cold_rate: None,
             ready: self.ready,
             released: self.released.clone(),
         }
--- a/crates/anvilrack-node/src/guard/target_gateway.rs
+++ b/crates/anvilrack-node/src/guard/target_gateway.rs
@@ -273,6 +273,7 @@
             slots: self.current_incarnation().map_or(0, |target| target.slots),
             overloaded: !self.admitted_shares(now).is_all(),
             rate_limited: self.rate_hint(now).is_some(),
+            cold_ms: 0,
         }
     }
 
--- a/crates/anvilrack-node/src/node_shared/cell_records.rs
+++ b/crates/anvilrack-node/src/node_shared/cell_records.rs
@@ -146,6 +146,7 @@
             sick: false,
             loads: self.gateway.shard_loads(),
             pace_us: self.gateway.mean_service_time_us(),
+            cold_rate: None,
         })
     }
 
--- a/crates/anvilrack-router/src/router_context.rs
+++ b/crates/anvilrack-router/src/router_context.rs
@@ -291,6 +291,7 @@
             sick: self.admission.is_unhealthy(),
             loads: self.meter.report(boot_clock::now()),
             pace_us: 0,
+            cold_rate: None,
         }
     }
 
