Keep to the rate of cold targets in the router beside them

Cause: the rate and the time for which a target is cold were decoded, but its router sent it everything that arrived. Change: notifications, responses and health checks set the remaining time in `ColdStart`. The health check is called after a silence of 2.2 s, failed connections, a sudden rise of the service times, and `TargetGateway::expect_cold`. Load reports and the first directory entry of an incarnation tell other routers that the target is cold, and member reports tell the coordinator. The shard meter counts refused requests at a cold owner, so its shards can move. A notification without `cold-remaining` leaves it open whether the target is cold; it counted as warm before.

--- a/crates/anvilrack-core/src/ownership/cold_members.rs
+++ b/crates/anvilrack-core/src/ownership/cold_members.rs
@@ -8,8 +8,8 @@
 /// Returns the busiest shard that a member with a cold target should give away; `None` if there is none.
 ///
 /// A member gives shards away while more requests arrive than its target tolerates. A shard stays if it was moved
-/// recently, if it has no requests, or if its load would raise the least loaded warm member above `max_warm_load`,
-/// where it would only cause the next overload.
+/// recently, if it has no requests, or if it would only move the overload: if the least loaded warm member would
+/// have a load above `max_warm_load`, and more requests than the cold member had.
 pub(super) fn shard_of_cold_owner(
     owners: &BTreeMap<ShardId, NodeId>,
     load_by_member: &BTreeMap<NodeId, u64>,
@@ -28,15 +28,18 @@
     if overloaded.is_empty() {
         return None;
     }
-    let fits = |shard: ShardId| {
+    let receiver_demand = demand(&receiver, owners, loads);
+    let fits = |shard: ShardId, owner: &NodeId| {
         let load_after = load_by_member[&receiver] + load(loads, shard);
+        let demand_after = receiver_demand + u64::from(loads.rate(shard));
         loads.scaled(&receiver, load_after) <= max_warm_load
+            || demand_after <= demand(owner, owners, loads)
     };
     let movable = owners.iter().filter(|(shard, node)| {
         overloaded.contains(node)
             && loads.rate(**shard) > 0
             && !loads.recently_moved(**shard, view.now)
-            && fits(**shard)
+            && fits(**shard, node)
     });
     let busiest = movable.max_by_key(|(shard, _)| loads.rate(**shard));
     busiest.map(|(shard, _)| *shard)
@@ -47,7 +50,11 @@
     let Some(rate) = loads.cold_rate(node) else {
         return false;
     };
+    demand(node, owners, loads) > u64::from(rate)
+}
+
+/// Returns the requests for the shards of a member, in requests per ten seconds.
+fn demand(node: &NodeId, owners: &BTreeMap<ShardId, NodeId>, loads: &LoadView) -> u64 {
     let owned = owners.iter().filter(|(_, owner)| *owner == node);
-    let demand: u64 = owned.map(|(shard, _)| u64::from(loads.rate(*shard))).sum();
-    demand > u64::from(rate)
+    owned.map(|(shard, _)| u64::from(loads.rate(*shard))).sum()
 }
--- a/crates/anvilrack-core/tests/placement_cold.rs
+++ b/crates/anvilrack-core/tests/placement_cold.rs
@@ -94,6 +94,10 @@
     shard_that_no_warm_member_can_serve_stays: cold [0], |shard| if shard == 0 { 3_000 } else { 60 } => |moves| {
         moves.iter().all(|(shard, _)| *shard != 0) && moves.len() == 4
     };
+    // Guards against a busy key that stays at a cold owner although another member has nothing to do.
+    only_busy_shard_leaves_a_cold_owner: cold [0], |shard| if shard == 0 { 600 } else { 0 } => |moves| {
+        moves.first() == Some(&(0, node(1)))
+    };
     // Guards against the rebalancing of load to a member because it is cold and serves little.
     overloaded_member_gives_nothing_to_a_cold_one: cold [1], |shard| match shard % 4 { 0 => 400, 1 => 0, _ => 100 } => |moves| !moves.is_empty();
 }
--- a/crates/anvilrack-node/src/guard/mod.rs
+++ b/crates/anvilrack-node/src/guard/mod.rs
@@ -1,6 +1,7 @@
 //! Controls access to the local target: admission, fencing and the target's incarnations.
 
 mod body_capacity;
+mod cold_target;
 mod control_server;
 mod crash_monitor;
 mod started_requests;
@@ -9,6 +10,7 @@
 mod target_incarnation;
 
 pub use body_capacity::BodyCapacity;
+pub use cold_target::watch_cold_target;
 pub use control_server::serve_control;
 pub use crash_monitor::{
     CrashMonitor, MonitoredRun, SuspectTurn, exchange_crashes, report_crashes,
--- a/crates/anvilrack-node/src/guard/target_gateway.rs
+++ b/crates/anvilrack-node/src/guard/target_gateway.rs
@@ -6,9 +6,9 @@
 
 use anvilrack_core::{
     AdmissionHint, AdmissionQueue, AdmissionRequest, AdmissionStep, AdmittedShares, BootTime,
-    CallRoutes, DemandMeter, LatencyLimit, OfferedRequest, RateHint, RateLimiter, RefusalReason,
-    RequestClass, RequestFingerprint, RunAdmission, ServiceTimeMeter, ShardId, ShardMeter,
-    TargetLoad, TicketId, UncertainReason, events,
+    CallRoutes, CheckReason, DemandMeter, LatencyLimit, OfferedRequest, RateHint, RateLimiter,
+    RefusalReason, RequestClass, RequestFingerprint, RunAdmission, ServiceTimeMeter, ShardId,
+    ShardMeter, TargetLoad, TicketId, UncertainReason, events,
 };
 use anvilrack_router::boot_clock;
 use bytes::Bytes;
@@ -18,6 +18,7 @@
 use tokio::sync::Notify;
 
 use crate::end_to_end_headers;
+use crate::guard::cold_target::ColdTarget;
 use crate::guard::{
     BodyCapacity, IncarnationState, IncarnationTracker, NotificationEffect, StartedRequests,
     SuspectTurn, TargetIncarnation, TargetNotification,
@@ -81,6 +82,7 @@
     meter: Mutex<ShardMeter>,
     service_time: Mutex<ServiceTimeMeter>,
     rate_limiter: Mutex<RateLimiter>,
+    cold_target: ColdTarget,
 }
 
 /// A position in the admission queue or a slot at the target; dropping it releases it.
@@ -131,6 +133,7 @@
             meter: Mutex::default(),
             service_time: Mutex::default(),
             rate_limiter: Mutex::default(),
+            cold_target: ColdTarget::default(),
         }
     }
 
@@ -250,8 +253,8 @@
         if effect == NotificationEffect::NewIncarnation {
             self.pool.clear();
             *lock(&self.service_time) = ServiceTimeMeter::default();
-            *lock(&self.rate_limiter) = RateLimiter::default();
         }
+        self.apply_cold_time(notification, effect);
         effect
     }
 
@@ -273,7 +276,7 @@
             slots: self.current_incarnation().map_or(0, |target| target.slots),
             overloaded: !self.admitted_shares(now).is_all(),
             rate_limited: self.rate_hint(now).is_some(),
-            cold_ms: 0,
+            cold_ms: self.cold_ms(now),
         }
     }
 
@@ -309,7 +312,7 @@
     /// Returns the shares of requests that the target takes; `None` if it names no limit on its rate, or
     /// if the limit is not reached.
     fn rate_hint(&self, now: BootTime) -> Option<RateHint> {
-        let rate = lock(&self.rate_limiter).rate()?;
+        let rate = lock(&self.rate_limiter).rate_in_force(now)?;
         let shares = lock(&self.demand).rate_shares(rate, now);
         let interval = Duration::from_secs_f64(1.0 / rate);
         (!shares.is_all()).then_some(RateHint { shares, interval })
@@ -354,10 +357,9 @@
         let now = boot_clock::now();
         let RunAdmission { priority, admitted } = call.admission;
         self.record_demand(call, is_call, now);
-        let rate_limited = |after| (RefusalReason::RateLimited, after);
-        lock(&self.rate_limiter)
-            .check(is_call, now)
-            .map_err(rate_limited)?;
+        let rate_limited = |after| self.refuse_by_rate(node, call, after);
+        let checked = self.limiter().check(is_call, now);
+        checked.map_err(rate_limited)?;
         let called_shares = node.entry_admission().called_shares(now);
         if !is_call && !called_shares.admits_again(priority, AdmittedShares::draw(&call.request)) {
             return Err((RefusalReason::CalledServiceOverloaded, OVERLOAD_RETRY_AFTER));
@@ -386,9 +388,8 @@
                     slot.suspect_turn = turn;
                     // Ownership or the target's state may have changed while the request waited.
                     let target = self.check_may_run(node, call, content)?;
-                    lock(&self.rate_limiter)
-                        .take(is_call, boot_clock::now())
-                        .map_err(rate_limited)?;
+                    let taken = self.limiter().take(is_call, boot_clock::now());
+                    taken.map_err(rate_limited)?;
                     if !is_call {
                         node.entry_admission().on_run(RunAdmission {
                             priority,
@@ -512,8 +513,9 @@
             return not_run(RefusalReason::OwnerUnreachable, MIN_RETRY_AFTER);
         }
         if let Some(shard) = shard {
-            lock(&self.meter).count(shard, now);
+            self.count_demand(shard, &call, now);
         }
+        self.observe_sent(now);
         let connection_age = if call.run_once {
             ConnectionAge::Fresh
         } else {
@@ -522,9 +524,10 @@
         let run = node.crash_monitor.begin_run(content);
         let result = self.pool.send(request, connection_age, time_left).await;
         slot.measured = true;
-        if result.is_ok() {
+        if let Ok(response) = &result {
             let elapsed = boot_clock::now().saturating_sub(now);
             lock(&self.service_time).record(elapsed);
+            self.observe_response(node, &call, response, elapsed);
         }
         match result {
             Ok(response) => {
@@ -621,10 +624,14 @@
                 return not_run(RefusalReason::OwnerUnreachable, GONE_RETRY_AFTER);
             }
             error if error.is_unsent() => {
+                self.request_cold_check(CheckReason::ConnectionFailure);
                 return not_run(RefusalReason::OwnerUnreachable, MIN_RETRY_AFTER);
             }
             SendError::Timeout => RunReply::MayHaveRun(UncertainReason::TimedOut),
-            _ => RunReply::MayHaveRun(UncertainReason::ConnectionLost),
+            _ => {
+                self.request_cold_check(CheckReason::ConnectionFailure);
+                RunReply::MayHaveRun(UncertainReason::ConnectionLost)
+            }
         };
         emit_event!(
             Info,
@@ -643,6 +650,9 @@
         condition: &TargetCondition,
         target: &TargetIncarnation,
     ) {
+        if let Some(cold_for) = condition.cold_for {
+            self.on_cold_report(cold_for, boot_clock::now());
+        }
         if condition.leaving {
             let now = boot_clock::now();
             if lock(&self.incarnations).say_leaving(target.incarnation, now) {
@@ -725,6 +735,18 @@
     fn queue(&self) -> MutexGuard<'_, AdmissionQueue> {
         lock(&self.queue)
     }
+
+    pub(super) fn limiter(&self) -> MutexGuard<'_, RateLimiter> {
+        lock(&self.rate_limiter)
+    }
+
+    pub(super) fn shard_meter(&self) -> MutexGuard<'_, ShardMeter> {
+        lock(&self.meter)
+    }
+
+    pub(super) fn cold_target(&self) -> &ColdTarget {
+        &self.cold_target
+    }
 }
 
 /// Waits until no other suspect runs at the target, if the request is one.
--- a/crates/anvilrack-node/src/guard/target_incarnation.rs
+++ b/crates/anvilrack-node/src/guard/target_incarnation.rs
@@ -38,8 +38,8 @@
         slots: u32,
         /// True once the target has asked not to get new requests.
         draining: bool,
-        /// Remaining time for which the target is slow after its start.
-        cold_for: Duration,
+        /// Remaining time for which the target is cold; `None` if it does not state it.
+        cold_for: Option<Duration>,
     },
     /// The target is about to stop.
     Leaving,
@@ -57,6 +57,8 @@
     pub incarnation: Incarnation,
     /// Maximum number of requests that the target runs concurrently.
     pub slots: u32,
+    /// Time for which the incarnation was cold by its first notification; zero if it did not state it.
+    pub cold_at_start: Duration,
     /// Sequence number of the latest notification.
     pub sequence: u64,
     /// Time at which the latest notification arrived.
@@ -209,6 +211,10 @@
         {
             return NotificationEffect::Stale;
         }
+        let cold_at_start = match notification.kind {
+            NotificationKind::Alive { cold_for, .. } => cold_for.unwrap_or_default(),
+            NotificationKind::Leaving => Duration::ZERO,
+        };
         self.last_incarnation = started_ms.max(self.last_incarnation + 1);
         let state = if draining {
             IncarnationState::Leaving(now)
@@ -220,6 +226,7 @@
             started_ms,
             incarnation: self.last_incarnation,
             slots: slots.max(1),
+            cold_at_start,
             sequence,
             last_notification_at: now,
             state,
--- a/crates/anvilrack-node/src/node_process.rs
+++ b/crates/anvilrack-node/src/node_process.rs
@@ -25,7 +25,9 @@
     follow_site, maintain_entry, probe_expired_routers, send_reader_heartbeats, watch_entries,
     watch_site,
 };
-use crate::guard::{exchange_crashes, maintain_stored_crashes, report_crashes, serve_control};
+use crate::guard::{
+    exchange_crashes, maintain_stored_crashes, report_crashes, serve_control, watch_cold_target,
+};
 use crate::ownership::{maintain_grants, resign, run_member};
 use crate::peers::serve_peers;
 use crate::{NodeSettings, NodeState, PlatformDialect, emit_event, observe, spawn_supervised};
@@ -106,6 +108,7 @@
         report_crashes,
         exchange_crashes,
         maintain_stored_crashes,
+        watch_cold_target,
     ];
     loop {
         tokio::select! {
@@ -254,10 +257,12 @@
         let behind_for = progress.behind_for(boot_clock::now()).unwrap_or_default();
         (progress.newest(), behind_for)
     };
+    let is_cold = !node.gateway.cold_remaining(boot_clock::now()).is_zero();
     let gauges = [
         ("requests_open", node.open_request_count() as u64),
         ("target_running", running as u64),
         ("target_waiting", waiting as u64),
+        ("target_cold", u64::from(is_cold)),
         ("shards_held", node.owner().held().count() as u64),
         ("routes_version", site),
         ("routes_version_newest", newest.unwrap_or(0)),
--- a/crates/anvilrack-node/src/node_shared/cell_records.rs
+++ b/crates/anvilrack-node/src/node_shared/cell_records.rs
@@ -146,7 +146,7 @@
             sick: false,
             loads: self.gateway.shard_loads(),
             pace_us: self.gateway.mean_service_time_us(),
-            cold_rate: None,
+            cold_rate: self.gateway.cold_rate_per_ten_seconds(boot_clock::now()),
         })
     }
 
--- a/crates/anvilrack-node/src/node_shared/router_directory.rs
+++ b/crates/anvilrack-node/src/node_shared/router_directory.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use anvilrack_core::{CellMember, ServiceName, ShardId, SiteRoutes, events};
+use anvilrack_core::{CellMember, ColdRules, ServiceName, ShardId, SiteRoutes, events};
 use anvilrack_router::boot_clock;
 use bytes::Bytes;
 
@@ -62,6 +62,8 @@
                 bytes = document.len(),
                 source = source
             );
+            let service = site.services.get(&self.settings.service);
+            self.gateway.set_cold_rules(service.and_then(ColdRules::of));
             *known = Some(Arc::new(site));
         }
         self.site_archive().insert(version, document);
@@ -121,6 +123,22 @@
         service.is_some_and(|service| service.divided_by_key)
     }
 
+    /// Returns true if a service limits the requests to its cold targets.
+    #[must_use]
+    pub fn limits_cold_targets(&self, service: &str) -> bool {
+        let site = self.site();
+        let service = site.as_ref().and_then(|site| site.services.get(service));
+        service.is_some_and(|service| service.cold_rate.is_some())
+    }
+
+    /// Returns the path of the local target's health check; `None` if the site document has none.
+    #[must_use]
+    pub fn health_path(&self) -> Option<Arc<str>> {
+        let site = self.site()?;
+        let path = &site.services.get(&self.settings.service)?.health_path;
+        (!path.is_empty()).then(|| path.clone())
+    }
+
     /// Returns the shard of a key; `None` without a key or if the service is not divided by key.
     #[must_use]
     pub fn shard_of(&self, service: &str, key: Option<KeyNumber>) -> Option<ShardId> {
@@ -190,6 +208,21 @@
         for service in services {
             self.refresh_selector(service);
         }
+        for entry in &changed {
+            self.expect_cold_start(entry);
+        }
+    }
+
+    /// Keeps requests away from the target of a router that was cold when it started, until it reports its load.
+    fn expect_cold_start(&self, entry: &DirectoryEntry) {
+        let cold_ms = entry.target.as_ref().map_or(0, |target| target.cold_ms);
+        if cold_ms == 0 || !self.limits_cold_targets(&entry.service) {
+            return;
+        }
+        if let Some(selector) = self.target_choices().get_mut(&entry.service) {
+            let cold_for = Duration::from_millis(cold_ms.into());
+            selector.expect_cold(&entry.place.node, cold_for, boot_clock::now());
+        }
     }
 
     /// Removes the routers whose entries have expired and did not come back within the grace period.
@@ -401,6 +434,7 @@
                 incarnation: current.incarnation,
                 slots: current.slots,
                 ready: current.state == IncarnationState::Serving,
+                cold_ms: u32::try_from(current.cold_at_start.as_millis()).unwrap_or(u32::MAX),
             });
         let mut current = lock(&self.own_entry);
         if let Some(entry) = current.as_ref()
--- a/crates/anvilrack-node/src/peers/peer_message.rs
+++ b/crates/anvilrack-node/src/peers/peer_message.rs
@@ -339,4 +339,6 @@
     pub slots: u32,
     /// Whether the target accepts new requests.
     pub ready: bool,
+    /// Time for which the target was cold when its router first heard of it, in milliseconds.
+    pub cold_ms: u32,
 }
--- a/crates/anvilrack-node/src/routing/forward.rs
+++ b/crates/anvilrack-node/src/routing/forward.rs
@@ -340,7 +340,7 @@
             let gateway = &self.node.gateway;
             // Otherwise this router's own requests tell enough about the local target.
             let load = gateway.target_load();
-            if load.rate_limited {
+            if load.rate_limited || load.cold_ms > 0 {
                 self.record_load(router, load);
             }
             self.apply_hint(
--- a/crates/anvilrack-node/tests/directory_view.rs
+++ b/crates/anvilrack-node/tests/directory_view.rs
@@ -23,6 +23,7 @@
             incarnation: 1,
             slots: 12,
             ready: true,
+            cold_ms: 0,
         }),
         stopping: false,
     }
--- a/crates/anvilrack-node/tests/target_incarnations.rs
+++ b/crates/anvilrack-node/tests/target_incarnations.rs
@@ -21,7 +21,7 @@
             sequence,
             slots: 9,
             draining: false,
-            cold_for: Duration::ZERO,
+            cold_for: Some(Duration::ZERO),
         },
     }
 }
