Treat a target as cold when the evacuation of its failure domain ends

Cause: targets may have become cold while they got no requests, and the router beside a target learns it from the next notification only, up to 0.9 s later. Change: when the evacuation of the own failure domain ends, `expect_cold` limits the rate until a health check or a notification says that the target is warm.

--- a/crates/anvilrack-core/tests/evacuation_placement.rs
+++ b/crates/anvilrack-core/tests/evacuation_placement.rs
@@ -230,6 +230,7 @@
             sick: false,
             loads: loads.collect(),
             pace_us: 0,
+            cold_rate: None,
         }
     }
 
--- a/crates/anvilrack-node/src/node_shared/evacuated_domains.rs
+++ b/crates/anvilrack-node/src/node_shared/evacuated_domains.rs
@@ -101,6 +101,10 @@
             return;
         };
         self.log_evacuations(set, &change, source);
+        if change.ended.contains(&self.settings.failure_domain) {
+            // Targets may have become cold while they got no requests.
+            self.gateway.expect_cold(now);
+        }
         let services: Vec<_> = self.target_choices().keys().cloned().collect();
         for service in services {
             self.refresh_selector(&service);
