--- a/crates/anvilrack-core/tests/target_selector.rs
+++ b/crates/anvilrack-core/tests/target_selector.rs
@@ -242,7 +242,7 @@
     let mut draws = DrawSource(7);
     let chosen = (0..1_000).filter_map(|_| {
         let draws = std::array::from_fn(|_| draws.draw());
-        selector.choose(draws, now)
+        selector.choose(draws, &RegionRule::default(), now)
     });
     chosen.filter(|node| *node == member(0).node).count()
 }
