--- a/crates/anvilrack-node/src/node_process.rs
+++ b/crates/anvilrack-node/src/node_process.rs
@@ -268,6 +268,13 @@
         // Writing to a `String` cannot fail.
         let _ = writeln!(text, "anvilrack_{name} {value}");
     }
+    if node.evacuates() {
+        let evacuated = node.evacuated_domains();
+        let own = evacuated.contains(&node.settings.failure_domain);
+        // Writing to a `String` cannot fail.
+        let _ = writeln!(text, "anvilrack_domains_evacuated {}", evacuated.len());
+        let _ = writeln!(text, "anvilrack_own_domain_evacuated {}", u8::from(own));
+    }
     write_admission_metrics(node, &mut text);
     Response::new(Full::from(text))
 }
