Refuse requests that could still run at the end of a planned stop

Cause: a stopping router sent requests to targets until half a second before its end, whatever their work took. A request that entered 3.8 s after SIGTERM lost its connection 5.28 s after it, while its target was at work. Change: `StopAdmission` decides before each attempt, before a body is read, and at the gateway to the router's own target whether a request can be answered before the end; otherwise it is refused as not run. From 3 s after SIGTERM on, the longest of the last 1,024 durations of its route and a quarter of it have to fit, or its time-out; a call of a run is sent without the added quarter. Before that, a request may be cut off in the last sixth, and only work whose median does not fit is refused. `RecentDurations` keeps at most 1,024 durations of 128 routes. The stop ends 450 ms before the grace period does (900 ms before), and the listener stays for the calls of runs until 0.5 s before the end.

--- a/crates/anvilrack-core/src/admission/mod.rs
+++ b/crates/anvilrack-core/src/admission/mod.rs
@@ -9,6 +9,7 @@
 mod key_sketch;
 mod latency_limit;
 mod rate_limiter;
+mod recent_durations;
 mod service_time_meter;
 mod upload_pacer;
 
@@ -21,5 +22,6 @@
 pub use key_sketch::{KeyCount, KeySketch};
 pub use latency_limit::LatencyLimit;
 pub use rate_limiter::{RateLimiter, RequestRate};
+pub use recent_durations::{KindDurations, RecentDurations};
 pub use service_time_meter::ServiceTimeMeter;
 pub use upload_pacer::UploadPacer;
--- a/crates/anvilrack-core/src/lib.rs
+++ b/crates/anvilrack-core/src/lib.rs
@@ -22,13 +22,14 @@
 mod planned_stop;
 mod requests;
 mod site;
+mod stop_admission;
 mod targets;
 
 pub use admission::{
     AdmissionHint, AdmissionQueue, AdmissionRequest, AdmissionStep, AdmittedShares, CallRoutes,
-    DemandMeter, EntryAdmission, FairShare, KeyCount, KeySketch, LatencyLimit, OfferedRequest,
-    PRIORITY_COUNT, RateHint, RateLimiter, RequestRate, RunAdmission, ServiceTimeMeter, ShareMilli,
-    TicketId, UploadPacer, WHOLE_SHARE,
+    DemandMeter, EntryAdmission, FairShare, KeyCount, KeySketch, KindDurations, LatencyLimit,
+    OfferedRequest, PRIORITY_COUNT, RateHint, RateLimiter, RecentDurations, RequestRate,
+    RunAdmission, ServiceTimeMeter, ShareMilli, TicketId, UploadPacer, WHOLE_SHARE,
 };
 pub use bounded_duration::{bounded_duration, optional_bounded_duration};
 pub use catalogue::{EVENT_CATALOGUE, LogEvent, METRIC_CATALOGUE, MetricInfo, events, metrics};
@@ -57,6 +58,7 @@
     RouteRules, RoutedService, ServiceRules, SitePlan, SiteProgress, SiteRoutes, SiteSource,
     SiteVersion,
 };
+pub use stop_admission::{StopAdmission, StopRequest};
 pub use targets::{
     ChoiceDraws, HealthOutcome, TargetDistance, TargetHealth, TargetLoad, TargetReport,
     TargetSelector, TransitMeter, USUAL_PACE_PERCENT,
--- a/crates/anvilrack-core/src/planned_stop.rs
+++ b/crates/anvilrack-core/src/planned_stop.rs
@@ -83,7 +83,9 @@
         if elapsed < withdraw_after {
             return StopPhase::Disconnecting;
         }
-        let must_close = elapsed >= self.max_time * 4 / 5;
+        let ending_after = self.max_time.saturating_sub(LAST_REFUSALS_TIME);
+        // Until then, the calls of runs in progress need the listener.
+        let must_close = elapsed >= ending_after;
         if self.closing_at.is_none() && (backlog.running == 0 || must_close) {
             self.closing_at = Some(now);
         }
@@ -93,7 +95,7 @@
         });
         if elapsed >= self.max_time || (is_settled && backlog.is_empty()) {
             StopPhase::Finished
-        } else if elapsed >= self.max_time.saturating_sub(LAST_REFUSALS_TIME) {
+        } else if elapsed >= ending_after {
             StopPhase::Ending
         } else if self.closing_at.is_some() {
             StopPhase::Closing
--- a/crates/anvilrack-node/src/callers/caller_request.rs
+++ b/crates/anvilrack-node/src/callers/caller_request.rs
@@ -132,8 +132,14 @@
             RefusalReason::RegionNotAllowed.as_str(),
         ));
     }
-    let body = read_body(body, &site).await?;
     let timeout = head.time_left.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
+    if !node.may_send(&route.name, &service, timeout) {
+        return Err(EarlyRefusal::new(
+            StatusCode::SERVICE_UNAVAILABLE,
+            RefusalReason::Stopping.as_str(),
+        ));
+    }
+    let body = read_body(body, &site).await?;
     let path = parts.uri.path_and_query();
     Ok(CallerRequest {
         request: id,
--- a/crates/anvilrack-node/src/guard/target_gateway.rs
+++ b/crates/anvilrack-node/src/guard/target_gateway.rs
@@ -6,9 +6,9 @@
 
 use anvilrack_core::{
     AdmissionHint, AdmissionQueue, AdmissionRequest, AdmissionStep, AdmittedShares, BootTime,
-    CallRoutes, DemandMeter, LatencyLimit, OfferedRequest, RateHint, RateLimiter, RefusalReason,
-    RequestClass, RequestFingerprint, RunAdmission, ServiceTimeMeter, ShardId, ShardMeter,
-    TargetLoad, TicketId, UncertainReason, events,
+    CallRoutes, DemandMeter, LatencyLimit, OfferedRequest, RateHint, RateLimiter, RecentDurations,
+    RefusalReason, RequestClass, RequestFingerprint, RunAdmission, ServiceTimeMeter, ShardId,
+    ShardMeter, StopRequest, TargetLoad, TicketId, UncertainReason, events,
 };
 use anvilrack_router::boot_clock;
 use bytes::Bytes;
@@ -80,6 +80,8 @@
     capacity: Mutex<BodyCapacity>,
     meter: Mutex<ShardMeter>,
     service_time: Mutex<ServiceTimeMeter>,
+    /// Time that recent requests took at the target, by route.
+    durations: Mutex<RecentDurations>,
     rate_limiter: Mutex<RateLimiter>,
 }
 
@@ -130,6 +132,7 @@
             capacity: Mutex::new(BodyCapacity::new(link_mbps)),
             meter: Mutex::default(),
             service_time: Mutex::default(),
+            durations: Mutex::default(),
             rate_limiter: Mutex::default(),
         }
     }
@@ -461,7 +464,8 @@
             return Err((RefusalReason::RegionNotAllowed, OUTDATED_RETRY_AFTER));
         }
         // The end of the process could interrupt a request that starts now.
-        if node.is_withdrawn() {
+        let may_send = || node.admits_at_stop(&call.service, || self.stop_request(call));
+        if node.is_withdrawn() || !may_send() {
             return Err((RefusalReason::Stopping, GONE_RETRY_AFTER));
         }
         let now = boot_clock::now();
@@ -486,6 +490,15 @@
         Ok(target)
     }
 
+    /// Describes a request for the decision whether it is sent to the target during a stop.
+    fn stop_request(&self, call: &RunCall) -> StopRequest {
+        StopRequest {
+            time_left: call.time_left,
+            durations: lock(&self.durations).of_kind(&call.route),
+            is_call: lock(&self.call_routes).is_call(&call.route),
+        }
+    }
+
     // --- delivery --------------------------------------------------------------------------------
 
     async fn send<D: PlatformDialect>(
@@ -527,6 +540,9 @@
         if result.is_ok() {
             let elapsed = boot_clock::now().saturating_sub(now);
             lock(&self.service_time).record(elapsed);
+            lock(&self.durations).record(&call.route, elapsed);
+        } else if matches!(result, Err(SendError::Timeout)) {
+            lock(&self.durations).record(&call.route, Duration::MAX);
         }
         match result {
             Ok(response) => {
--- a/crates/anvilrack-node/src/node_process.rs
+++ b/crates/anvilrack-node/src/node_process.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anvilrack_core::{PlannedStop, StopBacklog, StopPhase, WHOLE_SHARE, events};
+use anvilrack_core::{PlannedStop, StopAdmission, StopBacklog, StopPhase, WHOLE_SHARE, events};
 use anvilrack_router::boot_clock;
 use bytes::Bytes;
 use eyre::{Result, WrapErr};
@@ -43,9 +43,6 @@
 /// between regions.
 const LAST_REPLIES_TIME: Duration = Duration::from_millis(150);
 
-/// Time between the end of a stop and the moment at which the process would be killed.
-const STOP_MARGIN: Duration = Duration::from_millis(900);
-
 /// Timeout for reading a request head at the ready and metrics addresses; it also runs while a
 /// connection is idle.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
@@ -126,14 +123,14 @@
         events::ROUTER_STOPPING,
         open = node.open_request_count()
     );
-    node.begin_stop();
+    let grace = node.settings.terms.stop_grace;
+    node.begin_stop(StopAdmission::new(began, grace));
     node.gateway.detect_exit(node).await;
     if !node.is_target_serving() {
         // A router whose target has ended is not started again.
         resign(node).await;
     }
-    let max_stop_time = node.settings.terms.stop_grace.saturating_sub(STOP_MARGIN);
-    let mut stop = PlannedStop::new(began, max_stop_time);
+    let mut stop = PlannedStop::new(began, StopAdmission::max_time(grace));
     loop {
         sleep(STOP_POLL_INTERVAL).await;
         let backlog = StopBacklog {
--- a/crates/anvilrack-node/src/node_shared/mod.rs
+++ b/crates/anvilrack-node/src/node_shared/mod.rs
@@ -4,18 +4,19 @@
 mod leaving_targets;
 mod region_rules;
 mod router_directory;
+mod stop_rules;
 mod withdrawn_routers;
 
 use std::collections::{BTreeSet, HashMap};
 use std::net::IpAddr;
 use std::sync::atomic::{AtomicBool, AtomicIsize, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::time::Duration;
 
 use anvilrack_core::{
-    BootTime, CellRecord, CoordinatorState, EntryAdmission, LeaseTerms, OwnerState, RecordDelta,
-    RetryBudget, ServiceName, SiteRoutes, StandbyState, TargetSelector, TransitMeter, UploadPacer,
-    events,
+    BootTime, CellRecord, CoordinatorState, EntryAdmission, LeaseTerms, OwnerState,
+    RecentDurations, RecordDelta, RetryBudget, ServiceName, SiteRoutes, StandbyState,
+    StopAdmission, TargetSelector, TransitMeter, UploadPacer, events,
 };
 use anvilrack_router::boot_clock;
 use tokio::sync::{Notify, watch};
@@ -82,6 +83,10 @@
     /// Notified when a cell's record or the directory has changed.
     pub route_updates: Notify,
     stopping: AtomicBool,
+    /// Which requests are sent while the router stops; not set before.
+    stop_admission: OnceLock<StopAdmission>,
+    /// Durations of recent requests that entered at this router, by route.
+    entry_durations: Mutex<RecentDurations>,
     withdrawn: AtomicBool,
     closing: watch::Sender<bool>,
     closing_listener: watch::Sender<bool>,
@@ -149,6 +154,8 @@
             leaving_said: Notify::new(),
             route_updates: Notify::new(),
             stopping: AtomicBool::new(false),
+            stop_admission: OnceLock::new(),
+            entry_durations: Mutex::default(),
             withdrawn: AtomicBool::new(false),
             closing: watch::Sender::new(false),
             closing_listener: watch::Sender::new(false),
@@ -302,7 +309,10 @@
     }
 
     /// Begins to stop: tells callers to go to other routers. The target is still served.
-    pub fn begin_stop(&self) {
+    ///
+    /// Requests that might still run at the end of the stop are refused.
+    pub fn begin_stop(&self, admission: StopAdmission) {
+        self.set_stop_admission(admission);
         self.stopping.store(true, Ordering::Relaxed);
     }
 
--- a/crates/anvilrack-node/src/routing/forward.rs
+++ b/crates/anvilrack-node/src/routing/forward.rs
@@ -176,6 +176,10 @@
         if self.node.is_ending() {
             return self.refuse(RefusalReason::Stopping, NO_TARGET_RETRY_AFTER);
         }
+        let (route, service) = (&self.request.route.name, &self.request.service);
+        if !self.node.may_send(route, service, self.time_left()) {
+            return self.refuse(RefusalReason::Stopping, NO_TARGET_RETRY_AFTER);
+        }
         let monitor = &self.node.crash_monitor;
         if let Some(left) = monitor.remaining_quarantine(self.fingerprint) {
             return self.refuse_quarantined(left);
@@ -198,6 +202,9 @@
         let mut open_attempt = OpenAttempt::new(self.node, self.request, &router);
         let (reply, body) = self.run_at(&router, address).await;
         open_attempt.outcome = health_outcome(&reply);
+        let took = boot_clock::now().saturating_sub(open_attempt.began);
+        let route = &self.request.route.name;
+        self.node.record_entry_duration(route, &reply, took);
         drop(open_attempt);
         match reply {
             RunReply::Ran { .. } => NextStep::Reply(reply, body),
