--- a/crates/anvilrack-core/tests/allowed_regions.rs
+++ b/crates/anvilrack-core/tests/allowed_regions.rs
@@ -71,7 +71,7 @@
             let expected: BTreeSet<String> = expected.iter().map(ToString::to_string).collect();
             assert_eq!(chosen(&mut selector, &rule, now), expected);
             // Targets elsewhere must not be chosen for being idle either.
-            let busy = TargetLoad { busy: 400, slots: 8, overloaded: true, rate_limited: true };
+            let busy = TargetLoad { busy: 400, slots: 8, overloaded: true, rate_limited: true, cold_ms: 0 };
             for node in &expected {
                 selector.set_load(node, busy, now);
                 selector.set_busy(node, now + Duration::from_secs(1));
@@ -297,6 +297,7 @@
             sick: false,
             loads: Vec::new(),
             pace_us: 0,
+            cold_rate: None,
         };
         coordinator.on_heartbeat(&report, now);
     }
