--- a/crates/anvilrack-core/src/admission/cold_check.rs
+++ b/crates/anvilrack-core/src/admission/cold_check.rs
@@ -117,7 +117,9 @@
     }
 
     /// Applies the service time of a request while the target counts as warm. `kind` names the kind of work.
-    pub fn on_response(&mut self, kind: &Arc<str>, took: Duration, now: BootTime) {
+    ///
+    /// Returns whether it requests a check.
+    pub fn on_response(&mut self, kind: &Arc<str>, took: Duration, now: BootTime) -> bool {
         if self.usual.len() >= MAX_KINDS && !self.usual.contains_key(kind) {
             self.usual.clear();
         }
@@ -133,15 +135,17 @@
         usual.mean = moving_average(usual.mean, sample, USUAL_WEIGHT_DIVISOR);
         usual.samples = usual.samples.saturating_add(1);
         if !known {
-            return;
+            return false;
         }
         if self.recent.len() >= RECENT_COUNT {
             self.recent.pop_front();
         }
         self.recent.push_back((now, percent));
-        if self.is_slow(now) && !self.load.has_risen(now) {
+        let is_suspicious = self.is_slow(now) && !self.load.has_risen(now);
+        if is_suspicious {
             self.request(CheckReason::SlowDown);
         }
+        is_suspicious
     }
 
     /// Applies a report of the target, which tells what a check would.
--- a/crates/anvilrack-node/src/guard/cold_target.rs
+++ b/crates/anvilrack-node/src/guard/cold_target.rs
@@ -155,10 +155,10 @@
         let pace = report.map_or(USUAL_PACE_PERCENT, |report| report.pace_percent);
         // A target that shares its machine with others may be slow without being cold.
         let took = took * USUAL_PACE_PERCENT / pace.max(1);
-        let mut check = lock(&self.cold_target().check);
-        check.on_response(&call.route, took, now);
-        drop(check);
-        self.cold_target().changed.notify_one();
+        let is_suspicious = lock(&self.cold_target().check).on_response(&call.route, took, now);
+        if is_suspicious {
+            self.cold_target().changed.notify_one();
+        }
     }
 
     /// Returns the refusal of a request that a limit on the rate refuses, and counts the demand.
