Derive the retry budget from the deployment's limit

Cause: each router kept repeats within constants (2 saved, 140 for each 1,000 first attempts). Their sum breaks the rule of a deployment: the reserve comes back with each restart, calls of repeated runs are charged to no budget, and first attempts of calls add to the budget although the rule does not count them. Change: `SharedRetryBudget` follows from ratio, slack, window and the number of routers; a repeat occupies its router's share for a window, or until callers' requests release it. A process uses no slack for its first window. `RetryBudgets` charges a repeated run's calls to the called services. `AttemptLimit` decides why another attempt is allowed, and bounds the targets that may have run a request.

--- a/crates/anvilrack-core/src/catalogue/event_catalogue.rs
+++ b/crates/anvilrack-core/src/catalogue/event_catalogue.rs
@@ -99,4 +99,6 @@
     REQUEST_TRIED = 2402, "request.tried", "One attempt of a request ended without a response from the target; reports the target and the reason.";
     REQUEST_BARRED = 2403, "request.barred", "The router next to the target was asked whether a request has started, and to cancel it if it has not.";
     REQUEST_LEFT = 2404, "request.left", "A caller disconnected before the response was sent; reports how long it waited.";
+    REQUEST_REPEATED = 2410, "request.repeated", "A request is sent again; reports why that is allowed, which router got the attempt before, how many attempts may have run, and whether the retry budget paid for it.";
+    REQUEST_REPEAT_DENIED = 2411, "request.repeat-denied", "A request that failed is not sent again, because its attempts, its routers or the retry budget are used up; reports which.";
 }
--- a/crates/anvilrack-core/src/lib.rs
+++ b/crates/anvilrack-core/src/lib.rs
@@ -46,11 +46,12 @@
 };
 pub use planned_stop::{PlannedStop, StopBacklog, StopPhase};
 pub use requests::{
-    AtMostOnceKey, AtMostOnceLimits, AtMostOnceRecord, AtMostOnceRequest, CrashId,
-    CrashObservation, CrashQuarantine, CrashReport, ExportedRun, ExportedShard, RefusalReason,
-    RequestFingerprint, RequestVerdict, ResendSafety, RetryBudget, RetryStep, RunDecision,
-    RunOutcome, TargetAnswer, UncertainReason, fingerprint_of, first_sent_at, retry_backoff,
-    retry_step,
+    AtMostOnceKey, AtMostOnceLimits, AtMostOnceRecord, AtMostOnceRequest, AttemptLimit,
+    AttemptOutcome, CrashId, CrashObservation, CrashQuarantine, CrashReport, ExportedRun,
+    ExportedShard, ONE_REPEAT, RefusalReason, RepeatDenial, RepeatMilli, RepeatReason,
+    RequestFingerprint, RequestVerdict, ResendSafety, RetryBudget, RetryBudgets, RetryStep,
+    RetryTerms, RunDecision, RunOutcome, SharedRetryBudget, TargetAnswer, UncertainReason,
+    fingerprint_of, first_sent_at, retry_backoff, retry_step,
 };
 pub use site::{
     CallerLimits, ConfigDocument, ConfigRecord, PlacementWeights, RegionRule, RequestClass,
--- a/crates/anvilrack-core/src/requests/request_verdict.rs
+++ b/crates/anvilrack-core/src/requests/request_verdict.rs
@@ -112,6 +112,8 @@
     Starting,
     /// The target names a limit on its rate of requests, which is reached.
     RateLimited,
+    /// The request is a repeat, and the services that its run would call may get no more repeats now.
+    RetryBudgetUsed,
 }
 
 impl RefusalReason {
@@ -139,6 +141,7 @@
             Self::SuspectRunning => "suspect-running",
             Self::Starting => "starting",
             Self::RateLimited => "rate-limited",
+            Self::RetryBudgetUsed => "retry-budget-used",
         }
     }
 
--- a/crates/anvilrack-core/src/requests/retry_budget.rs
+++ b/crates/anvilrack-core/src/requests/retry_budget.rs
@@ -83,6 +83,17 @@
         self.saved = remaining;
         true
     }
+
+    /// Gives back a retry that was taken and then not sent.
+    pub fn give_back(&mut self) {
+        self.saved = self.max_saved.min(self.saved + ONE_RETRY);
+    }
+
+    /// Returns the thousandths of retries that are left.
+    #[must_use]
+    pub fn saved(&self) -> u64 {
+        self.saved
+    }
 }
 
 /// Returns the pause before a retry; `retry` counts from zero and `jitter` lies between 0 and 1.
