Ask the core which repeats of a request are allowed

Cause: `routing/forward` compared only attempts of unknown outcome with `max_attempts`. An attempt that was taken as not run by the router's own conclusion, after its link ended or it was cancelled over another link, allowed one more. A router that was paused between naming the age of a request and sending the call to cancel it could be told by a restarted process that the request had not started (found in review). Each router kept constants as its retry budget. Change: `AttemptLimit` counts these attempts and says why the next one is allowed; `RetryBudgets` pays for it, and the router beside the target pays for the calls of a repeated run (`RunCall::is_repeat`, refusal `retry-budget-used`). A late reply to a cancellation is not relied on. Each repeat has a line (E2410) with its reason, each that was denied too (E2411); metrics `repeats_total`, `repeats_denied_total`, `retry_budget_left`. `stops` and the tests of the node crate were not run.

--- a/crates/anvilrack-core/src/lib.rs
+++ b/crates/anvilrack-core/src/lib.rs
@@ -51,7 +51,7 @@
     ExportedShard, ONE_REPEAT, RefusalReason, RepeatDenial, RepeatMilli, RepeatReason,
     RequestFingerprint, RequestVerdict, ResendSafety, RetryBudget, RetryBudgets, RetryStep,
     RetryTerms, RunDecision, RunOutcome, SharedRetryBudget, TargetAnswer, UncertainReason,
-    fingerprint_of, first_sent_at, retry_backoff, retry_step,
+    fingerprint_of, first_sent_at, is_cancellation_reliable, retry_backoff, retry_step,
 };
 pub use site::{
     CallerLimits, ConfigDocument, ConfigRecord, PlacementWeights, RegionRule, RequestClass,
--- a/crates/anvilrack-core/src/requests/attempt_limit.rs
+++ b/crates/anvilrack-core/src/requests/attempt_limit.rs
@@ -1,5 +1,9 @@
 //! Decides whether a request may be sent again, and bounds the number of targets that may have run it.
 
+use std::time::Duration;
+
+use crate::BootTime;
+
 /// How one attempt of a request ended, as far as the next one depends on it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptOutcome {
@@ -76,6 +80,21 @@
     }
 }
 
+/// Returns whether a reply that a request was cancelled before its start can be relied on.
+///
+/// The router beside the target checks that its process has run since the request was sent, from the age that
+/// the call to cancel names, and allows for a transit of `max_transit`. A sender that was paused between
+/// naming the age and sending the call names one that is too low, so that a restarted process, which does
+/// not know what its former one has started, takes itself for the one that got the request.
+#[must_use]
+pub fn is_cancellation_reliable(
+    asked_at: BootTime,
+    replied_at: BootTime,
+    max_transit: Duration,
+) -> bool {
+    replied_at.saturating_sub(asked_at) <= max_transit
+}
+
 /// The attempts of one request, and how many more are allowed.
 ///
 /// An attempt counts as one that may have run, unless a reply to that attempt says otherwise: the only path
--- a/crates/anvilrack-core/src/requests/mod.rs
+++ b/crates/anvilrack-core/src/requests/mod.rs
@@ -13,7 +13,9 @@
     AtMostOnceKey, AtMostOnceLimits, AtMostOnceRecord, AtMostOnceRequest, ExportedRun,
     ExportedShard, RunDecision, RunOutcome,
 };
-pub use attempt_limit::{AttemptLimit, AttemptOutcome, RepeatDenial, RepeatReason};
+pub use attempt_limit::{
+    AttemptLimit, AttemptOutcome, RepeatDenial, RepeatReason, is_cancellation_reliable,
+};
 pub use crash_quarantine::{
     CrashId, CrashObservation, CrashQuarantine, CrashReport, RequestFingerprint,
 };
--- a/crates/anvilrack-core/src/requests/shared_retry_budget.rs
+++ b/crates/anvilrack-core/src/requests/shared_retry_budget.rs
@@ -112,9 +112,10 @@
         if self.left(routers, now) < cost {
             return false;
         }
-        let from_newest = cost.min(self.earned[0]);
-        self.earned[0] -= from_newest;
-        self.earned[1] = self.earned[1].saturating_sub(cost - from_newest);
+        // What was earned first expires first.
+        let from_oldest = cost.min(self.earned[1]);
+        self.earned[1] -= from_oldest;
+        self.earned[0] = self.earned[0].saturating_sub(cost - from_oldest);
         self.sent.push_back((now, cost));
         true
     }
--- a/crates/anvilrack-core/tests/attempt_limit.rs
+++ b/crates/anvilrack-core/tests/attempt_limit.rs
@@ -1,6 +1,10 @@
 //! Which further attempt of a request is allowed, and how many targets may run it at most.
 
-use anvilrack_core::{AttemptLimit, AttemptOutcome, RepeatDenial, RepeatReason};
+use std::time::Duration;
+
+use anvilrack_core::{
+    AttemptLimit, AttemptOutcome, RepeatDenial, RepeatReason, is_cancellation_reliable,
+};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -106,3 +110,12 @@
         .expect_err("four routers were asked");
     assert!(limit.needs_payment() && !limit.has_unused_payment());
 }
+
+/// A router that is paused between naming the age of a request and sending the call to cancel it may be told
+/// by a restarted process that the request has not started, although the former process had started it.
+#[test]
+fn reply_to_a_cancellation_that_was_paused_is_not_relied_on() {
+    let at = Duration::from_millis;
+    assert!(is_cancellation_reliable(at(1_000), at(1_340), at(350)));
+    assert!(!is_cancellation_reliable(at(1_000), at(4_000), at(350)));
+}
--- a/crates/anvilrack-node/src/callers/caller_request.rs
+++ b/crates/anvilrack-node/src/callers/caller_request.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anvilrack_core::{BootTime, SiteRoutes, UncertainReason, events};
+use anvilrack_core::{BootTime, RepeatReason, SiteRoutes, UncertainReason, events};
 use anvilrack_router::boot_clock;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -245,6 +245,7 @@
         why = why,
         places = outcome.routers_tried,
         place = outcome.last_router.as_deref(),
+        repeat_why = outcome.repeat_reason.map(RepeatReason::as_str),
         took_ms = observe::millis(duration),
         routes_version = request.site,
         cell_version = node.cell(service).map(|cell| cell.version)
--- a/crates/anvilrack-node/src/directory/directory_view.rs
+++ b/crates/anvilrack-node/src/directory/directory_view.rs
@@ -164,6 +164,12 @@
         self.entries.values().map(|known| &known.entry)
     }
 
+    /// Returns the number of entries, including expired ones within their grace period.
+    #[must_use]
+    pub fn router_count(&self) -> usize {
+        self.entries.len()
+    }
+
     /// Returns the entries of the routers whose local target belongs to the service.
     pub fn of_service<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a DirectoryEntry> {
         self.entries()
--- a/crates/anvilrack-node/src/node_process.rs
+++ b/crates/anvilrack-node/src/node_process.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anvilrack_core::{PlannedStop, StopBacklog, StopPhase, WHOLE_SHARE, events};
+use anvilrack_core::{PlannedStop, RetryBudgets, StopBacklog, StopPhase, WHOLE_SHARE, events};
 use anvilrack_router::boot_clock;
 use bytes::Bytes;
 use eyre::{Result, WrapErr};
@@ -269,9 +269,22 @@
         let _ = writeln!(text, "anvilrack_{name} {value}");
     }
     write_admission_metrics(node, &mut text);
+    write_retry_metrics(node, &mut text);
     Response::new(Full::from(text))
 }
 
+/// Adds the repeats that this router may send now, by service.
+fn write_retry_metrics<D: PlatformDialect>(node: &NodeState<D>, text: &mut String) {
+    for (service, left) in node.with_retry_budget(RetryBudgets::left) {
+        let left = Duration::from_millis(left).as_secs_f64();
+        // Writing to a `String` cannot fail.
+        let _ = writeln!(
+            text,
+            "anvilrack_retry_budget_left{{service=\"{service}\"}} {left}"
+        );
+    }
+}
+
 /// Adds the shares of requests that the target admits, and the services that it calls.
 fn write_admission_metrics<D: PlatformDialect>(node: &NodeState<D>, text: &mut String) {
     let now = boot_clock::now();
--- a/crates/anvilrack-node/src/node_shared/mod.rs
+++ b/crates/anvilrack-node/src/node_shared/mod.rs
@@ -13,8 +13,8 @@
 
 use anvilrack_core::{
     BootTime, CellRecord, CoordinatorState, EntryAdmission, LeaseTerms, OwnerState, RecordDelta,
-    RetryBudget, ServiceName, SiteRoutes, StandbyState, TargetSelector, TransitMeter, UploadPacer,
-    events,
+    RetryBudgets, RetryTerms, ServiceName, SiteRoutes, StandbyState, TargetSelector, TransitMeter,
+    UploadPacer, events,
 };
 use anvilrack_router::boot_clock;
 use tokio::sync::{Notify, watch};
@@ -30,18 +30,9 @@
 use crate::peers::PeerLinks;
 use crate::{NodeSettings, PlatformDialect, emit_event};
 
-/// Maximum number of retries that one router accumulates; low because all routers share the limit.
-const MAX_SAVED_RETRIES: u32 = 2;
-
 /// Maximum number of routers whose calls are measured; if there are more, the measurement starts anew.
 const MAX_TRANSIT_METERS: usize = 4_096;
 
-/// Retries per thousand requests.
-///
-/// The deployments allow 200. That limit includes the calls that targets make while they run a
-/// retried request again, and no single router sees all of these.
-const RETRIES_PER_THOUSAND: u32 = 140;
-
 /// Shared state of one router process.
 pub struct NodeState<D: PlatformDialect> {
     /// Settings read at startup.
@@ -109,7 +100,7 @@
     leaving_targets: Mutex<LeavingTargets>,
     withdrawn_routers: Mutex<WithdrawnRouters>,
     entry_admission: Mutex<EntryAdmission>,
-    budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
+    retry_budgets: Mutex<RetryBudgets>,
     refresh_times: Mutex<HashMap<ServiceName, RefreshTimes>>,
     owner: Mutex<OwnerState>,
     standby: Mutex<StandbyState>,
@@ -169,7 +160,7 @@
             leaving_targets: Mutex::default(),
             withdrawn_routers: Mutex::default(),
             entry_admission: Mutex::default(),
-            budgets: Mutex::default(),
+            retry_budgets: Mutex::new(RetryBudgets::new(retry_terms(&settings), now)),
             refresh_times: Mutex::default(),
             owner: Mutex::new(OwnerState::new(node.clone(), 0, terms)),
             standby: Mutex::new(StandbyState::new(node, 0, terms, now)),
@@ -230,19 +221,14 @@
         f64::from(of_service.max(1)) / f64::from(total.max(1))
     }
 
-    /// Calls `update` with the retry budget of a service.
-    pub fn with_retry_budget<T>(
-        &self,
-        service: &ServiceName,
-        update: impl FnOnce(&mut RetryBudget) -> T,
-    ) -> T {
-        let mut budgets = lock(&self.budgets);
-        let budget = budgets.entry(service.clone()).or_insert_with(|| {
-            RetryBudget::new()
-                .with_max_saved(MAX_SAVED_RETRIES)
-                .with_share(RETRIES_PER_THOUSAND)
-        });
-        update(budget)
+    /// Calls `update` with the retry budgets and the time.
+    pub fn with_retry_budget<T>(&self, update: impl FnOnce(&mut RetryBudgets, BootTime) -> T) -> T {
+        // Each router may get callers' requests for any service, so all of them share each limit.
+        let routers = self.directory().router_count() + 1;
+        let now = boot_clock::now();
+        let mut budgets = lock(&self.retry_budgets);
+        budgets.set_routers(routers, now);
+        update(&mut budgets, now)
     }
 
     /// Calls `update` with the times at which the record of a service's cell was last requested.
@@ -409,3 +395,9 @@
             .ok();
     }
 }
+
+/// Returns the deployment's limit on repeated requests; `None` if the settings have none.
+fn retry_terms(settings: &NodeSettings) -> Option<RetryTerms> {
+    let limits = settings.terms.retries?;
+    Some(RetryTerms::new(limits.ratio, limits.slack, limits.window))
+}
--- a/crates/anvilrack-node/src/peers/peer_message.rs
+++ b/crates/anvilrack-node/src/peers/peer_message.rs
@@ -153,6 +153,8 @@
     pub run_once: bool,
     /// Service of the router that received the request from its caller.
     pub caller_service: ServiceName,
+    /// Whether an attempt before may have arrived at a target.
+    pub is_repeat: bool,
 }
 
 impl RunCall {
--- a/crates/anvilrack-node/src/routing/forward.rs
+++ b/crates/anvilrack-node/src/routing/forward.rs
@@ -6,9 +6,10 @@
 use std::time::Duration;
 
 use anvilrack_core::{
-    AdmissionHint, AdmittedShares, BootTime, HealthOutcome, NodeId, RefusalReason,
-    RequestFingerprint, RetryBudget, RouteRules, RunAdmission, ServiceName, ShardId, SiteVersion,
-    TargetLoad, UncertainReason, WHOLE_SHARE, events, retry_backoff,
+    AdmissionHint, AdmittedShares, AttemptLimit, AttemptOutcome, BootTime, HealthOutcome, NodeId,
+    RefusalReason, RepeatDenial, RepeatReason, RequestFingerprint, RouteRules, RunAdmission,
+    ServiceName, ShardId, SiteVersion, TargetLoad, UncertainReason, WHOLE_SHARE, events,
+    is_cancellation_reliable, retry_backoff,
 };
 use anvilrack_router::boot_clock;
 use bytes::Bytes;
@@ -23,9 +24,6 @@
 /// Time for which a target that refused a request is not selected again.
 const REFUSAL_BACKOFF: Duration = Duration::from_millis(150);
 
-/// Maximum number of routers that one request is sent to, including those that refuse it.
-const MAX_ROUTERS: u32 = 4;
-
 /// Maximum time that a request waits for the next owner while its shard moves.
 const MAX_OWNER_WAIT: Duration = Duration::from_millis(600);
 
@@ -116,6 +114,8 @@
     pub routers_tried: u32,
     /// The last of these routers; `None` if there was none.
     pub last_router: Option<NodeId>,
+    /// Why the last attempt was allowed; `None` if there was only one.
+    pub repeat_reason: Option<RepeatReason>,
 }
 
 /// State of a request while it is forwarded.
@@ -126,13 +126,46 @@
     shard: Option<ShardId>,
     /// Whether the request is a call of the local target.
     is_call: bool,
-    routers_tried: u32,
-    /// Attempts whose outcome is unknown: the target may have run the request.
-    uncertain_attempts: u32,
+    limit: AttemptLimit,
+    /// Why another attempt after the last one is allowed.
+    repeat_reason: Option<RepeatReason>,
     waited: Duration,
     last_router: Option<NodeId>,
 }
 
+/// How an attempt ended.
+struct EndedAttempt {
+    reply: RunReply,
+    body: Bytes,
+    outcome: AttemptOutcome,
+}
+
+impl EndedAttempt {
+    /// An attempt that was answered by the router beside the target.
+    fn replied(reply: RunReply, body: Bytes) -> Self {
+        let outcome = match &reply {
+            RunReply::NotRun { by_target, .. } if !by_target => AttemptOutcome::RefusedByRouter,
+            RunReply::NotRun { .. } => AttemptOutcome::RefusedByTarget,
+            RunReply::MayHaveRun(UncertainReason::TimedOut) => AttemptOutcome::TimedOut,
+            RunReply::Ran { .. } | RunReply::MayHaveRun(_) => AttemptOutcome::Uncertain,
+        };
+        Self {
+            reply,
+            body,
+            outcome,
+        }
+    }
+
+    /// An attempt of which this router concludes that the request has not run.
+    fn not_started(reason: RefusalReason, outcome: AttemptOutcome) -> Self {
+        Self {
+            reply: not_started(reason),
+            body: Bytes::new(),
+            outcome,
+        }
+    }
+}
+
 /// What to do after an attempt.
 enum NextStep {
     Reply(RunReply, Bytes),
@@ -144,25 +177,38 @@
     node: &Arc<NodeState<D>>,
     request: &CallerRequest,
 ) -> ForwardOutcome {
+    let route = &request.route;
+    let shard = node.shard_of(&request.service, request.key);
+    let limit = AttemptLimit::new(route.max_attempts, route.idempotent);
     let mut forwarder = RequestForwarder {
         node,
         request,
         fingerprint: request.content().fingerprint(),
-        shard: node.shard_of(&request.service, request.key),
-        is_call: node.entry_admission().is_call(&request.route.name),
-        routers_tried: 0,
-        uncertain_attempts: 0,
+        shard,
+        is_call: node.entry_admission().is_call(&route.name),
+        limit: if shard.is_some() {
+            limit.without_router_limit()
+        } else {
+            limit
+        },
+        repeat_reason: None,
         waited: Duration::ZERO,
         last_router: None,
     };
-    node.with_retry_budget(&request.service, RetryBudget::on_first_attempt);
+    let is_call = forwarder.is_call;
+    node.with_retry_budget(|budgets, now| {
+        budgets.on_first_attempt(&request.service, is_call, now);
+    });
     loop {
         if let NextStep::Reply(reply, body) = forwarder.step().await {
+            forwarder.give_back_unused_payment();
+            let attempts = forwarder.limit.attempts();
             return ForwardOutcome {
                 reply,
                 body,
-                routers_tried: forwarder.routers_tried,
+                routers_tried: attempts,
                 last_router: forwarder.last_router,
+                repeat_reason: forwarder.repeat_reason.filter(|_| attempts > 1),
             };
         }
     }
@@ -188,10 +234,15 @@
             self.node.metrics.count("refused_at_entry", labels);
             return self.refuse(reason, self.overload_retry_after());
         }
-        self.routers_tried += 1;
+        self.report_repeat();
+        self.limit.begin();
         self.last_router = Some(router.clone());
         let mut open_attempt = OpenAttempt::new(self.node, self.request, &router);
-        let (reply, body) = self.run_at(&router, address).await;
+        let EndedAttempt {
+            reply,
+            body,
+            outcome,
+        } = self.run_at(&router, address).await;
         open_attempt.outcome = health_outcome(&reply);
         drop(open_attempt);
         match reply {
@@ -199,14 +250,20 @@
             RunReply::NotRun {
                 reason,
                 retry_after,
-                by_target,
+                ..
             } => {
-                if by_target && !self.consume_retry() {
+                if !self.may_repeat(outcome) {
                     return self.refuse(reason, retry_after);
                 }
                 self.after_refusal(&router, reason, retry_after).await
             }
-            RunReply::MayHaveRun(reason) => self.after_uncertain(reason).await,
+            RunReply::MayHaveRun(reason) => {
+                if !self.may_repeat(outcome) {
+                    return NextStep::Reply(RunReply::MayHaveRun(reason), Bytes::new());
+                }
+                sleep(retry_backoff(0, rand::random())).await;
+                NextStep::Retry
+            }
         }
     }
 
@@ -325,7 +382,7 @@
 
     // --- attempts --------------------------------------------------------------------------------
 
-    async fn run_at(&mut self, router: &NodeId, address: SocketAddr) -> (RunReply, Bytes) {
+    async fn run_at(&self, router: &NodeId, address: SocketAddr) -> EndedAttempt {
         let call = self.run_call(router);
         let timeout = self.time_left() + RESPONSE_MARGIN;
         if *router == self.node.settings.node {
@@ -348,12 +405,12 @@
                 &gateway.admission_hint(self.node, &self.request.route.name),
             );
             return match result {
-                Some(Some(reply)) => reply,
-                Some(None) => (
+                Some(Some((reply, body))) => EndedAttempt::replied(reply, body),
+                Some(None) => EndedAttempt::replied(
                     RunReply::MayHaveRun(UncertainReason::TimedOut),
                     Bytes::new(),
                 ),
-                None => (not_started(RefusalReason::Stopping), Bytes::new()),
+                None => cancelled_at_end(),
             };
         }
         let links = &self.node.links;
@@ -361,7 +418,11 @@
         if body.len() >= MIN_RESERVED_BYTES
             && let Some(refusal) = self.reserve_capacity(router, address).await
         {
-            return (refusal, Bytes::new());
+            return EndedAttempt {
+                reply: refusal,
+                body: Bytes::new(),
+                outcome: AttemptOutcome::Unsent,
+            };
         }
         let sent_at = call.sent_at;
         let call = PeerCall::Run(call);
@@ -370,13 +431,13 @@
             .unless_cancelled(execution, self.cancel_at_router(address, sent_at))
             .await
         else {
-            return (not_started(RefusalReason::Stopping), Bytes::new());
+            return cancelled_at_end();
         };
         let error = match result {
             Ok((PeerReply::Run(reply, load, hint), body)) => {
                 self.record_load(router, load);
                 self.apply_hint(router, &hint);
-                return (reply, body);
+                return EndedAttempt::replied(reply, body);
             }
             Ok(_) => CallError::Lost("reply to a different call".into()),
             Err(error) => error,
@@ -388,12 +449,22 @@
             place = &**router,
             fault = error.to_string()
         );
-        let reply = match error {
-            CallError::Timeout => RunReply::MayHaveRun(UncertainReason::TimedOut),
-            error if error.is_unsent() => not_started(RefusalReason::OwnerUnreachable),
-            _ => self.resolve_lost_connection(address, sent_at).await,
-        };
-        (reply, Bytes::new())
+        let unreachable = RefusalReason::OwnerUnreachable;
+        match error {
+            CallError::Timeout => EndedAttempt::replied(
+                RunReply::MayHaveRun(UncertainReason::TimedOut),
+                Bytes::new(),
+            ),
+            CallError::Unreachable(_) => {
+                EndedAttempt::not_started(unreachable, AttemptOutcome::Unsent)
+            }
+            CallError::NotSent => {
+                EndedAttempt::not_started(unreachable, AttemptOutcome::AssumedNotRun)
+            }
+            CallError::Lost(_) | CallError::Frame(_) => {
+                self.resolve_lost_connection(address, sent_at).await
+            }
+        }
     }
 
     /// Reserves capacity for a long body at the target's router before the body is sent.
@@ -456,27 +527,30 @@
 
     /// Called after the link to a router broke: cancels the request there over a new link, unless it
     /// has started.
-    async fn resolve_lost_connection(&self, address: SocketAddr, sent_at: BootTime) -> RunReply {
-        let uncertain = RunReply::MayHaveRun(UncertainReason::ConnectionLost);
-        if self.request.route.idempotent {
-            return uncertain;
-        }
-        if self.cancel_at_router(address, sent_at).await {
-            not_started(RefusalReason::OwnerUnreachable)
-        } else {
-            uncertain
+    async fn resolve_lost_connection(
+        &self,
+        address: SocketAddr,
+        sent_at: BootTime,
+    ) -> EndedAttempt {
+        if !self.request.route.idempotent && self.cancel_at_router(address, sent_at).await {
+            let unreachable = RefusalReason::OwnerUnreachable;
+            return EndedAttempt::not_started(unreachable, AttemptOutcome::AssumedNotRun);
         }
+        let uncertain = RunReply::MayHaveRun(UncertainReason::ConnectionLost);
+        EndedAttempt::replied(uncertain, Bytes::new())
     }
 
     /// Cancels the request, which was sent to the router at `address` at `sent_at`, before it starts.
     ///
     /// Returns false if the request has started, or the router does not reply or has restarted since.
     async fn cancel_at_router(&self, address: SocketAddr, sent_at: BootTime) -> bool {
-        let sent_ago = boot_clock::now().saturating_sub(sent_at);
+        let asked_at = boot_clock::now();
+        let sent_ago = asked_at.saturating_sub(sent_at);
         let call = PeerCall::Bar(self.request.request.clone(), sent_ago);
         let timeout = CANCEL_TIMEOUT.min(self.time_left());
         let reply = self.node.links.call(address, &call, &[], timeout).await;
-        let cancelled = matches!(reply, Ok((PeerReply::Barred(true), _)));
+        let reliable = is_cancellation_reliable(asked_at, boot_clock::now(), CANCEL_TIMEOUT);
+        let cancelled = reliable && matches!(reply, Ok((PeerReply::Barred(true), _)));
         emit_event!(
             Info,
             events::REQUEST_BARRED,
@@ -506,6 +580,7 @@
             admission: self.run_admission(router),
             run_once: !request.route.idempotent,
             caller_service: self.node.settings.service.clone(),
+            is_repeat: self.limit.is_repeat(),
         }
     }
 
@@ -539,6 +614,7 @@
             || reason == RefusalReason::Overloaded
             || reason == RefusalReason::SuspectRunning
             || reason == RefusalReason::RateLimited
+            || reason == RefusalReason::RetryBudgetUsed
             || reason == RefusalReason::DeadlineTooShort;
         let overloaded = matches!(
             reason,
@@ -550,7 +626,7 @@
         if overloaded && !self.is_call && service_is_overloaded() {
             return self.refuse(reason, retry_after);
         }
-        if self.shard.is_some() || !other_target_may_accept || self.routers_tried >= MAX_ROUTERS {
+        if self.shard.is_some() || !other_target_may_accept {
             return self.refuse(reason, retry_after);
         }
         if let Some(selector) = self.node.target_choices().get_mut(&self.request.service) {
@@ -559,33 +635,76 @@
         NextStep::Retry
     }
 
-    async fn after_uncertain(&mut self, reason: UncertainReason) -> NextStep {
-        self.uncertain_attempts += 1;
-        let route = &self.request.route;
-        let may_repeat = route.idempotent
-            && reason != UncertainReason::TimedOut
-            && self.uncertain_attempts < route.max_attempts
-            && self.routers_tried < MAX_ROUTERS
-            && self.node.with_retry_budget(
-                &self.request.service,
-                anvilrack_core::RetryBudget::take_retry,
-            );
-        if !may_repeat {
-            return NextStep::Reply(RunReply::MayHaveRun(reason), Bytes::new());
+    /// Returns whether another attempt is allowed after one that ended in `outcome`, and pays for it if it
+    /// is a repeat.
+    fn may_repeat(&mut self, outcome: AttemptOutcome) -> bool {
+        let allowed = self.limit.end(outcome).and_then(|reason| {
+            if !self.limit.needs_payment() {
+                return Ok(reason);
+            }
+            let service = &self.request.service;
+            let paid = self
+                .node
+                .with_retry_budget(|budgets, now| budgets.take(service, now));
+            if paid {
+                self.limit.on_paid();
+            }
+            paid.then_some(reason).ok_or(RepeatDenial::BudgetUsed)
+        });
+        self.repeat_reason = allowed.ok().or(self.repeat_reason);
+        if let Err(denial) = allowed {
+            self.report_denial(denial);
         }
-        let pause = retry_backoff(0, rand::random());
-        sleep(pause).await;
-        NextStep::Retry
+        allowed.is_ok()
+    }
+
+    /// Gives a repeat back to the budget that was paid and has not arrived at a target.
+    fn give_back_unused_payment(&self) {
+        if self.limit.has_unused_payment() {
+            let service = &self.request.service;
+            self.node
+                .with_retry_budget(|budgets, _| budgets.give_back(service));
+        }
+    }
+
+    /// Reports why the next attempt is allowed; nothing before the first one.
+    fn report_repeat(&self) {
+        let Some(reason) = self.repeat_reason else {
+            return;
+        };
+        let (service, why) = (&self.request.service, reason.as_str());
+        emit_event!(
+            Info,
+            events::REQUEST_REPEATED,
+            request = &*self.request.request,
+            service = &**service,
+            attempt = self.limit.attempts() + 1,
+            why = why,
+            before = self.last_router.as_deref(),
+            may_have_run = self.limit.possible_runs(),
+            paid = self.limit.is_repeat()
+        );
+        let labels = format!("service=\"{service}\",why=\"{why}\"");
+        self.node.metrics.count("repeats", labels);
     }
 
-    /// Takes one retry from the budget; every further request to a target counts as a retry.
-    fn consume_retry(&self) -> bool {
-        self.node
-            .with_retry_budget(&self.request.service, RetryBudget::take_retry)
+    fn report_denial(&self, denial: RepeatDenial) {
+        let (service, why) = (&self.request.service, denial.as_str());
+        emit_event!(
+            Info,
+            events::REQUEST_REPEAT_DENIED,
+            request = &*self.request.request,
+            service = &**service,
+            attempts = self.limit.attempts(),
+            why = why,
+            may_have_run = self.limit.possible_runs()
+        );
+        let labels = format!("service=\"{service}\",why=\"{why}\"");
+        self.node.metrics.count("repeats_denied", labels);
     }
 
     fn refuse(&self, reason: RefusalReason, retry_after: Duration) -> NextStep {
-        let reply = if self.uncertain_attempts > 0 {
+        let reply = if self.limit.is_uncertain() {
             // An earlier attempt may have run.
             RunReply::MayHaveRun(UncertainReason::ConnectionLost)
         } else {
@@ -625,6 +744,11 @@
     }
 }
 
+/// The end of an attempt that was cancelled before it started, because this process ends.
+fn cancelled_at_end() -> EndedAttempt {
+    EndedAttempt::not_started(RefusalReason::Stopping, AttemptOutcome::AssumedNotRun)
+}
+
 // --- health statistics ---------------------------------------------------------------------------
 
 /// An attempt in progress; dropping it records its end, even if the caller has disconnected.
