--- a/crates/anvilrack-core/tests/retry_budget_sum.rs
+++ b/crates/anvilrack-core/tests/retry_budget_sum.rs
@@ -343,3 +343,37 @@
         }
     }
 }
+
+/// A process that restarts used up the share of its former process a second time.
+#[test]
+fn restarted_router_uses_no_slack_for_a_window() {
+    let at = Duration::from_secs;
+    let mut budgets = RetryBudgets::new(Some(TERMS), at(100));
+    budgets.set_routers(24, at(100));
+    assert!(!budgets.take(&orders(), at(100)));
+    // Half the ratio: ten requests earn one repeat.
+    for _ in 0..10 {
+        budgets.on_first_attempt(&orders(), false, at(105));
+    }
+    assert!(budgets.take(&orders(), at(105)));
+    assert!(!budgets.take(&orders(), at(109)));
+    // The repeat at 105 s still occupies the share of 2.4.
+    assert!(budgets.take(&orders(), at(110)));
+    assert!(!budgets.take(&orders(), at(110)));
+    assert!(budgets.take(&orders(), at(115)));
+}
+
+/// What was taken for a repeat that no target got is there for the next one.
+#[test]
+fn repeat_that_was_not_sent_is_given_back() {
+    let now = Duration::from_secs(20);
+    for terms in [Some(TERMS), None] {
+        let mut budgets = RetryBudgets::new(terms, BootTime::ZERO);
+        budgets.set_routers(24, now);
+        assert!(budgets.take(&orders(), now) && budgets.take(&orders(), now));
+        assert!(!budgets.take(&orders(), now));
+        budgets.give_back(&orders());
+        assert!(budgets.take(&orders(), now));
+        assert!(!budgets.take(&orders(), now));
+    }
+}
