--- a/crates/anvilrack-core/src/lib.rs
+++ b/crates/anvilrack-core/src/lib.rs
@@ -64,6 +64,6 @@
 };
 pub use stop_admission::{StopAdmission, StopRequest};
 pub use targets::{
-    ChoiceDraws, HealthOutcome, TargetDistance, TargetHealth, TargetLoad, TargetReport,
-    TargetSelector, TransitMeter, USUAL_PACE_PERCENT,
+    ChoiceDraws, HealthOutcome, TargetCapacity, TargetDistance, TargetHealth, TargetLoad,
+    TargetPace, TargetReport, TargetSelector, TransitMeter, USUAL_PACE_PERCENT,
 };
--- a/crates/anvilrack-core/src/targets/target_selector.rs
+++ b/crates/anvilrack-core/src/targets/target_selector.rs
@@ -4,11 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
-
 use crate::moving_average::moving_average;
 use crate::{
-    BootTime, CellMember, HealthOutcome, Incarnation, NodeId, RegionName, RegionRule, TargetHealth,
+    BootTime, CellMember, HealthOutcome, Incarnation, NodeId, RegionName, RegionRule,
+    TargetCapacity, TargetHealth, TargetLoad, USUAL_PACE_PERCENT,
 };
 
 /// Divisor for the weight of the newest sample in the moving average of a target's latency.
@@ -28,24 +27,9 @@
 /// A farther target is chosen if the nearer one costs more than this many times as much.
 const SPILL_FACTOR: u128 = 2;
 
-/// A target's load report is ignored after this time.
-const LOAD_TTL: Duration = Duration::from_millis(600);
-
 /// Slot usage in percent up to which a target's load does not raise its cost.
 const BUSY_THRESHOLD_PERCENT: u128 = 75;
 
-/// Factor of the cost of a target that refuses a share of new requests, so that farther targets are
-/// chosen while they can take all.
-const OVERLOAD_FACTOR: u128 = 4;
-
-/// Factor of the cost of a target that gets more requests than it takes, so that all others are chosen
-/// before.
-const RATE_LIMIT_FACTOR: u128 = 32;
-
-/// A target that reported that it is cold is believed for this time at most; it may have become warm earlier, and
-/// only a reply tells.
-const MAX_COLD_TIME: Duration = Duration::from_secs(3);
-
 /// Time over which the share of a newly added target rises to its full share.
 const SLOW_START_DURATION: Duration = Duration::from_secs(10);
 
@@ -95,29 +79,12 @@
     latency: Duration,
     measured_at: Option<BootTime>,
     busy_until: BootTime,
-    load: Option<(TargetLoad, BootTime)>,
-    /// Time until which the target counts as cold, which many routers would otherwise learn by a request each.
-    cold_until: BootTime,
+    capacity: TargetCapacity,
     /// When the target was added; `None` if it was among the first targets.
     added_at: Option<BootTime>,
     health: TargetHealth,
 }
 
-/// The load that a target reported.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct TargetLoad {
-    /// Requests that are running or waiting.
-    pub busy: u32,
-    /// Requests that the target can run concurrently.
-    pub slots: u32,
-    /// Whether the target refuses a share of new requests.
-    pub overloaded: bool,
-    /// Whether more requests arrive than the rate that the target takes.
-    pub rate_limited: bool,
-    /// Remaining time for which the target is cold, in milliseconds; zero if it is warm or not limited.
-    pub cold_ms: u32,
-}
-
 /// Distance between a target and the router that chooses.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum TargetDistance {
@@ -190,7 +157,8 @@
         now: BootTime,
     ) -> Option<NodeId> {
         for target in &mut self.targets {
-            target.health.check_stall(target.latency, now);
+            let latency = target.latency * target.capacity.pace_percent(now) / USUAL_PACE_PERCENT;
+            target.health.check_stall(latency, now);
         }
         if let Some(probed) = self.allowed(rule).find(|t| t.health.may_probe(now)) {
             return Some(probed.node.clone());
@@ -227,8 +195,8 @@
     #[must_use]
     pub fn all_rate_limited(&self, rule: &RegionRule, now: BootTime) -> bool {
         let is_limited = |target: &TargetStats| {
-            let load = target.load.filter(|(_, at)| now < *at + LOAD_TTL);
-            load.is_some_and(|(load, _)| load.rate_limited)
+            let load = target.capacity.load(now);
+            load.is_some_and(|load| load.rate_limited)
         };
         self.has_allowed(rule) && self.allowed(rule).all(is_limited)
     }
@@ -343,6 +311,9 @@
         now: BootTime,
     ) {
         let measured = outcome != HealthOutcome::NotReached;
+        // The pace is a factor of the cost, and may have changed by the next choice.
+        let target = self.targets.iter().find(|target| &*target.node == node);
+        let took = target.map_or(took, |target| target.capacity.at_usual_pace(took, now));
         let latency = measured.then(|| self.kinds.normalize_latency(kind, took));
         let Some(target) = self.target(node) else {
             return;
@@ -364,16 +335,26 @@
     /// Records the load that a target reported in a response.
     pub fn set_load(&mut self, node: &str, load: TargetLoad, now: BootTime) {
         if let Some(target) = self.target(node) {
-            target.load = Some((load, now));
-            let cold_for = Duration::from_millis(load.cold_ms.into());
-            target.cold_until = now + cold_for.min(MAX_COLD_TIME);
+            target.capacity.set_load(load, now);
         }
     }
 
     /// Records that a target which has not reported its load yet was cold for this time when it started.
     pub fn expect_cold(&mut self, node: &str, cold_for: Duration, now: BootTime) {
-        if let Some(target) = self.target(node).filter(|target| target.load.is_none()) {
-            target.cold_until = now + cold_for.min(MAX_COLD_TIME);
+        if let Some(target) = self.target(node) {
+            target.capacity.expect_cold(cold_for, now);
+        }
+    }
+
+    /// Records the load of the target beside this router.
+    ///
+    /// Its number of requests is used only if its rate is limited; otherwise this router's own requests
+    /// tell enough.
+    pub fn set_local_load(&mut self, node: &str, load: TargetLoad, now: BootTime) {
+        if load.rate_limited || load.cold_ms > 0 {
+            self.set_load(node, load, now);
+        } else if let Some(target) = self.target(node) {
+            target.capacity.set_pace(load.pace, now);
         }
     }
 
@@ -415,8 +396,7 @@
             latency: Duration::ZERO,
             measured_at: None,
             busy_until: BootTime::ZERO,
-            load: None,
-            cold_until: BootTime::ZERO,
+            capacity: TargetCapacity::default(),
             added_at,
             health: TargetHealth::default(),
         }
@@ -436,30 +416,22 @@
         self.measured_at = Some(now);
     }
 
-    /// Scales the latency by the target's load.
+    /// Scales the latency by the target's load and pace.
     ///
     /// A recent load report takes precedence: while the target has free slots, another request
     /// does not slow down the others. Without one, the router knows only its own requests there.
     fn latency_under_load(&self, latency: u128, now: BootTime) -> u128 {
-        let fresh = |(_, at): &&(TargetLoad, BootTime)| now < *at + LOAD_TTL;
-        match self.load.as_ref().filter(fresh) {
-            Some((load, _)) if load.slots > 0 => {
+        let cost_percent = self.capacity.cost_percent(now);
+        let latency = latency * cost_percent / u128::from(USUAL_PACE_PERCENT);
+        let load = self.capacity.load(now).filter(|load| load.slots > 0);
+        load.map_or_else(
+            || latency * (u128::from(self.in_flight) + 1),
+            |load| {
                 let used = 100 * u128::from(load.busy.max(self.in_flight) + 1);
                 let threshold = u128::from(load.slots) * BUSY_THRESHOLD_PERCENT;
-                let overload = if load.rate_limited || now < self.cold_until {
-                    RATE_LIMIT_FACTOR
-                } else if load.overloaded {
-                    OVERLOAD_FACTOR
-                } else {
-                    1
-                };
-                latency * overload * used.max(threshold) / threshold
-            }
-            _ if now < self.cold_until => {
-                latency * RATE_LIMIT_FACTOR * (u128::from(self.in_flight) + 1)
-            }
-            _ => latency * (u128::from(self.in_flight) + 1),
-        }
+                latency * used.max(threshold) / threshold
+            },
+        )
     }
 
     /// Returns a cost factor that falls from ten to one during the slow start of a new target.
--- a/crates/anvilrack-core/tests/allowed_regions.rs
+++ b/crates/anvilrack-core/tests/allowed_regions.rs
@@ -71,7 +71,7 @@
             let expected: BTreeSet<String> = expected.iter().map(ToString::to_string).collect();
             assert_eq!(chosen(&mut selector, &rule, now), expected);
             // Targets elsewhere must not be chosen for being idle either.
-            let busy = TargetLoad { busy: 400, slots: 8, overloaded: true, rate_limited: true, cold_ms: 0 };
+            let busy = TargetLoad { busy: 400, slots: 8, overloaded: true, rate_limited: true, ..TargetLoad::default() };
             for node in &expected {
                 selector.set_load(node, busy, now);
                 selector.set_busy(node, now + Duration::from_secs(1));
--- a/crates/anvilrack-node/src/guard/target_gateway.rs
+++ b/crates/anvilrack-node/src/guard/target_gateway.rs
@@ -8,8 +8,8 @@
     AdmissionHint, AdmissionQueue, AdmissionRequest, AdmissionStep, AdmittedShares, BootTime,
     CallRoutes, CheckReason, DemandMeter, LatencyLimit, OfferedRequest, RateHint, RateLimiter,
     RecentDurations, RefusalReason, RequestClass, RequestFingerprint, RunAdmission,
-    ServiceTimeMeter, ShardId, ShardMeter, StopRequest, TargetLoad, TicketId, UncertainReason,
-    events,
+    ServiceTimeMeter, ShardId, ShardMeter, StopRequest, TargetCapacity, TargetLoad, TicketId,
+    UncertainReason, events,
 };
 use anvilrack_router::boot_clock;
 use bytes::Bytes;
@@ -89,6 +89,7 @@
     durations: Mutex<RecentDurations>,
     rate_limiter: Mutex<RateLimiter>,
     cold_target: ColdTarget,
+    target_capacity: Mutex<TargetCapacity>,
 }
 
 /// A position in the admission queue or a slot at the target; dropping it releases it.
@@ -141,6 +142,7 @@
             durations: Mutex::default(),
             rate_limiter: Mutex::default(),
             cold_target: ColdTarget::default(),
+            target_capacity: Mutex::default(),
         }
     }
 
@@ -260,6 +262,7 @@
         if effect == NotificationEffect::NewIncarnation {
             self.pool.clear();
             *lock(&self.service_time) = ServiceTimeMeter::default();
+            *lock(&self.target_capacity) = TargetCapacity::default();
         }
         self.apply_cold_time(notification, effect);
         effect
@@ -284,6 +287,7 @@
             overloaded: !self.admitted_shares(now).is_all(),
             rate_limited: self.rate_hint(now).is_some(),
             cold_ms: self.cold_ms(now),
+            pace: lock(&self.target_capacity).pace(now),
         }
     }
 
@@ -687,6 +691,11 @@
                 node.leaving_said.notify_one();
             }
         }
+        if let Some(report) = &condition.report {
+            lock(&self.target_capacity).apply_report(report, boot_clock::now());
+            let labels = format!("slow=\"{}\"", report.is_slow());
+            node.metrics.count("target_reports", labels);
+        }
         let named = match condition.rate_limit {
             RateLimitNotice::Unlimited => None,
             RateLimitNotice::Limited(rate) => Some(rate),
