Move shards out of forbidden regions faster than other moves

Cause: after a document that forbids a region, its owners lost 32 shards a second, as planned moves are few at a time so that service goes on. No request may run there, so 309 shards were refused for up to 10.5 s. Requests of restricted routes were also admitted by the mean share of all targets of a service, which covers targets that they may not use. Change: up to 32 shards at once leave owners outside of the allowed regions. A restricted request is admitted by the share of its chosen target.

--- a/crates/anvilrack-core/src/ownership/coordinator_state.rs
+++ b/crates/anvilrack-core/src/ownership/coordinator_state.rs
@@ -141,6 +141,11 @@
 /// Reports of unhealthy targets are ignored if more than one in this many members sends them.
 const UNHEALTHY_MEMBER_DIVISOR: usize = 3;
 
+/// Maximum number of moves at once while shards leave owners outside of the allowed regions.
+///
+/// With 128 at once, releases delayed the renewals of an owner's other grants, some of which lapsed.
+const MAX_REGION_MOVES: usize = 32;
+
 /// Number of standbys of a cell.
 const STANDBY_COUNT: usize = 2;
 
@@ -613,6 +618,7 @@
         let eligible = self.eligible(rules, now);
         self.moves
             .retain(|_, successor| eligible.contains(successor));
+        self.moves.extend(self.region_moves(rules, &eligible));
         let view = PlacementView {
             loads: &self.loads,
             moving: &self.moves,
@@ -627,6 +633,29 @@
         self.moves.extend(planned);
     }
 
+    /// Returns moves of shards whose owners are outside of the allowed regions.
+    ///
+    /// No request may run there, so these moves interrupt no service and need not be as few as others.
+    fn region_moves(&self, rules: &ServiceRules, eligible: &[NodeId]) -> Vec<(ShardId, NodeId)> {
+        let members = self.record.members.iter();
+        let outside: BTreeSet<&NodeId> = members
+            .filter(|member| !rules.allows(&member.region))
+            .map(|member| &member.node)
+            .collect();
+        if outside.is_empty() {
+            return Vec::new();
+        }
+        let must_move = |(shard, owner): &(ShardId, &Option<ShardOwner>)| {
+            let is_outside = owner.as_ref().is_some_and(|o| outside.contains(&o.node));
+            is_outside && !self.moves.contains_key(shard)
+        };
+        let shards = (0..).zip(&self.record.shards).filter(must_move);
+        let shards = shards.take(MAX_REGION_MOVES.saturating_sub(self.moves.len()));
+        let shards: Vec<ShardId> = shards.map(|(shard, _)| shard).collect();
+        self.policy
+            .place(&self.record, eligible, &shards, &self.loads)
+    }
+
     // --- accessors ------------------------------------------------------------------------------
 
     /// Returns the current record.
--- a/crates/anvilrack-node/src/routing/forward.rs
+++ b/crates/anvilrack-node/src/routing/forward.rs
@@ -267,7 +267,10 @@
 
     /// Returns the shares of requests like this one that are admitted now.
     fn admitted_shares(&self, router: &NodeId) -> AdmittedShares {
-        let owner = self.shard.map(|_| &**router);
+        // The mean of a service covers targets that the route may forbid.
+        let is_restricted = !self.request.route.allowed_regions.allows_all();
+        let is_only_one = self.shard.is_some() || is_restricted;
+        let owner = is_only_one.then_some(&**router);
         let admission = self.node.entry_admission();
         admission.shares(&self.request.service, owner, boot_clock::now())
     }
