Pay for the calls of a repeated run where the request enters

Cause: the router beside a target paid for the calls of repeated runs from its own part of the called service's limit, one sixty-third of it, while repeats come from all routers. Change: replies to failed requests, and one in 16 others, name the calls of a run. The router where a request enters pays for the repeat and its calls together, from its parts of both limits. The refusal retry-budget-used is gone, and runs are not refused beside the target.

--- a/crates/anvilrack-core/src/lib.rs
+++ b/crates/anvilrack-core/src/lib.rs
@@ -51,8 +51,8 @@
 pub use planned_stop::{PlannedStop, StopBacklog, StopPhase};
 pub use requests::{
     AtMostOnceKey, AtMostOnceLimits, AtMostOnceRecord, AtMostOnceRequest, AttemptLimit,
-    AttemptOutcome, CrashId, CrashObservation, CrashQuarantine, CrashReport, ExportedRun,
-    ExportedShard, ONE_REPEAT, RefusalReason, RepeatDenial, RepeatMilli, RepeatReason,
+    AttemptOutcome, CallCosts, CrashId, CrashObservation, CrashQuarantine, CrashReport,
+    ExportedRun, ExportedShard, ONE_REPEAT, RefusalReason, RepeatDenial, RepeatMilli, RepeatReason,
     RequestFingerprint, RequestVerdict, ResendSafety, RetryBudget, RetryBudgets, RetryStep,
     RetryTerms, RunDecision, RunOutcome, SharedRetryBudget, TargetAnswer, UncertainReason,
     fingerprint_of, first_sent_at, is_cancellation_reliable, retry_backoff, retry_step,
--- a/crates/anvilrack-core/src/requests/mod.rs
+++ b/crates/anvilrack-core/src/requests/mod.rs
@@ -22,5 +22,5 @@
 pub use request_identity::{fingerprint_of, first_sent_at};
 pub use request_verdict::{RefusalReason, RequestVerdict, TargetAnswer, UncertainReason};
 pub use retry_budget::{ResendSafety, RetryBudget, RetryStep, retry_backoff, retry_step};
-pub use retry_budgets::RetryBudgets;
+pub use retry_budgets::{CallCosts, RetryBudgets};
 pub use shared_retry_budget::{ONE_REPEAT, RepeatMilli, RetryTerms, SharedRetryBudget};
--- a/crates/anvilrack-core/src/requests/request_verdict.rs
+++ b/crates/anvilrack-core/src/requests/request_verdict.rs
@@ -116,8 +116,6 @@
     RegionNotAllowed,
     /// The failure domain of the target is evacuated.
     Evacuated,
-    /// The request is a repeat, and the services that its run would call may get no more repeats now.
-    RetryBudgetUsed,
 }
 
 impl RefusalReason {
@@ -147,7 +145,6 @@
             Self::RateLimited => "rate-limited",
             Self::RegionNotAllowed => "region-not-allowed",
             Self::Evacuated => "evacuated",
-            Self::RetryBudgetUsed => "retry-budget-used",
         }
     }
 
--- a/crates/anvilrack-core/src/requests/retry_budgets.rs
+++ b/crates/anvilrack-core/src/requests/retry_budgets.rs
@@ -20,18 +20,23 @@
 /// Number of runs after which calls and runs are halved, so that old ones count less.
 const MAX_COUNTED_RUNS: u32 = 200;
 
+/// The calls that one run makes, by called service, in thousandths.
+pub type CallCosts = Vec<(ServiceName, RepeatMilli)>;
+
 /// The retry budgets of one router, by service.
 ///
-/// A router uses them in two places. Where a request enters, each repeat is paid from the budget of its
-/// service ([`Self::take`]). Beside the target, a repeat that the target is about to run is paid from the
-/// budgets of the services that such a run calls ([`Self::take_repeated_run`]), because only that router
-/// knows these services.
+/// Each repeat is paid where its request enters: from the budget of its service, and for the calls that its
+/// run makes from the budgets of the called services ([`Self::take`]). Only the router beside a target knows
+/// these calls, and reports them in its replies. Paid beside the target, they would be bounded by the share of
+/// that one router, while repeats come from all routers.
 #[derive(Clone, Debug)]
 pub struct RetryBudgets {
     terms: Option<RetryTerms>,
     started_at: BootTime,
     routers: RouterCount,
     services: BTreeMap<ServiceName, ServiceBudget>,
+    /// Calls that a run of a service makes, as routers beside its targets reported them.
+    call_costs: BTreeMap<ServiceName, CallCosts>,
     calls: CallMeter,
 }
 
@@ -68,6 +73,7 @@
             started_at,
             routers: RouterCount::default(),
             services: BTreeMap::new(),
+            call_costs: BTreeMap::new(),
             calls: CallMeter::default(),
         }
     }
@@ -93,41 +99,14 @@
         }
     }
 
-    /// Takes one repeat from the budget of a service; returns false if none is left.
+    /// Takes one repeat from the budget of a service, and the calls of its run from those of the called
+    /// services; returns false, and takes nothing, if one of them has too little left.
     pub fn take(&mut self, service: &ServiceName, now: BootTime) -> bool {
         let routers = self.routers.count();
-        match self.budget(service) {
-            ServiceBudget::Fixed(budget) => budget.take_retry(),
-            ServiceBudget::Shared(budget) => budget.take(ONE_REPEAT, routers, now),
-        }
-    }
-
-    /// Gives back a repeat that was taken and then not sent.
-    pub fn give_back(&mut self, service: &ServiceName) {
-        match self.budget(service) {
-            ServiceBudget::Fixed(budget) => budget.give_back(),
-            ServiceBudget::Shared(budget) => budget.give_back(ONE_REPEAT),
+        if let ServiceBudget::Fixed(budget) = self.budget(service) {
+            return budget.take_retry();
         }
-    }
-
-    /// Counts a request that the local target begins to run.
-    pub fn on_run(&mut self) {
-        self.calls.on_run();
-    }
-
-    /// Takes the calls that a repeated run at the local target will make from the budgets of the called
-    /// services.
-    ///
-    /// Returns false if one of them has too little left, or if the calls of a run are not known yet; the
-    /// request must not run then.
-    pub fn take_repeated_run(&mut self, now: BootTime) -> bool {
-        if self.terms.is_none() {
-            return true;
-        }
-        let Some(costs) = self.calls.per_run() else {
-            return false;
-        };
-        let routers = self.routers.count();
+        let costs = self.costs(service);
         let affordable = costs.iter().all(|(service, cost)| {
             self.shared(service)
                 .is_none_or(|budget| budget.left(routers, now) >= *cost)
@@ -142,6 +121,45 @@
         affordable
     }
 
+    /// Gives back a repeat that was taken and then not sent.
+    pub fn give_back(&mut self, service: &ServiceName) {
+        if let ServiceBudget::Fixed(budget) = self.budget(service) {
+            budget.give_back();
+            return;
+        }
+        for (service, cost) in self.costs(service) {
+            if let Some(budget) = self.shared(&service) {
+                budget.give_back(cost);
+            }
+        }
+    }
+
+    /// Counts a request that the local target begins to run.
+    pub fn on_run(&mut self) {
+        self.calls.on_run();
+    }
+
+    /// Returns the calls that a run at the local target makes; `None` until they are known, or if the
+    /// deployment sets no limit.
+    #[must_use]
+    pub fn calls_per_run(&self) -> Option<CallCosts> {
+        self.terms?;
+        self.calls.per_run()
+    }
+
+    /// Sets the calls that a run of a service makes, as the router beside one of its targets reported them.
+    pub fn set_call_costs(&mut self, service: &ServiceName, costs: CallCosts) {
+        self.call_costs.insert(service.clone(), costs);
+    }
+
+    /// Returns what a repeat costs, by service: itself and the calls of its run.
+    fn costs(&self, service: &ServiceName) -> CallCosts {
+        let calls = self.call_costs.get(service).into_iter().flatten().cloned();
+        std::iter::once((service.clone(), ONE_REPEAT))
+            .chain(calls)
+            .collect()
+    }
+
     /// Returns how many repeats may be sent now, by service.
     pub fn left(&mut self, now: BootTime) -> Vec<(ServiceName, RepeatMilli)> {
         let routers = self.routers.count();
@@ -208,7 +226,7 @@
     }
 
     /// Returns the calls of one run by service; `None` until enough runs were counted.
-    fn per_run(&self) -> Option<Vec<(ServiceName, RepeatMilli)>> {
+    fn per_run(&self) -> Option<CallCosts> {
         if self.runs < MIN_COUNTED_RUNS {
             return None;
         }
--- a/crates/anvilrack-node/src/guard/target_gateway.rs
+++ b/crates/anvilrack-node/src/guard/target_gateway.rs
@@ -401,7 +401,7 @@
                     let target = self.check_may_run(node, call, content)?;
                     let taken = self.limiter().take(is_call, boot_clock::now());
                     taken.map_err(rate_limited)?;
-                    admit_run(node, call)?;
+                    node.with_retry_budget(|budgets, _| budgets.on_run());
                     if !is_call {
                         node.entry_admission().on_run(RunAdmission {
                             priority,
@@ -804,19 +804,6 @@
     Ok(monitor.is_suspect(request).then_some(turn))
 }
 
-/// Counts a run, and checks whether the services that it calls may get the calls of a repeated one.
-fn admit_run<D: PlatformDialect>(node: &NodeState<D>, call: &RunCall) -> Result<(), Refusal> {
-    let allowed = node.with_retry_budget(|budgets, now| {
-        let allowed = !call.is_repeat || budgets.take_repeated_run(now);
-        if allowed {
-            budgets.on_run();
-        }
-        allowed
-    });
-    let refusal = (RefusalReason::RetryBudgetUsed, OVERLOAD_RETRY_AFTER);
-    allowed.then_some(()).ok_or(refusal)
-}
-
 fn not_run(reason: RefusalReason, retry_after: Duration) -> (RunReply, Bytes) {
     let reply = RunReply::NotRun {
         reason,
--- a/crates/anvilrack-node/src/node_shared/mod.rs
+++ b/crates/anvilrack-node/src/node_shared/mod.rs
@@ -15,9 +15,9 @@
 use std::time::Duration;
 
 use anvilrack_core::{
-    BootTime, CellRecord, CoordinatorState, EntryAdmission, Evacuations, LeaseTerms, OwnerState,
-    RecentDurations, RecordDelta, RecordHistory, RetryBudgets, RetryTerms, ServiceName, SiteRoutes,
-    StandbyState, StopAdmission, TargetSelector, TransitMeter, UploadPacer, events,
+    BootTime, CallCosts, CellRecord, CoordinatorState, EntryAdmission, Evacuations, LeaseTerms,
+    OwnerState, RecentDurations, RecordDelta, RecordHistory, RetryBudgets, RetryTerms, ServiceName,
+    SiteRoutes, StandbyState, StopAdmission, TargetSelector, TransitMeter, UploadPacer, events,
 };
 use anvilrack_router::boot_clock;
 use tokio::sync::{Notify, watch};
@@ -30,12 +30,15 @@
 use crate::mutex_lock::lock;
 use crate::observe::NodeMetrics;
 use crate::ownership::{RefreshTimes, TargetGrants, lease_terms, release_all};
-use crate::peers::PeerLinks;
+use crate::peers::{PeerLinks, RunReply};
 use crate::{NodeSettings, PlatformDialect, emit_event};
 
 /// Maximum number of routers whose calls are measured; if there are more, the measurement starts anew.
 const MAX_TRANSIT_METERS: usize = 4_096;
 
+/// One in this many successful replies names the calls of a run.
+const CALL_COSTS_SAMPLING: u32 = 16;
+
 /// Shared state of one router process.
 pub struct NodeState<D: PlatformDialect> {
     /// Settings read at startup.
@@ -255,6 +258,18 @@
         update(&mut budgets, now)
     }
 
+    /// Returns the calls that a run at the local target makes if the reply is to name them.
+    ///
+    /// A refusal or an error may be repeated at once, so it names them; other replies seldom do.
+    #[must_use]
+    pub fn call_costs_to_report(&self, reply: &RunReply) -> Option<CallCosts> {
+        let is_success = matches!(reply, RunReply::Ran { status, .. } if *status < 500);
+        let is_named = !is_success || rand::random_range(0..CALL_COSTS_SAMPLING) == 0;
+        is_named
+            .then(|| self.with_retry_budget(|budgets, _| budgets.calls_per_run()))
+            .flatten()
+    }
+
     /// Calls `update` with the times at which the record of a service's cell was last requested.
     pub fn with_refresh_times<T>(
         &self,
--- a/crates/anvilrack-node/src/peers/peer_message.rs
+++ b/crates/anvilrack-node/src/peers/peer_message.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use anvilrack_core::{
-    AdmissionHint, BootTime, CellRecord, CellVersion, CrashReport, DomainName, Epoch,
+    AdmissionHint, BootTime, CallCosts, CellRecord, CellVersion, CrashReport, DomainName, Epoch,
     EvacuationSet, Incarnation, MemberReport, NodeId, RecordStamp, RefusalReason, RegionName,
     RenewalAnswer, RequestClass, RunAdmission, ServiceName, SiteVersion, TargetLoad,
     UncertainReason, bounded_duration,
@@ -92,8 +92,9 @@
 /// The reply to a [`PeerCall`]; the body of a response follows the message.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum PeerReply {
-    /// The outcome of the request, the target's load, and the shares of requests that it can take.
-    Run(RunReply, TargetLoad, AdmissionHint),
+    /// The outcome of the request, the target's load, the shares of requests that it can take, and the calls
+    /// that a run makes, which are left out of most replies.
+    Run(RunReply, TargetLoad, AdmissionHint, Option<CallCosts>),
     /// Whether the body may be sent, or else why the request was not run; and the target's load.
     Room(Result<(), RunReply>, TargetLoad),
     /// Whether the request was cancelled: true if it has not started and never will.
@@ -162,8 +163,6 @@
     pub run_once: bool,
     /// Service of the router that received the request from its caller.
     pub caller_service: ServiceName,
-    /// Whether an attempt before may have arrived at a target.
-    pub is_repeat: bool,
 }
 
 impl RunCall {
--- a/crates/anvilrack-node/src/peers/peer_server.rs
+++ b/crates/anvilrack-node/src/peers/peer_server.rs
@@ -146,7 +146,8 @@
             let (reply, body) = node.gateway.run(node, run, body).await;
             let hint = node.gateway.admission_hint(node, &route);
             let load = node.gateway.target_load();
-            return (PeerReply::Run(reply, load, hint), body);
+            let costs = node.call_costs_to_report(&reply);
+            return (PeerReply::Run(reply, load, hint, costs), body);
         }
         PeerCall::Room(call) => {
             let reserved = node.gateway.reserve_body(node, &call);
--- a/crates/anvilrack-node/src/routing/forward.rs
+++ b/crates/anvilrack-node/src/routing/forward.rs
@@ -6,10 +6,10 @@
 use std::time::Duration;
 
 use anvilrack_core::{
-    AdmissionHint, AdmittedShares, AttemptLimit, AttemptOutcome, BootTime, HealthOutcome, NodeId,
-    RefusalReason, RepeatDenial, RepeatReason, RequestFingerprint, RouteRules, RunAdmission,
-    ServiceName, ShardId, SiteVersion, TargetLoad, TargetSelector, UncertainReason, WHOLE_SHARE,
-    events, is_cancellation_reliable, retry_backoff,
+    AdmissionHint, AdmittedShares, AttemptLimit, AttemptOutcome, BootTime, CallCosts,
+    HealthOutcome, NodeId, RefusalReason, RepeatDenial, RepeatReason, RequestFingerprint,
+    RouteRules, RunAdmission, ServiceName, ShardId, SiteVersion, TargetLoad, TargetSelector,
+    UncertainReason, WHOLE_SHARE, events, is_cancellation_reliable, retry_backoff,
 };
 use anvilrack_router::boot_clock;
 use bytes::Bytes;
@@ -433,6 +433,10 @@
                 router,
                 &gateway.admission_hint(self.node, &self.request.route.name),
             );
+            let costs = self
+                .node
+                .with_retry_budget(|budgets, _| budgets.calls_per_run());
+            self.record_call_costs(costs);
             return match result {
                 Some(Some((reply, body))) => EndedAttempt::replied(reply, body),
                 Some(None) => EndedAttempt::replied(
@@ -463,7 +467,8 @@
             return cancelled_at_end();
         };
         let error = match result {
-            Ok((PeerReply::Run(reply, load, hint), body)) => {
+            Ok((PeerReply::Run(reply, load, hint, costs), body)) => {
+                self.record_call_costs(costs);
                 self.record_load(router, load);
                 self.apply_hint(router, &hint);
                 return EndedAttempt::replied(reply, body);
@@ -609,7 +614,6 @@
             admission: self.run_admission(router),
             run_once: !request.route.idempotent,
             caller_service: self.node.settings.service.clone(),
-            is_repeat: self.limit.is_repeat(),
         }
     }
 
@@ -644,7 +648,6 @@
             || reason == RefusalReason::Overloaded
             || reason == RefusalReason::SuspectRunning
             || reason == RefusalReason::RateLimited
-            || reason == RefusalReason::RetryBudgetUsed
             || reason == RefusalReason::DeadlineTooShort;
         let overloaded = matches!(
             reason,
@@ -688,6 +691,15 @@
         allowed.is_ok()
     }
 
+    /// Records the calls that a run of the service makes, which a repeat has to pay for.
+    fn record_call_costs(&self, costs: Option<CallCosts>) {
+        if let Some(costs) = costs {
+            let service = &self.request.service;
+            self.node
+                .with_retry_budget(|budgets, _| budgets.set_call_costs(service, costs));
+        }
+    }
+
     /// Gives a repeat back to the budget that was paid and has not arrived at a target.
     fn give_back_unused_payment(&self) {
         if self.limit.has_unused_payment() {
