Build the review's stand-ins into the project's build folder

Cause: the build folder under review/ held paths of the machine; it was ignored by git, but lay in the tree.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -2,6 +2,6 @@
 # The answer to a write is lost and a router is restarted: two servers hold the same keys.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
-stand_ins=review/stand_ins/target/release/review-stand-ins
+stand_ins=target/review/release/review-stand-ins
 [ -x "$stand_ins" ] && [ -x target/release/anvilrack-platform ] || exit 2
 "$stand_ins" lost-write review/1/record.txt
