--- a/crates/anvilrack-core/src/ownership/coordinator_state.rs
+++ b/crates/anvilrack-core/src/ownership/coordinator_state.rs
@@ -55,6 +55,8 @@
     lease_until: BootTime,
     last_heard: BootTime,
     newest_report: ReportSequence,
+    /// The latest former runs of the member's router, oldest first.
+    former_runs: Vec<Incarnation>,
     /// When the current incarnation of this member replaced an older one.
     replaced_at: BootTime,
     released: BTreeMap<ShardId, ReleaseReport>,
@@ -112,6 +114,15 @@
     pub handover: Option<Arc<str>>,
 }
 
+/// What a pending write means for the lease of a member.
+#[derive(Debug)]
+struct PendingLosses {
+    /// Whether the lease may be renewed together with `orders`.
+    may_renew: bool,
+    /// Orders to release the shards that the write may take away.
+    orders: Vec<ReleaseOrder>,
+}
+
 /// Order to a member to release a shard.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct ReleaseOrder {
@@ -134,6 +145,9 @@
     /// cannot be assigned to another member.
     pub keep: Vec<ShardId>,
     /// Shards that the member should release.
+    ///
+    /// A member without a valid lease must stop serving these before it applies the renewal: another member
+    /// may get them at any time.
     pub release: Vec<ReleaseOrder>,
 }
 
@@ -151,6 +165,9 @@
 /// With 128 at once, releases delayed the renewals of an owner's other grants, some of which lapsed.
 const MAX_REGION_MOVES: usize = 32;
 
+/// Number of former runs of a member's router whose late reports are recognized.
+const MAX_FORMER_RUNS: usize = 8;
+
 /// Number of standbys of a cell.
 const STANDBY_COUNT: usize = 2;
 
@@ -201,13 +218,14 @@
             self.superseded = true;
         }
         let may_renew = self.may_renew(now);
-        let losing_shard = self.is_losing_shard(&report.member);
         let lease = self.terms.lease;
         let view = self
             .members
             .entry(report.member.node.clone())
             .or_insert_with(|| MemberView::initial(BootTime::ZERO, BootTime::ZERO));
+        let former_run = view.newest_report.run;
         let current = view.apply_report(report, now);
+        let is_new_run = current && view.newest_report.run != former_run;
         if view.replaced_at == now {
             // A promise of the former incarnation no longer counts.
             self.promises.remove(&report.member.node);
@@ -217,7 +235,9 @@
             view.confirmed = true;
             view.lease_until = now + lease;
         }
-        let renewed = may_renew && current && !losing_shard;
+        // The report may withdraw releases, so it is applied before the pending write is compared with them.
+        let losses = self.pending_losses(&report.member);
+        let renewed = may_renew && current && losses.may_renew;
         let store_unavailable = now >= self.last_store_contact + self.terms.store_unavailable_after;
         let owned = &self.record;
         if current {
@@ -228,7 +248,7 @@
             self.loads
                 .set_cold_rate(&report.member.node, report.cold_rate);
         }
-        if renewed {
+        if renewed && let Some(view) = self.members.get_mut(&report.member.node) {
             view.lease_until = view.lease_until.max(now + lease);
         }
         // No released shard can be assigned to a new owner while the store is unavailable.
@@ -237,11 +257,15 @@
         } else {
             Vec::new()
         };
-        let release = if store_unavailable {
-            Vec::new()
-        } else {
-            self.release_orders(&report.member)
-        };
+        let mut release = if renewed { losses.orders } else { Vec::new() };
+        // A router that has just started holds no lease yet, so it stops serving what it is ordered to
+        // release at once. A move that can wait is ordered with the next reply.
+        if !store_unavailable && !is_new_run {
+            let ordered: BTreeSet<ShardId> = release.iter().map(|order| order.shard).collect();
+            let mut moves = self.release_orders(&report.member);
+            moves.retain(|order| !ordered.contains(&order.shard));
+            release.append(&mut moves);
+        }
         RenewalAnswer {
             epoch: self.record.epoch,
             version: self.record.version,
@@ -273,21 +297,38 @@
         kept
     }
 
-    /// Returns true while a pending write reassigns a shard that this member has not released.
+    /// Returns what a pending write, whose outcome is unknown, means for the lease of a member.
     ///
-    /// Its lease had expired when the write was planned and must not be renewed before the outcome is
-    /// known.
-    fn is_losing_shard(&self, member: &CellMember) -> bool {
+    /// The write may take away shards that the member has not released: its lease had expired when the write
+    /// was planned, or a former run of its router had released them. The lease may be renewed only together
+    /// with the order to release these shards.
+    fn pending_losses(&self, member: &CellMember) -> PendingLosses {
         let Some(pending) = &self.pending else {
-            return false;
+            return PendingLosses::none();
         };
-        let mut owned = self.record.owned_by(&member.node, member.incarnation);
-        owned.any(|(shard, token)| {
-            let kept = pending
-                .owner(shard)
-                .is_some_and(|owner| owner.token == token);
-            !kept && self.release_of(shard).is_none()
-        })
+        let mut orders = Vec::new();
+        let mut keeps_shard = false;
+        for (shard, token) in self.record.owned_by(&member.node, member.incarnation) {
+            let next = pending.owner(shard);
+            if next.is_some_and(|owner| owner.token == token) {
+                keeps_shard = true;
+            } else if self.release_of(shard).is_none() {
+                let Some(successor) = next.and_then(|owner| pending.member(&owner.node)) else {
+                    return PendingLosses::unresolved();
+                };
+                orders.push(ReleaseOrder {
+                    shard,
+                    successor: successor.clone(),
+                });
+            }
+        }
+        if orders.is_empty() {
+            return PendingLosses::none();
+        }
+        PendingLosses {
+            may_renew: keeps_shard,
+            orders,
+        }
     }
 
     /// Returns true while this coordinator may renew leases.
@@ -761,6 +802,22 @@
     }
 }
 
+impl PendingLosses {
+    fn none() -> Self {
+        Self {
+            may_renew: true,
+            orders: Vec::new(),
+        }
+    }
+
+    fn unresolved() -> Self {
+        Self {
+            may_renew: false,
+            orders: Vec::new(),
+        }
+    }
+}
+
 impl MemberView {
     fn initial(now: BootTime, wait: BootTime) -> Self {
         Self {
@@ -772,6 +829,7 @@
             lease_until: now + wait,
             last_heard: BootTime::ZERO,
             newest_report: ReportSequence::default(),
+            former_runs: Vec::new(),
             replaced_at: BootTime::ZERO,
             released: BTreeMap::new(),
         }
@@ -779,17 +837,26 @@
 
     /// Applies a report of the member; returns false if the report is outdated.
     ///
-    /// A report is outdated if it comes from an older incarnation or was overtaken by a later one. Its list
-    /// of released shards no longer applies then: the member may have released or received shards since.
+    /// A report is outdated if it comes from an older incarnation or a former run of the router, or was
+    /// overtaken by a later one. Its list of released shards no longer applies then: the member may have
+    /// released or received shards since.
     fn apply_report(&mut self, report: &MemberReport, now: BootTime) -> bool {
         let known = self.member.as_ref().map(|member| member.incarnation);
         if known.is_some_and(|known| report.member.incarnation < known) {
             return false;
         }
-        // A report of another run is accepted whatever its number: the wall clock may have been set back.
         let newest = self.newest_report;
-        if report.mark.run == newest.run && report.mark.number < newest.number {
+        if report.mark.run == newest.run {
+            if report.mark.number < newest.number {
+                return false;
+            }
+        } else if self.former_runs.contains(&report.mark.run) {
             return false;
+        } else {
+            // Runs are not compared by their numbers: the wall clock may have been set back.
+            self.former_runs.push(newest.run);
+            let excess = self.former_runs.len().saturating_sub(MAX_FORMER_RUNS);
+            self.former_runs.drain(..excess);
         }
         self.newest_report = report.mark;
         if known != Some(report.member.incarnation) {
--- a/crates/anvilrack-core/tests/coordinator_state.rs
+++ b/crates/anvilrack-core/tests/coordinator_state.rs
@@ -5,7 +5,7 @@
 
 use anvilrack_core::{
     BootTime, CellRecord, CoordinatorState, Incarnation, MemberReport, ReleaseReport,
-    ReportSequence, RequestClass, ServiceRules, ShardOwner, WriterStamp,
+    RenewalAnswer, ReportSequence, RequestClass, ServiceRules, ShardOwner, WriterStamp,
 };
 
 mod common;
@@ -82,6 +82,47 @@
     coordinator
 }
 
+/// Returns a coordinator of a cell whose shards 0 and 1 belong to `b`, with a pending write that gives shard 0,
+/// which the first run of the router of `b` has released, to `a`.
+fn coordinator_with_pending_move() -> (CoordinatorState, CellRecord) {
+    let owner = |token| {
+        Some(ShardOwner {
+            node: "b".into(),
+            incarnation: 1,
+            token,
+            record_lost: false,
+            handover: None,
+        })
+    };
+    let mut record = record("a");
+    record.last_token = 2;
+    record.shards = vec![owner(1), owner(2)];
+    let mut coordinator = CoordinatorState::new(record, terms(), ms(0), ms(0), ms(0));
+    coordinator.on_heartbeat(&report("a", 1), ms(900));
+    coordinator.on_heartbeat(&of_run(report_with_release_by_b(), 1, 8), ms(1_000));
+    let rules = ServiceRules {
+        shards: 2,
+        ..rules()
+    };
+    let planned = coordinator
+        .plan(&rules, 0, ms(1_050))
+        .expect("shard 0 is reassigned");
+    assert_eq!(planned.owner(0).map(|owner| &*owner.node), Some("a"));
+    assert_eq!(planned.owner(1).map(|owner| owner.token), Some(2));
+    (coordinator, planned)
+}
+
+fn of_run(report: MemberReport, run: Incarnation, number: u64) -> MemberReport {
+    MemberReport {
+        mark: ReportSequence { run, number },
+        ..report
+    }
+}
+
+fn ordered_shards(answer: &RenewalAnswer) -> Vec<u32> {
+    answer.release.iter().map(|order| order.shard).collect()
+}
+
 fn report_with_release_by_b() -> MemberReport {
     let mut report = report("b", 1);
     report.released = vec![ReleaseReport {
@@ -164,6 +205,45 @@
         assert!(planned.owner(0).is_some_and(|owner| owner.record_lost));
     }
 
+    // A router that had restarted got a lease, and served a shard that a pending write had given away.
+    restarted_router_is_ordered_to_release_what_a_pending_write_reassigns => {
+        let (mut coordinator, _) = coordinator_with_pending_move();
+        let first = coordinator.on_heartbeat(&of_run(report("b", 1), 2, 0), ms(1_100));
+        assert_eq!((first.renewed, ordered_shards(&first)), (true, vec![0]));
+        assert_eq!(&*first.release[0].successor.node, "a");
+        // The first reply may have been lost, and the store does not respond.
+        coordinator.on_promise(&"b".into(), ms(1_150));
+        let later = coordinator.on_heartbeat(&of_run(report("b", 1), 2, 1), ms(1_700));
+        assert_eq!((later.renewed, ordered_shards(&later)), (true, vec![0]));
+        assert!(later.keep.is_empty());
+    }
+
+    // A router that had restarted got a lease, and served the only shard, which a pending write had given away.
+    restarted_router_gets_no_lease_while_a_pending_write_takes_all_its_shards => {
+        let mut coordinator = coordinator_with_shard_of_b();
+        coordinator.on_heartbeat(&of_run(report_with_release_by_b(), 1, 8), ms(1_000));
+        coordinator.plan(&rules(), 0, ms(1_050)).expect("the shard is reassigned");
+        assert!(!coordinator.on_heartbeat(&of_run(report("b", 1), 2, 0), ms(1_100)).renewed);
+    }
+
+    router_that_has_not_restarted_keeps_its_lease_while_a_write_is_pending => {
+        let (mut coordinator, _) = coordinator_with_pending_move();
+        let answer = coordinator.on_heartbeat(&of_run(report_with_release_by_b(), 1, 9), ms(1_100));
+        assert!(answer.renewed);
+    }
+
+    // A late report of a router's former process would free shards that its present process serves.
+    late_report_of_a_former_run_releases_no_shard => {
+        let mut coordinator = coordinator_with_shard_of_b();
+        coordinator.on_heartbeat(&of_run(report("b", 1), 1, 7), ms(950));
+        assert!(coordinator.on_heartbeat(&of_run(report("b", 1), 2, 0), ms(1_000)).renewed);
+        let late = coordinator.on_heartbeat(&of_run(report_with_release_by_b(), 1, 8), ms(1_010));
+        assert!(!late.renewed);
+        let planned = coordinator.plan(&rules(), 0, ms(1_050));
+        let owner = planned.as_ref().unwrap_or(coordinator.record()).owner(0).cloned();
+        assert_eq!(owner.map(|owner| (owner.node, owner.token)), Some(("b".into(), 1)));
+    }
+
     report_of_another_run_is_accepted_whatever_its_number => {
         let mut coordinator = coordinator_with_shard_of_b();
         let numbered = |run, number| MemberReport {
--- a/crates/anvilrack-model/src/dropped_rule.rs
+++ b/crates/anvilrack-model/src/dropped_rule.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     FaultKind, InitialStep, LostResponseOutcome, ModelOptions, RouterStep, SearchBounds,
-    SystemAction, long_authority_terms, long_promise_terms, model_terms,
+    SystemAction, long_authority_terms, long_promise_terms, model_terms, short_promise_terms,
 };
 
 /// A rule of the protocol that a mutant of the model drops.
@@ -10,8 +10,8 @@
 pub enum DroppedRule {
     /// A coordinator renews leases only while it has authority.
     RenewWithAuthority,
-    /// A coordinator does not renew the lease of a member while a pending write takes away a shard that
-    /// the member has not released.
+    /// While a pending write takes away a shard that a member has not released, a coordinator renews the
+    /// member's lease only together with the order to release the shard.
     NoRenewalWhileLosing,
     /// A write of unknown outcome stays pending until the outcome is known.
     KeepPendingWrite,
@@ -53,6 +53,9 @@
     TakeBackWhenTold,
     /// A coordinator refuses a report that arrives after a later one of the same router.
     RefuseLateReports,
+    /// The releases that a former run of a router reported do not count for the present run, which may serve
+    /// those shards.
+    ReleasesEndWithRun,
     /// A shard whose target does not check fencing tokens is not granted again before the last request
     /// deadline has passed.
     WaitForDeadline,
@@ -60,7 +63,7 @@
 
 impl DroppedRule {
     /// All rules.
-    pub const ALL: [Self; 21] = [
+    pub const ALL: [Self; 22] = [
         Self::RenewWithAuthority,
         Self::NoRenewalWhileLosing,
         Self::KeepPendingWrite,
@@ -81,6 +84,7 @@
         Self::TakeoverAsksOthers,
         Self::TakeBackWhenTold,
         Self::RefuseLateReports,
+        Self::ReleasesEndWithRun,
         Self::WaitForDeadline,
     ];
 
@@ -107,6 +111,7 @@
             | Self::RestartLosesStandby
             | Self::KeepPromise
             | Self::OutsiderWait => long_promise_terms(),
+            Self::ReleasesEndWithRun => short_promise_terms(),
             _ => model_terms(),
         };
         ModelOptions {
@@ -193,6 +198,9 @@
                 &[F::Partition, F::LateMessage],
                 3,
             ),
+            Self::ReleasesEndWithRun => {
+                (&[Run(A::Drain(2))], &[F::StoreReply, F::ProcessRestart], 3)
+            }
             Self::WaitForDeadline => (&[Run(OWNER_ALONE)], &[F::Request], 2),
         }
     }
--- a/crates/anvilrack-model/src/lib.rs
+++ b/crates/anvilrack-model/src/lib.rs
@@ -23,7 +23,7 @@
 pub use liveness_check::shard_recovers;
 pub use model_terms::{
     FaultKind, InitialStep, ModelOptions, ROUTER_COUNT, SearchBounds, long_authority_terms,
-    long_promise_terms, model_terms,
+    long_promise_terms, model_terms, short_promise_terms,
 };
 pub use property_check::PropertyViolation;
 pub use router_model::RouterModel;
--- a/crates/anvilrack-model/src/model_terms.rs
+++ b/crates/anvilrack-model/src/model_terms.rs
@@ -52,6 +52,17 @@
     }
 }
 
+/// Returns terms under which a standby that has restarted waits for longer than its forgotten promise
+/// lasts, as processes that restart beside their targets require.
+#[must_use]
+pub fn short_promise_terms() -> LeaseTerms {
+    LeaseTerms {
+        authority: ticks(3),
+        promise: ticks(2),
+        ..model_terms()
+    }
+}
+
 /// A kind of fault that the search may inject.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum FaultKind {
@@ -61,6 +72,8 @@
     Pause,
     /// A router fails and restarts as a new incarnation.
     Restart,
+    /// A router's process fails and restarts beside its target, whose incarnation stays.
+    ProcessRestart,
     /// A heartbeat or the reply to it arrives late.
     LateMessage,
     /// The response to a store write is lost; the write took effect, never does, or does so later.
@@ -81,10 +94,11 @@
 
 impl FaultKind {
     /// All kinds of fault.
-    pub const ALL: [Self; 11] = [
+    pub const ALL: [Self; 12] = [
         Self::Partition,
         Self::Pause,
         Self::Restart,
+        Self::ProcessRestart,
         Self::Loss,
         Self::LateMessage,
         Self::StoreReply,
--- a/crates/anvilrack-model/src/router_model.rs
+++ b/crates/anvilrack-model/src/router_model.rs
@@ -12,6 +12,8 @@
 pub struct RouterModel {
     pub(crate) node: NodeId,
     pub(crate) incarnation: Incarnation,
+    /// The router's process; its target, and with it the incarnation, may outlive it.
+    pub(crate) run: Incarnation,
     /// Whether the router has a target that is ready.
     pub(crate) ready: bool,
     /// Whether the router is leaving the cell.
@@ -38,6 +40,9 @@
     pub(crate) released: Vec<ReleaseReport>,
     /// Shards that the coordinator has ordered this router to release.
     pub(crate) release_orders: Vec<ShardId>,
+    /// Releases of the former process in the first report of this one, for the mutant that drops
+    /// [`ReleasesEndWithRun`](crate::DroppedRule::ReleasesEndWithRun).
+    pub(crate) former_releases: Vec<ReleaseReport>,
 }
 
 /// A takeover whose write has an unknown outcome.
@@ -73,6 +78,7 @@
         let node: NodeId = format!("router-{rank}").into();
         Self {
             incarnation,
+            run: incarnation,
             ready: rank != 0,
             leaving: false,
             clock_lag: 0,
@@ -87,6 +93,7 @@
             busy_until: None,
             released: Vec::new(),
             release_orders: Vec::new(),
+            former_releases: Vec::new(),
             node,
         }
     }
@@ -110,7 +117,7 @@
         MemberReport {
             member: self.member(),
             mark: ReportSequence {
-                run: self.incarnation,
+                run: self.run,
                 number: u64::try_from(now.as_millis()).unwrap_or(u64::MAX),
             },
             epoch: self.owner.epoch(),
@@ -157,6 +164,12 @@
         }
     }
 
+    /// Returns whether the router's former process was the coordinator, which this process does not know.
+    pub(crate) fn was_coordinator(&self) -> bool {
+        let restarted = self.run != self.incarnation;
+        restarted && self.known.coordinator == self.node && self.coordinator.is_none()
+    }
+
     /// Returns whether this router serves the shard, or its target still runs a request for it.
     ///
     /// With `checks_fence`, such a request does not count, since its older fencing token is refused.
--- a/crates/anvilrack-model/src/system_action.rs
+++ b/crates/anvilrack-model/src/system_action.rs
@@ -66,6 +66,8 @@
     Resume(usize),
     /// A router restarts as a new incarnation.
     Restart(usize),
+    /// The process of a router that has a target restarts; the target's incarnation stays.
+    RestartProcess(usize),
     /// A router fails and does not restart.
     Lose(usize),
     /// The store is restored from an earlier copy.
@@ -102,6 +104,7 @@
             Self::Pause(rank) => write!(f, "router-{rank}: pauses"),
             Self::Resume(rank) => write!(f, "router-{rank}: resumes"),
             Self::Restart(rank) => write!(f, "router-{rank}: restarts"),
+            Self::RestartProcess(rank) => write!(f, "router-{rank}: process restarts"),
             Self::Lose(rank) => write!(f, "router-{rank}: fails and does not restart"),
             Self::Restore => write!(f, "store: restored to the record before the last write"),
             Self::ClockSlip(rank) => write!(f, "router-{rank}: clock falls one tick behind"),
--- a/crates/anvilrack-model/src/system_state.rs
+++ b/crates/anvilrack-model/src/system_state.rs
@@ -269,6 +269,10 @@
                 let not_lost = ranks.filter(|rank| self.lost >> rank & 1 == 0);
                 actions.extend(not_lost.map(SystemAction::Restart));
             }
+            FaultKind::ProcessRestart => {
+                let targets = ranks.filter(|rank| self.lost >> rank & 1 == 0 && *rank != 0);
+                actions.extend(targets.map(SystemAction::RestartProcess));
+            }
             FaultKind::Loss => actions.extend(running.map(SystemAction::Lose)),
             FaultKind::Restore => actions.push(SystemAction::Restore),
             FaultKind::ClockSlip if self.routers.iter().all(|router| router.clock_lag == 0) => {
@@ -330,6 +334,7 @@
             SystemAction::DeliverLate(rank) => context.deliver_late(rank),
             SystemAction::BeginRequest(rank) => context.begin_request(rank),
             SystemAction::Restart(rank) => context.restart(rank),
+            SystemAction::RestartProcess(rank) => context.restart_process(rank),
             _ => next.change_environment(action),
         }
         match action {
--- a/crates/anvilrack-model/src/system_steps.rs
+++ b/crates/anvilrack-model/src/system_steps.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use anvilrack_core::{
-    BootTime, CellRecord, CoordinatorState, MemberReport, ReleaseReport, RenewalAnswer,
+    BootTime, CellRecord, CoordinatorState, MemberReport, OwnerState, ReleaseReport, RenewalAnswer,
     ReportSequence, StandbyState, TakeoverStep, WriterStamp,
 };
 
@@ -182,7 +182,11 @@
     }
 
     fn report(&self, rank: usize) -> MemberReport {
-        let mut report = self.state.routers[rank].report(self.state.clock(rank));
+        let router = &self.state.routers[rank];
+        let mut report = router.report(self.state.clock(rank));
+        report
+            .released
+            .extend(router.former_releases.iter().cloned());
         if self.setup.drops(DroppedRule::RefuseLateReports) {
             report.mark = ReportSequence::default();
         }
@@ -215,7 +219,11 @@
         }
         let may_renew = coordinator.may_renew(now);
         let mut answer = coordinator.on_heartbeat(report, now);
-        answer.renewed |= (!may_renew && !checks_authority) || (may_renew && !checks_lost_shards);
+        if may_renew && !checks_lost_shards && !answer.renewed {
+            answer.renewed = true;
+            answer.release.clear();
+        }
+        answer.renewed |= !may_renew && !checks_authority;
         Some((answer, router.known.clone()))
     }
 
@@ -229,6 +237,13 @@
     ) {
         self.accept(rank, update);
         let now = self.state.clock(rank);
+        // An order that comes with the first renewal of a lease takes effect before it.
+        if self.state.routers[rank].owner.lease_until() <= now {
+            let router = self.router(rank);
+            for order in &answer.release {
+                router.owner.release(order.shard);
+            }
+        }
         let lease_start = if self.setup.drops(DroppedRule::LeaseFromSending) {
             now
         } else {
@@ -238,6 +253,7 @@
         let accepts_any_version = self.setup.drops(DroppedRule::RefuseUnknownRecord);
         let router = self.router(rank);
         router.on_answer(now);
+        router.former_releases.clear();
         if answer.renewed {
             let own_epoch = if accepts_any_epoch {
                 router.owner.epoch()
@@ -333,7 +349,8 @@
                 let answer = is_running
                     .then(|| self.answer_heartbeat(to, &report))
                     .flatten();
-                if let Some((answer, update)) = answer {
+                let is_present_run = report.mark.run == self.state.routers[rank].run;
+                if let Some((answer, update)) = answer.filter(|_| is_present_run) {
                     self.handle_reply(rank, sent_at, answer, &update);
                 }
             }
@@ -391,7 +408,7 @@
             return;
         }
         let step = self.state.routers[rank].next_step(self.state.clock(rank));
-        if step != TakeoverStep::Wait {
+        if step != TakeoverStep::Wait || self.state.routers[rank].was_coordinator() {
             self.take_over(rank, step);
         }
     }
@@ -525,6 +542,27 @@
         self.state.routers[rank] = Arc::new(router);
     }
 
+    /// Restarts the process of a router: it forgets all but its target, and a heartbeat that it has sent may
+    /// still arrive.
+    pub(crate) fn restart_process(&mut self, rank: usize) {
+        let old = self.state.routers[rank].clone();
+        self.restart(rank);
+        let keeps_releases = self.setup.drops(DroppedRule::ReleasesEndWithRun);
+        let (now, terms) = (self.state.clock(rank), self.setup.terms);
+        let router = self.router(rank);
+        router.incarnation = old.incarnation;
+        router.run = old.run + 1;
+        router.owner = OwnerState::new(old.node.clone(), old.incarnation, terms);
+        router.standby = StandbyState::new(old.node.clone(), old.incarnation, terms, now);
+        router.late_message = old
+            .late_message
+            .clone()
+            .filter(|message| matches!(message, LateMessage::Request { .. }));
+        if keeps_releases {
+            router.former_releases.clone_from(&old.released);
+        }
+    }
+
     pub(crate) fn begin_request(&mut self, rank: usize) {
         let now = self.state.clock(rank);
         let timeout = BootTime::from_millis(self.setup.rules.max_timeout_ms);
@@ -580,7 +618,8 @@
             RouterStep::SendHeartbeat => self.takeover.is_none(),
             RouterStep::Release => !self.release_orders.is_empty(),
             RouterStep::CheckCoordinator => {
-                self.takeover.is_some() || self.next_step(now) != TakeoverStep::Wait
+                let is_due = self.next_step(now) != TakeoverStep::Wait;
+                self.takeover.is_some() || is_due || self.was_coordinator()
             }
         }
     }
--- a/crates/anvilrack-model/tests/rule_mutants.rs
+++ b/crates/anvilrack-model/tests/rule_mutants.rs
@@ -55,5 +55,6 @@
     takeover_asks_others: TakeoverAsksOthers => AssignmentLost;
     take_back_when_told: TakeBackWhenTold => TwoOwners;
     refuse_late_reports: RefuseLateReports => TwoOwners;
+    releases_end_with_run: ReleasesEndWithRun => TwoOwners;
     wait_for_deadline: WaitForDeadline => TwoOwners;
 }
--- a/crates/anvilrack-model/tests/sound_model.rs
+++ b/crates/anvilrack-model/tests/sound_model.rs
@@ -2,7 +2,7 @@
 
 use anvilrack_model::{
     FaultKind, InitialStep, ModelOptions, RouterStep, SearchBounds, StateSearch, SystemAction,
-    long_promise_terms,
+    long_promise_terms, short_promise_terms,
 };
 
 /// Defines one test for each search: its name, the kinds of fault, the horizon in ticks, the maximum
@@ -38,6 +38,47 @@
     pause_and_restore: [Pause, Restore], 14, 2, false;
 }
 
+/// Separates the coordinator (rank 0) and the owner (rank 2) from the first standby (rank 1) and the
+/// store.
+const COORDINATOR_AND_OWNER: SystemAction = SystemAction::Partition(0b0_0101);
+
+/// Separates the coordinator from the other routers and the store.
+const STANDBY_AND_OWNER: SystemAction = SystemAction::Partition(0b0_0001);
+
+/// Defines one test for each search in which processes restart beside their targets: its name, the first
+/// fault, the other kinds of fault, the horizon in ticks and the maximum number of faults.
+macro_rules! process_restart_searches {
+    ($($name:ident: $first:expr, [$($kind:ident),*], $horizon:literal, $faults:literal;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let bounds = SearchBounds {
+                    horizon: $horizon,
+                    faults: $faults,
+                    kinds: vec![FaultKind::ProcessRestart, $(FaultKind::$kind),*],
+                    initial_steps: vec![InitialStep::Run($first)],
+                    max_states: 1_000_000,
+                    liveness: false,
+                };
+                let options = ModelOptions {
+                    terms: short_promise_terms(),
+                    ..ModelOptions::default()
+                };
+                let report = StateSearch::new(options, bounds).run();
+                assert!(!report.cut_short, "search stopped after {} states", report.states);
+                assert!(report.trace.is_none(), "{}", report.trace.unwrap());
+            }
+        )*
+    };
+}
+
+process_restart_searches! {
+    process_restarts_while_a_write_is_pending: SystemAction::Drain(2), [StoreReply], 14, 3;
+    process_restarts_after_a_late_message: SystemAction::Drain(2), [LateMessage], 10, 3;
+    process_restarts_in_a_partition: COORDINATOR_AND_OWNER, [], 20, 2;
+    process_restarts_without_its_coordinator: STANDBY_AND_OWNER, [], 20, 2;
+}
+
 /// A standby makes a promise, restarts and is named as standby again. A promise of its earlier
 /// incarnation must no longer count as one of the new incarnation.
 #[test]
--- a/crates/anvilrack-node/src/ownership/member_role.rs
+++ b/crates/anvilrack-node/src/ownership/member_role.rs
@@ -1,9 +1,10 @@
 //! The member role: sends heartbeats, holds the lease and monitors the coordinator.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
-use anvilrack_core::{CellRecord, Epoch, ShardId, TakeoverStep, events};
+use anvilrack_core::{CellRecord, Epoch, RenewalAnswer, ShardId, TakeoverStep, events};
 use anvilrack_router::boot_clock;
 
 use crate::guard::IncarnationState;
@@ -71,6 +72,7 @@
     }
     let answer = reply.answer;
     node.standby().on_answer(boot_clock::now());
+    let releases = stop_serving(node, &answer);
     if answer.renewed {
         node.owner()
             .on_renewal(sent_at, answer.epoch, answer.version);
@@ -78,15 +80,26 @@
     }
     node.grants.forget_reassigned(&node.owner());
     resume_released_shards(node, answer.epoch, &answer.keep);
-    for order in answer.release {
-        let held = node.owner().held().any(|(shard, _)| shard == order.shard);
-        if held {
-            tokio::spawn(grant_maintainer::release_shard(node.clone(), order.shard));
-        }
+    for shard in releases {
+        tokio::spawn(grant_maintainer::release_shard(node.clone(), shard));
     }
     true
 }
 
+/// Stops serving the held shards that the coordinator orders this router to release; returns them.
+///
+/// This happens before the renewal is applied, because another router may get the shards at any time.
+fn stop_serving<D: PlatformDialect>(node: &NodeState<D>, answer: &RenewalAnswer) -> Vec<ShardId> {
+    let mut owner = node.owner();
+    let held: BTreeSet<ShardId> = owner.held().map(|(shard, _)| shard).collect();
+    let ordered = answer.release.iter().map(|order| order.shard);
+    let releases: Vec<ShardId> = ordered.filter(|shard| held.contains(shard)).collect();
+    for shard in &releases {
+        owner.release(*shard);
+    }
+    releases
+}
+
 /// Resumes serving released shards that the coordinator wants this router to keep, unless another
 /// coordinator has taken over since.
 fn resume_released_shards<D: PlatformDialect>(node: &NodeState<D>, epoch: Epoch, keep: &[ShardId]) {
--- a/crates/anvilrack-router/src/membership.rs
+++ b/crates/anvilrack-router/src/membership.rs
@@ -1,12 +1,12 @@
 //! Membership in the cell: heartbeats to the coordinator, the lease, and the release of shards.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
 use anvilrack_core::{
-    CellRecord, Epoch, ReleaseOrder, ReleaseReport, RenewalAnswer, ServiceName, ShardId,
-    TakeoverStep, events,
+    CellRecord, Epoch, ReleaseOrder, ReleaseReport, ServiceName, ShardId, TakeoverStep, events,
 };
 use anvilrack_peer::LinkClass;
 use anvilrack_wire::{HeartbeatReply, HeartbeatRequest, PeerReply, PeerRequest};
@@ -76,6 +76,7 @@
     context.accept_update(reply.update);
     let answer = reply.answer;
     context.standby().on_answer(boot_clock::now());
+    let releases = stop_serving(context, answer.release);
     if answer.renewed {
         context
             .owner()
@@ -83,7 +84,10 @@
     }
     forget_reassigned_releases(context);
     resume_kept_shards(context, answer.epoch, &answer.keep);
-    start_releases(context, answer);
+    for order in releases {
+        let context = context.clone();
+        thread::spawn(move || release_shard(&context, &order));
+    }
     true
 }
 
@@ -176,17 +180,18 @@
     }
 }
 
-fn start_releases(context: &Arc<RouterContext>, answer: RenewalAnswer) {
-    for order in answer.release {
-        let held = context
-            .owner()
-            .held()
-            .any(|(shard, _)| shard == order.shard);
-        if held {
-            let context = context.clone();
-            thread::spawn(move || release_shard(&context, &order));
-        }
+/// Stops serving the held shards that the coordinator orders this router to release; returns these orders.
+///
+/// This happens before the renewal is applied, because another router may get the shards at any time.
+fn stop_serving(context: &RouterContext, orders: Vec<ReleaseOrder>) -> Vec<ReleaseOrder> {
+    let mut owner = context.owner();
+    let held: BTreeSet<ShardId> = owner.held().map(|(shard, _)| shard).collect();
+    let orders = orders.into_iter();
+    let releases: Vec<_> = orders.filter(|order| held.contains(&order.shard)).collect();
+    for order in &releases {
+        owner.release(order.shard);
     }
+    releases
 }
 
 /// Stops serving a shard, waits for its last request, hands over its at-most-once record and
