--- a/crates/anvilrack-core/src/lib.rs
+++ b/crates/anvilrack-core/src/lib.rs
@@ -45,7 +45,7 @@
     PlacementHistory, PlacementPolicy, PlacementReason, PlacementView, RecordDelta, RecordHistory,
     RecordStamp, ReleaseOrder, ReleaseReport, RenewalAnswer, ReportSequence, RouteError,
     RouteTable, ShardHash, ShardLoad, ShardMeter, ShardOwner, ShardPermit, ShardRoute,
-    StandbyState, StoreReading, StoreStamp, TableChanges, TakeoverStep, WriterStamp,
+    StandbyState, StoreReading, StoreStamp, TableChanges, TakeoverStep, TargetHolds, WriterStamp,
     placement_decisions,
 };
 pub use planned_stop::{PlannedStop, StopBacklog, StopPhase};
--- a/crates/anvilrack-core/src/ownership/mod.rs
+++ b/crates/anvilrack-core/src/ownership/mod.rs
@@ -16,6 +16,7 @@
 mod shard_hash;
 mod shard_meter;
 mod standby_state;
+mod target_holds;
 
 pub use cell_record::{CellMember, CellRecord, ShardOwner, WriterStamp};
 pub use coordinator_state::{
@@ -37,3 +38,4 @@
 pub use shard_hash::ShardHash;
 pub use shard_meter::{ShardLoad, ShardMeter};
 pub use standby_state::{StandbyState, TakeoverStep};
+pub use target_holds::TargetHolds;
--- a/crates/anvilrack-model/src/dropped_rule.rs
+++ b/crates/anvilrack-model/src/dropped_rule.rs
@@ -56,6 +56,10 @@
     /// The releases that a former run of a router reported do not count for the present run, which may serve
     /// those shards.
     ReleasesEndWithRun,
+    /// A release is reported only once no grant that got no response can take effect any more.
+    ReleaseAfterLateGrants,
+    /// A process that has restarted assumes that grants of its former process may still take effect.
+    FormerGrantsPending,
     /// A shard whose target does not check fencing tokens is not granted again before the last request
     /// deadline has passed.
     WaitForDeadline,
@@ -63,7 +67,7 @@
 
 impl DroppedRule {
     /// All rules.
-    pub const ALL: [Self; 22] = [
+    pub const ALL: [Self; 24] = [
         Self::RenewWithAuthority,
         Self::NoRenewalWhileLosing,
         Self::KeepPendingWrite,
@@ -85,6 +89,8 @@
         Self::TakeBackWhenTold,
         Self::RefuseLateReports,
         Self::ReleasesEndWithRun,
+        Self::ReleaseAfterLateGrants,
+        Self::FormerGrantsPending,
         Self::WaitForDeadline,
     ];
 
@@ -111,7 +117,7 @@
             | Self::RestartLosesStandby
             | Self::KeepPromise
             | Self::OutsiderWait => long_promise_terms(),
-            Self::ReleasesEndWithRun => short_promise_terms(),
+            Self::ReleasesEndWithRun | Self::FormerGrantsPending => short_promise_terms(),
             _ => model_terms(),
         };
         ModelOptions {
@@ -201,6 +207,10 @@
             Self::ReleasesEndWithRun => {
                 (&[Run(A::Drain(2))], &[F::StoreReply, F::ProcessRestart], 3)
             }
+            Self::ReleaseAfterLateGrants => (&[Run(A::Drain(2))], &[F::LateGrant], 2),
+            Self::FormerGrantsPending => {
+                (&[Run(A::Drain(2))], &[F::LateGrant, F::ProcessRestart], 3)
+            }
             Self::WaitForDeadline => (&[Run(OWNER_ALONE)], &[F::Request], 2),
         }
     }
--- a/crates/anvilrack-model/src/model_terms.rs
+++ b/crates/anvilrack-model/src/model_terms.rs
@@ -53,10 +53,11 @@
 }
 
 /// Returns terms under which a standby that has restarted waits for longer than its forgotten promise
-/// lasts, as processes that restart beside their targets require.
+/// lasts, as processes that restart beside their targets require. A lease lasts for many heartbeats.
 #[must_use]
 pub fn short_promise_terms() -> LeaseTerms {
     LeaseTerms {
+        lease: ticks(8),
         authority: ticks(3),
         promise: ticks(2),
         ..model_terms()
@@ -74,6 +75,8 @@
     Restart,
     /// A router's process fails and restarts beside its target, whose incarnation stays.
     ProcessRestart,
+    /// A grant to a target gets no response and takes effect late.
+    LateGrant,
     /// A heartbeat or the reply to it arrives late.
     LateMessage,
     /// The response to a store write is lost; the write took effect, never does, or does so later.
@@ -94,12 +97,13 @@
 
 impl FaultKind {
     /// All kinds of fault.
-    pub const ALL: [Self; 12] = [
+    pub const ALL: [Self; 13] = [
         Self::Partition,
         Self::Pause,
         Self::Restart,
         Self::ProcessRestart,
         Self::Loss,
+        Self::LateGrant,
         Self::LateMessage,
         Self::StoreReply,
         Self::Restore,
--- a/crates/anvilrack-model/src/property_check.rs
+++ b/crates/anvilrack-model/src/property_check.rs
@@ -5,6 +5,7 @@
 use anvilrack_core::{CellRecord, FencingToken};
 
 use crate::ROUTER_COUNT;
+use crate::model_terms::ticks;
 use crate::system_state::SystemState;
 
 /// The violation of a property by a state.
@@ -12,6 +13,8 @@
 pub enum PropertyViolation {
     /// Two routers would serve the shard at the same time.
     TwoOwners,
+    /// The targets of two routers hold the shard at the same time.
+    TwoHolders,
     /// A later record lacks an assignment that was published.
     AssignmentLost,
     /// Two different records were published under the same version, or a coordinator of an older epoch
@@ -30,6 +33,14 @@
     (serving.count() > 1).then_some(PropertyViolation::TwoOwners)
 }
 
+/// Checks that at most one target holds the shard.
+pub(crate) fn check_holders(state: &SystemState) -> Option<PropertyViolation> {
+    let now = ticks(state.tick);
+    let holders = state.routers.iter();
+    let holders = holders.filter(|router| now < router.target.held_until);
+    (holders.count() > 1).then_some(PropertyViolation::TwoHolders)
+}
+
 /// Checks that, unless the store was restored, its record is not older than the newest published one.
 pub(crate) fn check_store(state: &SystemState) -> Option<PropertyViolation> {
     let is_older = !state.restored && state.store.record.version < state.newest_published.version;
--- a/crates/anvilrack-model/src/router_model.rs
+++ b/crates/anvilrack-model/src/router_model.rs
@@ -5,6 +5,7 @@
 use anvilrack_core::{
     BootTime, CellMember, CellRecord, CoordinatorState, Incarnation, LeaseTerms, MemberReport,
     NodeId, OwnerState, ReleaseReport, RenewalAnswer, ReportSequence, ShardId, StandbyState,
+    TargetHolds,
 };
 
 /// One incarnation of a router.
@@ -40,11 +41,23 @@
     pub(crate) released: Vec<ReleaseReport>,
     /// Shards that the coordinator has ordered this router to release.
     pub(crate) release_orders: Vec<ShardId>,
+    /// What this process knows about its target's holds.
+    pub(crate) holds: TargetHolds,
+    pub(crate) target: TargetModel,
     /// Releases of the former process in the first report of this one, for the mutant that drops
     /// [`ReleasesEndWithRun`](crate::DroppedRule::ReleasesEndWithRun).
     pub(crate) former_releases: Vec<ReleaseReport>,
 }
 
+/// The target beside a router, which outlives the router's process.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub(crate) struct TargetModel {
+    /// Until when the target holds the shard, by the time of the model.
+    pub(crate) held_until: BootTime,
+    /// Until when a grant that has not taken effect yet makes the target hold the shard.
+    pub(crate) late_grant: Option<BootTime>,
+}
+
 /// A takeover whose write has an unknown outcome.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct OpenTakeover {
@@ -93,11 +106,20 @@
             busy_until: None,
             released: Vec::new(),
             release_orders: Vec::new(),
+            holds: TargetHolds::default(),
+            target: TargetModel::default(),
             former_releases: Vec::new(),
             node,
         }
     }
 
+    /// Stops serving a shard and has the target release it.
+    pub(crate) fn release(&mut self, shard: ShardId) {
+        if self.owner.release(shard).is_some() {
+            self.target.held_until = BootTime::ZERO;
+        }
+    }
+
     /// Returns this router's entry for the member list of a record.
     #[must_use]
     pub fn member(&self) -> CellMember {
--- a/crates/anvilrack-model/src/system_action.rs
+++ b/crates/anvilrack-model/src/system_action.rs
@@ -47,6 +47,11 @@
     DelayPublish(usize),
     /// The next scheduled step is a heartbeat, which is sent but arrives late.
     DelayHeartbeat(usize),
+    /// The next scheduled step is a heartbeat; the grant that follows the reply gets no response and takes
+    /// effect late.
+    DelayGrant(usize),
+    /// The late grant of this router takes effect at its target.
+    ApplyLateGrant(usize),
     /// The next scheduled step is a heartbeat, and the reply to it arrives late.
     DelayReply(usize),
     /// The late heartbeat of this router, or the late reply to it, arrives.
@@ -92,6 +97,8 @@
             }
             Self::DelayPublish(rank) => write!(f, "router-{rank}: Publish skipped in this tick"),
             Self::DelayHeartbeat(rank) => write!(f, "router-{rank}: heartbeat delayed"),
+            Self::DelayGrant(rank) => write!(f, "router-{rank}: SendHeartbeat, grant delayed"),
+            Self::ApplyLateGrant(rank) => write!(f, "router-{rank}: late grant takes effect"),
             Self::DelayReply(rank) => write!(f, "router-{rank}: heartbeat reply delayed"),
             Self::DeliverLate(rank) => write!(f, "router-{rank}: late message arrives"),
             Self::ApplyDelayedWrite => write!(f, "store: delayed write arrives"),
--- a/crates/anvilrack-model/src/system_state.rs
+++ b/crates/anvilrack-model/src/system_state.rs
@@ -5,7 +5,7 @@
 use anvilrack_core::{BootTime, CellRecord, LeaseTerms, RequestClass, ServiceRules};
 
 use crate::model_terms::ticks;
-use crate::property_check::{PropertyViolation, check_owners, check_store};
+use crate::property_check::{PropertyViolation, check_holders, check_owners, check_store};
 use crate::router_model::RouterModel;
 use crate::system_steps::StepContext;
 use crate::{
@@ -216,6 +216,9 @@
             actions.push(SystemAction::ApplyDelayedWrite);
         }
         for rank in 0..ROUTER_COUNT {
+            if self.routers[rank].target.late_grant.is_some() {
+                actions.push(SystemAction::ApplyLateGrant(rank));
+            }
             if self.lost >> rank & 1 == 1 {
                 continue;
             }
@@ -243,6 +246,7 @@
     fn add_faults(&self, kind: FaultKind, actions: &mut Vec<SystemAction>) {
         match kind {
             FaultKind::LateMessage => self.add_late_messages(actions),
+            FaultKind::LateGrant => self.add_late_grants(actions),
             FaultKind::SlowPublish => self.add_skipped_publish(actions),
             FaultKind::StoreReply => self.add_lost_responses(actions),
             _ if self.is_between_steps() => self.add_environment_faults(kind, actions),
@@ -293,6 +297,16 @@
         }
     }
 
+    fn add_late_grants(&self, actions: &mut Vec<SystemAction>) {
+        if let SystemAction::Step(rank, RouterStep::SendHeartbeat) = self.next_scheduled() {
+            let router = &self.routers[rank];
+            let holds_shard = router.owner.held().next().is_some();
+            if holds_shard && router.target.late_grant.is_none() {
+                actions.push(SystemAction::DelayGrant(rank));
+            }
+        }
+    }
+
     fn add_skipped_publish(&self, actions: &mut Vec<SystemAction>) {
         if let SystemAction::Step(rank, RouterStep::Publish) = self.next_scheduled() {
             actions.push(SystemAction::DelayPublish(rank));
@@ -331,6 +345,8 @@
             }
             SystemAction::DelayHeartbeat(rank) => context.delay_heartbeat(rank),
             SystemAction::DelayReply(rank) => context.delay_reply(rank),
+            SystemAction::DelayGrant(rank) => context.send_heartbeat_with_late_grant(rank),
+            SystemAction::ApplyLateGrant(rank) => context.apply_late_grant(rank),
             SystemAction::DeliverLate(rank) => context.deliver_late(rank),
             SystemAction::BeginRequest(rank) => context.begin_request(rank),
             SystemAction::Restart(rank) => context.restart(rank),
@@ -344,7 +360,9 @@
             SystemAction::DelayPublish(rank) => {
                 next.cursor = position_of(rank, RouterStep::Publish) + 1;
             }
-            SystemAction::DelayHeartbeat(rank) | SystemAction::DelayReply(rank) => {
+            SystemAction::DelayHeartbeat(rank)
+            | SystemAction::DelayReply(rank)
+            | SystemAction::DelayGrant(rank) => {
                 next.cursor = position_of(rank, RouterStep::SendHeartbeat) + 1;
             }
             _ if next == *self => return None,
@@ -381,8 +399,9 @@
     }
 
     fn check_properties(&mut self, setup: &SystemSetup) {
-        let new_violation =
-            check_owners(self, setup.options.checks_fence).or_else(|| check_store(self));
+        let new_violation = check_owners(self, setup.options.checks_fence)
+            .or_else(|| check_holders(self))
+            .or_else(|| check_store(self));
         self.violation = self.violation.or(new_violation);
     }
 
@@ -433,6 +452,7 @@
             | SystemAction::Heal
             | SystemAction::Resume(_)
             | SystemAction::DeliverLate(_)
+            | SystemAction::ApplyLateGrant(_)
             | SystemAction::ApplyDelayedWrite
     )
 }
--- a/crates/anvilrack-model/src/system_steps.rs
+++ b/crates/anvilrack-model/src/system_steps.rs
@@ -4,9 +4,10 @@
 
 use anvilrack_core::{
     BootTime, CellRecord, CoordinatorState, MemberReport, OwnerState, ReleaseReport, RenewalAnswer,
-    ReportSequence, StandbyState, TakeoverStep, WriterStamp,
+    ReportSequence, StandbyState, TakeoverStep, TargetHolds, WriterStamp,
 };
 
+use crate::model_terms::ticks;
 use crate::property_check::check_published;
 use crate::router_model::{LateMessage, OpenTakeover, RouterModel};
 use crate::system_state::{STORE_BIT, SystemSetup, SystemState};
@@ -18,6 +19,8 @@
     pub(crate) state: &'a mut SystemState,
     /// What happens to the next write, if its response is to be lost.
     outcome: Option<LostResponseOutcome>,
+    /// Whether the next grant gets no response and takes effect late.
+    delays_grant: bool,
 }
 
 /// What a writer learns about its write.
@@ -33,6 +36,7 @@
             setup,
             state,
             outcome: None,
+            delays_grant: false,
         }
     }
 
@@ -241,7 +245,7 @@
         if self.state.routers[rank].owner.lease_until() <= now {
             let router = self.router(rank);
             for order in &answer.release {
-                router.owner.release(order.shard);
+                router.release(order.shard);
             }
         }
         let lease_start = if self.setup.drops(DroppedRule::LeaseFromSending) {
@@ -279,6 +283,39 @@
         }
         let orders = answer.release.into_iter();
         router.release_orders = orders.map(|order| order.shard).collect();
+        self.grant(rank);
+    }
+
+    /// Grants the shard to the target until the lease ends, if this router may serve the shard.
+    fn grant(&mut self, rank: usize) {
+        let delays_grant = std::mem::take(&mut self.delays_grant);
+        let (now, model_time) = (self.state.clock(rank), ticks(self.state.tick));
+        if self.state.routers[rank].owner.grant(0, now).is_err() {
+            return;
+        }
+        let router = self.router(rank);
+        let hold = router.owner.lease_until().saturating_sub(now);
+        let until = model_time + hold;
+        if delays_grant {
+            router.target.late_grant = Some(until);
+            router.holds.on_unanswered(0, now, hold);
+        } else {
+            router.target.held_until = router.target.held_until.max(until);
+            router.holds.on_granted(0, now, hold);
+        }
+    }
+
+    pub(crate) fn send_heartbeat_with_late_grant(&mut self, rank: usize) {
+        self.delays_grant = true;
+        self.send_heartbeat(rank);
+    }
+
+    /// Lets the late grant of a router take effect, which it does also after a release.
+    pub(crate) fn apply_late_grant(&mut self, rank: usize) {
+        let target = &mut self.router(rank).target;
+        if let Some(until) = target.late_grant.take() {
+            target.held_until = target.held_until.max(until);
+        }
     }
 
     /// Stops serving the shards that the coordinator has ordered this router to release, and reports the
@@ -288,15 +325,16 @@
     fn release_shards(&mut self, rank: usize) {
         let router = self.router(rank);
         for shard in std::mem::take(&mut router.release_orders) {
-            router.owner.release(shard);
+            router.release(shard);
         }
         self.report_releases(rank);
     }
 
-    /// Reports shards as released once their last request has ended.
+    /// Reports shards as released once their last request has ended and no grant can take effect any more.
     fn report_releases(&mut self, rank: usize) {
         let now = self.state.clock(rank);
         let reports_early = self.setup.drops(DroppedRule::ReleaseAfterRequest);
+        let ignores_grants = self.setup.drops(DroppedRule::ReleaseAfterLateGrants);
         let router = self.router(rank);
         let runs_request = router.busy_until.is_some_and(|until| now < until);
         let reports = router.owner.released().map(|(shard, token)| ReleaseReport {
@@ -305,7 +343,11 @@
             record_at: None,
             handover: None,
         });
-        router.released = reports.filter(|_| reports_early || !runs_request).collect();
+        let may_be_granted = now < router.holds.may_take_effect_until(0);
+        router.released = reports
+            .filter(|_| reports_early || !runs_request)
+            .filter(|_| ignores_grants || !may_be_granted)
+            .collect();
     }
 
     // --- late messages --------------------------------------------------------------------------
@@ -548,10 +590,15 @@
         let old = self.state.routers[rank].clone();
         self.restart(rank);
         let keeps_releases = self.setup.drops(DroppedRule::ReleasesEndWithRun);
+        let ignores_grants = self.setup.drops(DroppedRule::FormerGrantsPending);
         let (now, terms) = (self.state.clock(rank), self.setup.terms);
         let router = self.router(rank);
         router.incarnation = old.incarnation;
         router.run = old.run + 1;
+        router.target = old.target;
+        if !ignores_grants {
+            router.holds = TargetHolds::new(now, terms.owner_lease());
+        }
         router.owner = OwnerState::new(old.node.clone(), old.incarnation, terms);
         router.standby = StandbyState::new(old.node.clone(), old.incarnation, terms, now);
         router.late_message = old
--- a/crates/anvilrack-model/tests/rule_mutants.rs
+++ b/crates/anvilrack-model/tests/rule_mutants.rs
@@ -56,5 +56,7 @@
     take_back_when_told: TakeBackWhenTold => TwoOwners;
     refuse_late_reports: RefuseLateReports => TwoOwners;
     releases_end_with_run: ReleasesEndWithRun => TwoOwners;
+    release_after_late_grants: ReleaseAfterLateGrants => TwoHolders;
+    former_grants_pending: FormerGrantsPending => TwoHolders;
     wait_for_deadline: WaitForDeadline => TwoOwners;
 }
--- a/crates/anvilrack-model/tests/sound_model.rs
+++ b/crates/anvilrack-model/tests/sound_model.rs
@@ -30,7 +30,7 @@
 
 sound_searches! {
     shard_is_served_after_any_single_fault: [
-        Partition, Pause, Restart, Loss, LateMessage, StoreReply, Restore, ClockSlip, Request, Drain, SlowPublish
+        Partition, Pause, Restart, ProcessRestart, Loss, LateGrant, LateMessage, StoreReply, Restore, ClockSlip, Request, Drain, SlowPublish
     ], 30, 1, true;
     pause_and_lost_reply: [Pause, StoreReply], 12, 2, false;
     drain_and_restore: [Drain, Restore], 14, 2, false;
@@ -74,6 +74,7 @@
 
 process_restart_searches! {
     process_restarts_while_a_write_is_pending: SystemAction::Drain(2), [StoreReply], 14, 3;
+    process_restarts_while_a_grant_is_pending: SystemAction::Drain(2), [LateGrant], 14, 3;
     process_restarts_after_a_late_message: SystemAction::Drain(2), [LateMessage], 10, 3;
     process_restarts_in_a_partition: COORDINATOR_AND_OWNER, [], 20, 2;
     process_restarts_without_its_coordinator: STANDBY_AND_OWNER, [], 20, 2;
--- a/crates/anvilrack-node/src/node_shared/mod.rs
+++ b/crates/anvilrack-node/src/node_shared/mod.rs
@@ -143,7 +143,7 @@
             links: PeerLinks::new(site_tracker.clone()),
             site_tracker,
             crash_monitor: CrashMonitor::new(&format!("{node}/{run}")),
-            grants: TargetGrants::default(),
+            grants: TargetGrants::new(now, terms.owner_lease().min(settings.terms.longest_hold)),
             lease_terms: terms,
             run,
             started_at: now,
--- a/crates/anvilrack-node/src/ownership/grant_maintainer.rs
+++ b/crates/anvilrack-node/src/ownership/grant_maintainer.rs
@@ -1,10 +1,12 @@
 //! Keeps the grants at the local target consistent with the shards that this router owns.
 
 use std::collections::BTreeMap;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use anvilrack_core::{BootTime, FencingToken, OwnerState, ReleaseReport, ShardId, events};
+use anvilrack_core::{
+    BootTime, FencingToken, OwnerState, ReleaseReport, ShardId, TargetHolds, events,
+};
 use anvilrack_router::boot_clock;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -39,13 +41,11 @@
 /// Maximum number of concurrent grant and release calls.
 const MAX_CONCURRENT_CALLS: usize = 6;
 
-/// A target's clock may run this many percent slow, which makes the target hold keys for longer.
-const SLOW_CLOCK_PERCENT: u32 = 2;
-
 /// Grants that were sent to the target, and shards that it released.
 #[derive(Debug)]
 pub struct TargetGrants {
     grants: Mutex<BTreeMap<ShardId, AppliedGrant>>,
+    holds: Mutex<TargetHolds>,
     released: Mutex<BTreeMap<ShardId, ReleaseReport>>,
     calls: Arc<Semaphore>,
 }
@@ -56,25 +56,25 @@
     token: FencingToken,
     /// The target has confirmed that it holds the keys at least until this time.
     until: BootTime,
-    /// A call that got no response may make the target hold the keys until this time.
-    uncertain_until: BootTime,
     /// No new call is made before this time.
     pause_until: BootTime,
     /// Whether a grant call is in flight or waits for a permit.
     call_in_flight: bool,
 }
 
-impl Default for TargetGrants {
-    fn default() -> Self {
+impl TargetGrants {
+    /// Creates the state of a process that started at `started_at`; a former process may have made grant calls
+    /// for up to `longest_hold`.
+    #[must_use]
+    pub fn new(started_at: BootTime, longest_hold: Duration) -> Self {
         Self {
             grants: Mutex::default(),
+            holds: Mutex::new(TargetHolds::new(started_at, longest_hold)),
             released: Mutex::default(),
             calls: Arc::new(Semaphore::new(MAX_CONCURRENT_CALLS)),
         }
     }
-}
 
-impl TargetGrants {
     /// Returns whether the target has confirmed this grant and still holds the keys.
     #[must_use]
     pub fn is_confirmed(&self, shard: ShardId, token: FencingToken, now: BootTime) -> bool {
@@ -93,6 +93,7 @@
     /// Removes everything, because a new incarnation of the target holds no keys.
     pub fn clear(&self) {
         lock(&self.grants).clear();
+        lock(&self.holds).clear();
         lock(&self.released).clear();
     }
 
@@ -159,11 +160,15 @@
         }
     }
 
-    /// Returns whether a grant call is in flight, `uncertain_until` and `until`.
-    fn call_state(&self, shard: ShardId) -> (bool, BootTime, BootTime) {
+    /// Returns whether a grant call is in flight or waits for a permit.
+    fn is_call_in_flight(&self, shard: ShardId) -> bool {
         let grants = lock(&self.grants);
-        let grant = grants.get(&shard).copied().unwrap_or_default();
-        (grant.call_in_flight, grant.uncertain_until, grant.until)
+        grants.get(&shard).is_some_and(|grant| grant.call_in_flight)
+    }
+
+    /// Returns until when the target may hold keys; see [`TargetHolds`].
+    pub fn holds(&self) -> MutexGuard<'_, TargetHolds> {
+        lock(&self.holds)
     }
 }
 
@@ -217,6 +222,9 @@
     let call = node.dialect.grant_call(&key_range).map(Full::new);
     match send(&node, call, ConnectionAge::Any, GRANT_TIMEOUT).await {
         Ok(response) if response.status() == StatusCode::OK => {
+            node.grants
+                .holds()
+                .on_granted(shard, boot_clock::now(), hold);
             node.grants.finish_call(shard, |grant| {
                 grant.until = sent_at + hold;
             });
@@ -243,13 +251,12 @@
                 hold_ms = observe::millis(hold),
                 fault = error.to_string()
             );
-            let unsent = error.is_unsent();
+            if !error.is_unsent() {
+                node.grants
+                    .holds()
+                    .on_unanswered(shard, boot_clock::now(), hold);
+            }
             node.grants.finish_call(shard, |grant| {
-                if !unsent {
-                    // The target counts the hold from the arrival of the call, which is before now.
-                    let longest = hold + hold * SLOW_CLOCK_PERCENT / 100;
-                    grant.uncertain_until = grant.uncertain_until.max(boot_clock::now() + longest);
-                }
                 grant.pause_until = boot_clock::now() + RETRY_PAUSE;
             });
         }
@@ -264,30 +271,44 @@
     let target = node.gateway.current_incarnation();
     let incarnation = target.as_ref().map(|target| target.incarnation);
     // A grant call that is in flight could reach the target after the release.
-    while node.grants.call_state(shard).0 {
+    while node.grants.is_call_in_flight(shard) {
         sleep(POLL_INTERVAL / 4).await;
     }
     let handover = match target {
         Some(t) => release_keys(&node, range_grant(t.id, shard, token), shard, incarnation).await,
         None => None,
     };
-    let (_, uncertain_until, _) = node.grants.call_state(shard);
-    let uncertain_for = uncertain_until.saturating_sub(boot_clock::now());
-    if !uncertain_for.is_zero() && is_same_incarnation(&node, incarnation) {
-        sleep(uncertain_for).await;
-    }
+    let waited = await_late_grants(&node, shard, incarnation).await;
     emit_event!(
         Info,
         events::SHARD_RELEASED,
         shard = shard,
         token = token,
-        handed_over = handover.is_some()
+        handed_over = handover.is_some(),
+        waited_ms = observe::millis(waited)
     );
     node.grants.invalidate(shard);
     node.grants.add_release(shard, token, handover);
     node.member_updates.notify_one();
 }
 
+/// Waits until no grant of a shard can take effect any more, or the target is replaced; returns how long it took.
+async fn await_late_grants<D: PlatformDialect>(
+    node: &NodeState<D>,
+    shard: ShardId,
+    incarnation: Option<u64>,
+) -> Duration {
+    let began = boot_clock::now();
+    loop {
+        let now = boot_clock::now();
+        let until = node.grants.holds().may_take_effect_until(shard);
+        if now >= until || !is_same_incarnation(node, incarnation) {
+            return now.saturating_sub(began);
+        }
+        sleep(POLL_INTERVAL.min(until.saturating_sub(now))).await;
+    }
+}
+
 /// Has the target release a shard's keys; returns the handover value from its response.
 ///
 /// Repeats the call until the target responds, is replaced, or its hold must have expired.
@@ -302,7 +323,6 @@
         if !is_same_incarnation(node, incarnation) {
             return None;
         }
-        let (_, uncertain_until, until) = node.grants.call_state(shard);
         let call = node.dialect.release_call(&key_range).map(Full::new);
         // On a connection in use again, a copy of another response could count as the release.
         let error = match send(node, call, ConnectionAge::New, RELEASE_TIMEOUT).await {
@@ -319,9 +339,8 @@
             token = key_range.token,
             fault = error
         );
-        let longest = until.max(uncertain_until);
-        let margin = longest.saturating_sub(boot_clock::now()) * SLOW_CLOCK_PERCENT / 100;
-        if boot_clock::now() > longest + margin + node.lease_terms.drift_margin {
+        let held_until = node.grants.holds().may_hold_until(shard);
+        if boot_clock::now() > held_until + node.lease_terms.drift_margin {
             // The hold has expired without a release.
             return None;
         }
--- a/crates/anvilrack-node/src/ownership/member_role.rs
+++ b/crates/anvilrack-node/src/ownership/member_role.rs
@@ -88,9 +88,15 @@
 
 /// Stops serving the held shards that the coordinator orders this router to release; returns them.
 ///
-/// This happens before the renewal is applied, because another router may get the shards at any time.
+/// This happens before the renewal is applied, because another router may get the shards at any time. While the
+/// lease is valid none can, so orders are left to a later reply as long as a release could not be reported yet.
 fn stop_serving<D: PlatformDialect>(node: &NodeState<D>, answer: &RenewalAnswer) -> Vec<ShardId> {
+    let now = boot_clock::now();
+    let former_grants_pending = now < node.grants.holds().former_until();
     let mut owner = node.owner();
+    if former_grants_pending && now < owner.lease_until() {
+        return Vec::new();
+    }
     let held: BTreeSet<ShardId> = owner.held().map(|(shard, _)| shard).collect();
     let ordered = answer.release.iter().map(|order| order.shard);
     let releases: Vec<ShardId> = ordered.filter(|shard| held.contains(shard)).collect();
