--- a/crates/anvilrack-node/src/guard/cold_target.rs
+++ b/crates/anvilrack-node/src/guard/cold_target.rs
@@ -279,6 +279,10 @@
     let info = node
         .dialect
         .read_response_info(response.status(), response.headers());
+    if let Some(request) = info.request {
+        pool.clear();
+        return Err(format!("the response belongs to request {request}"));
+    }
     if info.other_target.is_some() {
         return Err("another target responded".to_owned());
     }
--- a/crates/anvilrack-node/src/guard/target_gateway.rs
+++ b/crates/anvilrack-node/src/guard/target_gateway.rs
@@ -551,7 +551,15 @@
             ConnectionAge::Any
         };
         let run = node.crash_monitor.begin_run(content);
-        let result = self.pool.send(request, connection_age, time_left).await;
+        let is_refusal = |response: &Response<Bytes>| is_refusal(node, response);
+        let sent = self.pool.send_repeatable(
+            request,
+            &call.request,
+            connection_age,
+            time_left,
+            is_refusal,
+        );
+        let result = sent.await;
         slot.measured = true;
         if let Ok(response) = &result {
             let elapsed = boot_clock::now().saturating_sub(now);
@@ -841,6 +849,12 @@
     Some(request)
 }
 
+/// Returns whether a response states that the target has not run the request, which may then be sent again.
+fn is_refusal<D: PlatformDialect>(node: &NodeState<D>, response: &Response<Bytes>) -> bool {
+    let (status, headers) = (response.status(), response.headers());
+    !status.is_success() && node.dialect.read_response_info(status, headers).not_run
+}
+
 /// Returns the refusal if the target states that it has not run the request.
 fn target_refusal(info: &TargetResponseInfo, status: StatusCode) -> Option<RunReply> {
     info.not_run.then(|| RunReply::NotRun {
--- a/crates/anvilrack-node/src/http_pool.rs
+++ b/crates/anvilrack-node/src/http_pool.rs
@@ -16,7 +16,7 @@
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::body_collector::{BodyBudget, BodyDeadline, BodyError, collect_body};
-use crate::socket_options;
+use crate::{RequestId, socket_options};
 
 /// Maximum size of all response bodies that are received from a server at the same time.
 ///
@@ -41,6 +41,9 @@
 /// A server may close an idle connection just as a request is sent on it.
 const MAX_FRESH_IDLE: Duration = Duration::from_millis(700);
 
+/// Number of refused requests after which a connection is closed.
+const MAX_REFUSED_REQUESTS: usize = 32;
+
 /// Number of checks whether a server that broke a connection has exited.
 const EXIT_CHECKS: usize = 3;
 
@@ -58,8 +61,17 @@
 }
 
 #[derive(Debug)]
-struct IdleConnection {
+struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    /// Requests that the server refused on this connection.
+    ///
+    /// A second copy of a refusal may still arrive, and would answer the same request when it is sent again.
+    refused: Vec<RequestId>,
+}
+
+#[derive(Debug)]
+struct IdleConnection {
+    connection: Connection,
     idle_since: Instant,
     expires_at: Instant,
 }
@@ -148,6 +160,37 @@
         request: Request<Full<Bytes>>,
         age: ConnectionAge,
         limit: Duration,
+    ) -> Result<Response<Bytes>, SendError> {
+        self.exchange(request, age, limit, None, |_| false).await
+    }
+
+    /// Like [`Self::send`], for a request that may be sent again under the same `id` if the server refuses it.
+    ///
+    /// It is not sent on a connection on which the server has refused it, according to `is_refusal`, because
+    /// the id alone does not tell a second copy of that refusal from a response to the repeated request.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::send`].
+    pub async fn send_repeatable(
+        &self,
+        request: Request<Full<Bytes>>,
+        id: &RequestId,
+        age: ConnectionAge,
+        limit: Duration,
+        is_refusal: impl Fn(&Response<Bytes>) -> bool,
+    ) -> Result<Response<Bytes>, SendError> {
+        self.exchange(request, age, limit, Some(id), is_refusal)
+            .await
+    }
+
+    async fn exchange(
+        &self,
+        request: Request<Full<Bytes>>,
+        age: ConnectionAge,
+        limit: Duration,
+        id: Option<&RequestId>,
+        is_refusal: impl Fn(&Response<Bytes>) -> bool,
     ) -> Result<Response<Bytes>, SendError> {
         let deadline = Instant::now() + limit;
         let mut request = request;
@@ -157,11 +200,12 @@
             request.headers_mut().insert(HOST, host);
         }
         loop {
-            let (mut sender, reused) = match self.take_idle(age) {
-                Some(sender) => (sender, true),
+            let (mut connection, reused) = match self.take_idle(age, id) {
+                Some(connection) => (connection, true),
                 None => (self.connect(deadline).await?, false),
             };
-            let response = match timeout_at(deadline, sender.try_send_request(request)).await {
+            let sent = connection.sender.try_send_request(request);
+            let response = match timeout_at(deadline, sent).await {
                 Err(_) => return Err(SendError::Timeout),
                 Ok(Ok(response)) => response,
                 Ok(Err(mut error)) => match error.take_message() {
@@ -175,8 +219,11 @@
                 },
             };
             let response = self.read_response(response, deadline).await?;
+            if let Some(id) = id.filter(|_| is_refusal(&response)) {
+                connection.refused.push(id.clone());
+            }
             if age != ConnectionAge::New {
-                self.put_idle(sender, response.headers());
+                self.put_idle(connection, response.headers());
             }
             return Ok(response);
         }
@@ -211,10 +258,10 @@
                     return error.kind() == ErrorKind::ConnectionRefused;
                 }
                 Err(_) => return false,
-                Ok(sender) => {
+                Ok(connection) => {
                     sleep(EXIT_CHECK_INTERVAL).await;
-                    if !sender.is_closed() {
-                        self.put_idle(sender, &HeaderMap::new());
+                    if !connection.sender.is_closed() {
+                        self.put_idle(connection, &HeaderMap::new());
                         return false;
                     }
                 }
@@ -228,38 +275,40 @@
         self.idle_connections().clear();
     }
 
-    fn put_idle(&self, sender: SendRequest<Full<Bytes>>, headers: &HeaderMap) {
+    fn put_idle(&self, connection: Connection, headers: &HeaderMap) {
         let now = Instant::now();
-        if sender.is_closed() || has_connection_close(headers) {
+        let is_worn = connection.refused.len() >= MAX_REFUSED_REQUESTS;
+        if is_worn || connection.sender.is_closed() || has_connection_close(headers) {
             return;
         }
         let stated = stated_idle_timeout(headers).map(|time| time.saturating_sub(IDLE_MARGIN));
         let expires_at = now + stated.map_or(IDLE_TIMEOUT, |time| time.min(IDLE_TIMEOUT));
         self.idle_connections().push(IdleConnection {
-            sender,
+            connection,
             idle_since: now,
             expires_at,
         });
     }
 
-    fn take_idle(&self, age: ConnectionAge) -> Option<SendRequest<Full<Bytes>>> {
+    /// Takes the newest idle connection of the given age on which the request has not been refused.
+    fn take_idle(&self, age: ConnectionAge, id: Option<&RequestId>) -> Option<Connection> {
         let now = Instant::now();
         let mut idle = self.idle_connections();
-        idle.retain(|connection| connection.expires_at > now && !connection.sender.is_closed());
-        let newest = idle.last()?;
-        let fresh = now.duration_since(newest.idle_since) < MAX_FRESH_IDLE;
+        idle.retain(|idle| idle.expires_at > now && !idle.connection.sender.is_closed());
+        let newest = idle.iter().rposition(|idle| {
+            let refused = &idle.connection.refused;
+            !id.is_some_and(|id| refused.contains(id))
+        })?;
+        let fresh = now.duration_since(idle[newest].idle_since) < MAX_FRESH_IDLE;
         let usable = match age {
             ConnectionAge::Any => true,
             ConnectionAge::Fresh => fresh,
             ConnectionAge::New => false,
         };
-        if !usable {
-            return None;
-        }
-        idle.pop().map(|connection| connection.sender)
+        usable.then(|| idle.remove(newest).connection)
     }
 
-    async fn connect(&self, deadline: Instant) -> Result<SendRequest<Full<Bytes>>, SendError> {
+    async fn connect(&self, deadline: Instant) -> Result<Connection, SendError> {
         let deadline = deadline.min(Instant::now() + self.connect_timeout);
         let stream = timeout_at(deadline, TcpStream::connect(self.address))
             .await
@@ -271,7 +320,10 @@
             .map_err(|_| SendError::NotSent)?;
         // The request on the connection reports its errors.
         tokio::spawn(async move { connection.await.ok() });
-        Ok(sender)
+        Ok(Connection {
+            sender,
+            refused: Vec::new(),
+        })
     }
 
     fn idle_connections(&self) -> std::sync::MutexGuard<'_, Vec<IdleConnection>> {
