--- a/crates/anvilrack-node/src/directory/metadata_store.rs
+++ b/crates/anvilrack-node/src/directory/metadata_store.rs
@@ -125,6 +125,26 @@
     Removed(Arc<str>),
 }
 
+impl StoreChange {
+    /// Returns the changed key.
+    #[must_use]
+    pub fn key(&self) -> &Arc<str> {
+        match self {
+            Self::Written(item) => &item.key,
+            Self::Removed(key) => key,
+        }
+    }
+
+    /// Returns the item if the key was written.
+    #[must_use]
+    pub fn into_written(self) -> Option<StoreItem> {
+        match self {
+            Self::Written(item) => Some(item),
+            Self::Removed(_) => None,
+        }
+    }
+}
+
 /// One conditional write.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StoreWrite {
