Late in a planned stop, send what must not run twice only if it times out in time

What was seen, in a test after a report from other operators: a request that must not run twice entered 3.8 s after SIGTERM, was sent to a target, and its connection was closed at the end of the stop, while the target was at work (LOST).

Cause: from 3 s after the signal, a request was sent if the longest duration of its kind and a quarter of it fitted before the end. That is an expectation; a target that had just become slow did not keep to it.

Change: for what must not run twice only the time until it times out counts then. It is refused otherwise, and the caller can go to another router, which it could not after an abort.

--- a/crates/anvilrack-core/src/stop_admission.rs
+++ b/crates/anvilrack-core/src/stop_admission.rs
@@ -32,6 +32,8 @@
     pub durations: Option<KindDurations>,
     /// Whether the request is a call of a run in progress, which fails if the call is refused.
     pub is_call: bool,
+    /// Whether the request must not run twice, so that its caller cannot send it again if it is aborted.
+    pub run_once: bool,
 }
 
 impl StopAdmission {
@@ -65,6 +67,8 @@
             request
                 .durations
                 .map_or(Duration::ZERO, |known| known.median)
+        } else if request.run_once {
+            Duration::MAX
         } else {
             request.durations.map_or(Duration::MAX, |known| {
                 let is_new = !request.is_call;
--- a/crates/anvilrack-core/tests/stop_admission.rs
+++ b/crates/anvilrack-core/tests/stop_admission.rs
@@ -35,6 +35,14 @@
             tail: ms(tail),
         }),
         is_call: false,
+        run_once: false,
+    }
+}
+
+fn once(request: StopRequest) -> StopRequest {
+    StopRequest {
+        run_once: true,
+        ..request
     }
 }
 
@@ -67,6 +75,8 @@
     unknown_work_is_sent_while_it_may_be_cut_off: request(None, 8_000) => Some(2_990);
     unknown_work_is_sent_if_it_times_out_in_time: request(None, 2_000) => Some(3_550);
     time_left_bounds_long_work: request(Some((280, 4_000)), 1_000) => Some(4_550);
+    request_that_must_not_run_twice_is_sent_if_it_times_out_in_time: once(request(Some((60, 100)), 1_000)) => Some(4_550);
+    request_that_must_not_run_twice_is_not_sent_on_an_expectation: once(request(Some((60, 100)), 8_000)) => Some(2_990);
     call_of_a_run_is_sent_longer_than_a_new_request: StopRequest { is_call: true, ..request(Some((280, 1_000)), 8_000) } => Some(4_550);
 }
 
@@ -186,6 +196,7 @@
             time_left: TIMEOUT,
             durations: durations.of_kind(&kind),
             is_call: false,
+            run_once: false,
         };
         if admission.admits(&request, now) {
             counts.sent += 1;
--- a/crates/anvilrack-node/src/callers/caller_request.rs
+++ b/crates/anvilrack-node/src/callers/caller_request.rs
@@ -133,7 +133,7 @@
         ));
     }
     let timeout = head.time_left.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
-    if !node.may_send(&route.name, &service, timeout) {
+    if !node.may_send(&route, &service, timeout) {
         return Err(EarlyRefusal::new(
             StatusCode::SERVICE_UNAVAILABLE,
             RefusalReason::Stopping.as_str(),
--- a/crates/anvilrack-node/src/guard/target_gateway.rs
+++ b/crates/anvilrack-node/src/guard/target_gateway.rs
@@ -511,6 +511,7 @@
             time_left: call.time_left,
             durations: lock(&self.durations).of_kind(&call.route),
             is_call: lock(&self.call_routes).is_call(&call.route),
+            run_once: call.run_once,
         }
     }
 
--- a/crates/anvilrack-node/src/node_shared/stop_rules.rs
+++ b/crates/anvilrack-node/src/node_shared/stop_rules.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anvilrack_core::{StopAdmission, StopRequest, UncertainReason};
+use anvilrack_core::{RouteRules, StopAdmission, StopRequest, UncertainReason};
 use anvilrack_router::boot_clock;
 
 use super::NodeState;
@@ -23,11 +23,12 @@
 
     /// Returns whether a request that entered at this router may be sent to a target.
     #[must_use]
-    pub fn may_send(&self, route: &Arc<str>, service: &str, time_left: Duration) -> bool {
+    pub fn may_send(&self, route: &RouteRules, service: &str, time_left: Duration) -> bool {
         self.admits_at_stop(service, || StopRequest {
             time_left,
-            durations: lock(&self.entry_durations).of_kind(route),
-            is_call: self.entry_admission().is_call(route),
+            durations: lock(&self.entry_durations).of_kind(&route.name),
+            is_call: self.entry_admission().is_call(&route.name),
+            run_once: !route.idempotent,
         })
     }
 
--- a/crates/anvilrack-node/src/routing/forward.rs
+++ b/crates/anvilrack-node/src/routing/forward.rs
@@ -225,7 +225,7 @@
         if self.node.is_ending() {
             return self.refuse(RefusalReason::Stopping, NO_TARGET_RETRY_AFTER);
         }
-        let (route, service) = (&self.request.route.name, &self.request.service);
+        let (route, service) = (&self.request.route, &self.request.service);
         if !self.node.may_send(route, service, self.time_left()) {
             return self.refuse(RefusalReason::Stopping, NO_TARGET_RETRY_AFTER);
         }
