Take a target for ended only if its address refuses connections

What could happen, seen in the code by the review: any error of connecting to a target but a time-out counted as its end, also a lack of descriptors in the router. The keys were released, and given to others, while the target held them.

Cause: SendError::NoConnection stands for all errors of connecting. has_exited told them apart, handle_send_error did not. Change: SendError::shows_exit is asked in both places. The request is refused as not run in either case, as before.

--- a/crates/anvilrack-node/src/guard/target_gateway.rs
+++ b/crates/anvilrack-node/src/guard/target_gateway.rs
@@ -658,7 +658,7 @@
         error: &SendError,
     ) -> (RunReply, Bytes) {
         let reply = match error {
-            SendError::NoConnection(..) => {
+            error if error.shows_exit() => {
                 if lock(&self.incarnations).end(target.incarnation) {
                     node.on_target_gone(target, &error.to_string());
                 }
--- a/crates/anvilrack-node/src/http_pool.rs
+++ b/crates/anvilrack-node/src/http_pool.rs
@@ -108,6 +108,17 @@
 }
 
 impl SendError {
+    /// Returns true if no process listens at the server's address any more.
+    ///
+    /// A failure on this side, such as a lack of descriptors, says nothing about the server.
+    #[must_use]
+    pub fn shows_exit(&self) -> bool {
+        let Self::NoConnection(_, error) = self else {
+            return false;
+        };
+        error.kind() == ErrorKind::ConnectionRefused
+    }
+
     /// Returns true if the server cannot have received the request.
     #[must_use]
     pub fn is_unsent(&self) -> bool {
@@ -254,10 +265,7 @@
     pub async fn has_exited(&self) -> bool {
         for _ in 0..EXIT_CHECKS {
             match self.connect(Instant::now() + self.connect_timeout).await {
-                Err(SendError::NoConnection(_, error)) => {
-                    return error.kind() == ErrorKind::ConnectionRefused;
-                }
-                Err(_) => return false,
+                Err(error) => return error.shows_exit(),
                 Ok(connection) => {
                     sleep(EXIT_CHECK_INTERVAL).await;
                     if !connection.sender.is_closed() {
