--- a/crates/anvilrack-node/src/http_pool.rs
+++ b/crates/anvilrack-node/src/http_pool.rs
@@ -285,8 +285,8 @@
 
     fn put_idle(&self, connection: Connection, headers: &HeaderMap) {
         let now = Instant::now();
-        let is_worn = connection.refused.len() >= MAX_REFUSED_REQUESTS;
-        if is_worn || connection.sender.is_closed() || has_connection_close(headers) {
+        let has_many_refusals = connection.refused.len() >= MAX_REFUSED_REQUESTS;
+        if has_many_refusals || connection.sender.is_closed() || has_connection_close(headers) {
             return;
         }
         let stated = stated_idle_timeout(headers).map(|time| time.saturating_sub(IDLE_MARGIN));
