Replace case 8 by slow readers, which no earlier case shows

Cause: part two of the review showed that review/5 already has long uploads.

Change: review/8 is about 24 clients that read answers of 10 MB slowly; its driver takes the place of the former one.

--- a/review/lab-2/src/main.rs
+++ b/review/lab-2/src/main.rs
@@ -13,8 +13,8 @@
 
 mod cut_response;
 mod forgotten_start;
-mod full_memory;
 mod reborn_holder;
+mod slow_readers;
 mod unseen_crash;
 
 use std::process::exit;
@@ -59,7 +59,7 @@
     match case {
         "reborn-holder" => reborn_holder::play(record, trouble),
         "forgotten-start" => forgotten_start::play(record, trouble),
-        "full-memory" => full_memory::play(record, trouble),
+        "slow-readers" => slow_readers::play(record, trouble),
         "cut-response" => cut_response::play(record, trouble),
         "unseen-crash" => unseen_crash::play(record, trouble),
         _ => Err(format!("no case {case}")),
