--- a/review/lab-2/src/reborn_holder.rs
+++ b/review/lab-2/src/reborn_holder.rs
@@ -1,8 +1,8 @@
 //! OWNER: a server crashes and starts again under its id; before its first liveness report, its router renews the
 //! grants of its former life.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use crate::Verdict;
@@ -28,57 +28,48 @@
         slack: 56,
     };
     let mut site = Site::start(record, bounds, &document)?;
-    for zone in ["cordoba-a", "rosario-a", "neuquen-a", "cordoba-b"] {
+    for zone in [
+        "cordoba-a",
+        "rosario-a",
+        "neuquen-a",
+        "cordoba-b",
+        "rosario-b",
+        "neuquen-b",
+    ] {
         site.add("catalogo", true, zone, None, 9, BEAT, true);
     }
     site.await_ready(true, Duration::from_secs(30))?;
     std::thread::sleep(Duration::from_secs(3));
 
-    // Clients ask for all keys, and somewhat more often for those of the first server.
+    // Clients ask for all keys but those in `quiet`.
     let first = site.servers[0].clone();
-    let own: Vec<u32> = first.held_ranges().iter().map(|(from, _)| *from).collect();
-    let others: Vec<u32> = site.servers[1..]
-        .iter()
-        .flat_map(|server| server.held_ranges())
-        .map(|(from, _)| from)
-        .collect();
+    let keys: Vec<u32> = (0..1_024).map(|part| part * 64).collect();
+    let quiet: Arc<Mutex<Vec<(u32, u32)>>> = Arc::default();
     let done = Arc::new(AtomicBool::new(false));
-    let paused = Arc::new(AtomicBool::new(false));
     let callers: Vec<_> = site.routers.iter().map(|router| router.callers).collect();
-    let clients: Vec<_> = [
-        ("a", own, 25, paused.clone()),
-        ("b", others, 50, Arc::default()),
-    ]
-    .into_iter()
-    .map(|(name, keys, pause_ms, paused)| {
-        let (done, record, callers) = (done.clone(), record.clone(), callers.clone());
+    let client = {
+        let (done, quiet, record) = (done.clone(), quiet.clone(), record.clone());
         std::thread::spawn(move || {
             for number in 0.. {
-                while paused.load(Ordering::Relaxed) {
-                    std::thread::sleep(Duration::from_millis(10));
-                }
                 if done.load(Ordering::Relaxed) {
                     return;
                 }
-                let id = format!("{name}{number:06}");
+                std::thread::sleep(Duration::from_millis(50));
                 let key = keys[number * 37 % keys.len()];
+                let is_quiet = |(from, to): &(u32, u32)| (*from..=*to).contains(&key);
+                if quiet.lock().unwrap().iter().any(is_quiet) {
+                    continue;
+                }
+                let id = format!("r{number:06}");
                 let bytes = client_request("GET", HOST, "/stock/w2/2f", &id, 1_500, Some(key), b"");
-                ask(
-                    &record,
-                    callers[number % callers.len()],
-                    &id,
-                    &bytes,
-                    Duration::from_millis(1_600),
-                )
-                .ok();
-                std::thread::sleep(Duration::from_millis(pause_ms));
+                let callers = callers[number % callers.len()];
+                ask(&record, callers, &id, &bytes, Duration::from_millis(1_600)).ok();
             }
         })
-    })
-    .collect();
-    std::thread::sleep(Duration::from_secs(14));
-    // Nobody asks for keys of the first server for three seconds.
-    paused.store(true, Ordering::Relaxed);
+    };
+    std::thread::sleep(Duration::from_secs(4));
+    // Nobody asks for the keys of the first server for three seconds.
+    *quiet.lock().unwrap() = first.held_ranges();
     std::thread::sleep(Duration::from_millis(300));
     record.add(format!(
         "server {} holds {} keys",
@@ -87,25 +78,24 @@
     ));
     if trouble {
         first.crash();
-        std::thread::sleep(DOWN);
-        let id = first.id();
-        first.begin(&id, FIRST_BEAT);
-        std::thread::sleep(FIRST_BEAT - Duration::from_millis(50));
-        record.add(format!(
-            "server {} holds {} keys just before its first report",
-            first.settings.name,
-            first.held()
-        ));
-        std::thread::sleep(Duration::from_millis(850));
-    } else {
-        std::thread::sleep(Duration::from_millis(2_700));
     }
-    paused.store(false, Ordering::Relaxed);
+    // Planned work: an empty server is added.
+    site.add("catalogo", true, "cordoba-a", None, 9, BEAT, true);
+    std::thread::sleep(DOWN);
+    if trouble {
+        first.begin(&first.id(), FIRST_BEAT);
+    }
+    std::thread::sleep(FIRST_BEAT - Duration::from_millis(50));
+    record.add(format!(
+        "server {} holds {} keys just before the first report of its new life, if it has one",
+        first.settings.name,
+        first.held()
+    ));
+    std::thread::sleep(Duration::from_millis(850));
+    quiet.lock().unwrap().clear();
     std::thread::sleep(Duration::from_secs(6));
     done.store(true, Ordering::Relaxed);
-    for client in clients {
-        client.join().ok();
-    }
+    client.join().ok();
     let broken = check(record, &site.seen.holds.lock().unwrap());
     Ok(broken)
 }
