--- a/review/lab-2/src/forgotten_start.rs
+++ b/review/lab-2/src/forgotten_start.rs
@@ -18,9 +18,9 @@
 const LONG: usize = 6;
 /// Short requests a second at each of the two machines with servers of `listing`: 71 million over 20,000 nodes.
 const PER_S: u64 = 3_550;
-const CLIENTS: u64 = 10;
+const CLIENTS: u64 = 20;
 /// Started requests after which the link is reset.
-const STARTED: usize = 20_500;
+const STARTED: usize = 20_200;
 
 pub fn play(record: &Record, trouble: bool) -> Verdict {
     let document = include_str!("../wire/holds.json").replace("HOST", HOST);
@@ -102,7 +102,7 @@
             .filter(|run| run.server == relayed)
             .count()
     };
-    while started() < STARTED && began.elapsed() < Duration::from_millis(7_300) {
+    while started() < STARTED && began.elapsed() < Duration::from_millis(7_400) {
         std::thread::sleep(Duration::from_millis(50));
     }
     let started = started();
@@ -153,7 +153,7 @@
         ));
         broken += usize::from(refused || ran > 1);
     }
-    if counts.len() < LONG || started < STARTED {
+    if counts.len() < LONG || (trouble && started < STARTED) {
         return Err("the requests did not reach the servers in time".into());
     }
     Ok(broken > 0)
