Release the keys that a restarted target took before its router knew

Cause: a grant reaches whatever listens at the target's address, known to the router or not, so the news of a life is no evidence that earlier grants are void. Five places took it for that: the coordinator (is_free), the router at a new incarnation (TargetGrants::clear, TargetHolds::clear), releases that ended early with the incarnation, and a refused connection that voided also what the next life had taken since and what was in flight. Refused grants were ignored.

Change: TargetHolds alone knows what may be held at the address. A hold ends with its time, an answered release, or a refused connection that was attempted after its call had ended. The router releases the shards that the record assigns to other incarnations (OwnerState::former) and reports them; the coordinator waits for that or for the end of the former lease. A refused grant or release ends the incarnation. anvilrack-router reports the shards of its former process in its first heartbeat.

--- a/crates/anvilrack-core/src/catalogue/event_catalogue.rs
+++ b/crates/anvilrack-core/src/catalogue/event_catalogue.rs
@@ -41,14 +41,14 @@
     TASK_RESTARTED = 1008, "task.restarted", "A task that runs for the life of the process was started again after an unexpected error.";
     TARGET_ANNOUNCED = 1101, "target.announced", "A target announced itself to the router next to it.";
     TARGET_READY = 1102, "target.ready", "The readiness that the target reports has changed.";
-    TARGET_SEEN = 1103, "target.seen", "The target next to this router started a new incarnation; reports its id, start time and slots.";
+    TARGET_SEEN = 1103, "target.seen", "The target next to this router started a new incarnation; reports its id and slots, and how many shards the record still assigns to the one before.";
     TARGET_LEAVING = 1104, "target.leaving", "The target accepts no new requests; reports the reason and the time since it was last heard from.";
-    TARGET_GONE = 1105, "target.gone", "The target has exited; reports how this was detected.";
+    TARGET_GONE = 1105, "target.gone", "The target has exited; reports how this was detected, how many shards it owned, and how many of these a process that has started since may hold.";
     NOTICE_REFUSED = 1106, "target.notice-refused", "A target notification arrived late or could not be parsed, and was ignored.";
     GRANT_TAKEN = 1201, "grant.taken", "This router was granted shards; reports the shards and their fencing tokens.";
     GRANT_ENDED = 1202, "grant.ended", "This router's grants ended; reports the reason.";
     LEASE_LAPSED = 1203, "lease.lapsed", "The lease expired before it was renewed.";
-    SHARD_RELEASED = 1204, "shard.released", "A shard was released for a planned move.";
+    SHARD_RELEASED = 1204, "shard.released", "A shard was released, for a planned move or because another incarnation of the target owned it; reports how long grants without a response delayed it.";
     TARGET_TOLD = 1205, "target.told", "The target was notified of grants and releases; reports how many.";
     GRANT_UNANSWERED = 1206, "grant.unanswered", "The target did not respond to a grant or release, which may still take effect.";
     GRANT_REFUSED = 1207, "grant.refused", "The target refused a grant; reports the status and the fencing token.";
--- a/crates/anvilrack-core/src/ownership/cell_record.rs
+++ b/crates/anvilrack-core/src/ownership/cell_record.rs
@@ -68,6 +68,22 @@
             })
     }
 
+    /// Returns the shards that other incarnations of a router own, with their fencing tokens.
+    pub fn owned_by_other_incarnations<'a>(
+        &'a self,
+        node: &'a str,
+        incarnation: Incarnation,
+    ) -> impl Iterator<Item = (ShardId, FencingToken)> + 'a {
+        self.shards
+            .iter()
+            .zip(0..)
+            .filter_map(move |(owner, shard)| {
+                let owner = owner.as_ref()?;
+                let other = &*owner.node == node && owner.incarnation != incarnation;
+                other.then_some((shard, owner.token))
+            })
+    }
+
     /// Returns the record with which `member` takes over the cell as its coordinator.
     ///
     /// Its version and tokens are greater than any that the former coordinator can still issue. A router
--- a/crates/anvilrack-core/src/ownership/coordinator_state.rs
+++ b/crates/anvilrack-core/src/ownership/coordinator_state.rs
@@ -59,6 +59,8 @@
     former_runs: Vec<Incarnation>,
     /// When the current incarnation of this member replaced an older one.
     replaced_at: BootTime,
+    /// Latest time at which any lease of an incarnation that was replaced expires.
+    former_lease_until: BootTime,
     released: BTreeMap<ShardId, ReleaseReport>,
 }
 
@@ -278,17 +280,20 @@
     /// Discards the releases reported by a member and the moves they belong to; returns those shards.
     ///
     /// Earlier reports of the member no longer lead to a new owner. Shards that a pending write reassigns
-    /// are excluded, since that write may still take effect.
+    /// are excluded, since that write may still take effect, and so are those of a former incarnation, which the
+    /// member cannot serve.
     fn forget_releases(&mut self, node: &NodeId) -> Vec<ShardId> {
         let Some(view) = self.members.get_mut(node) else {
             return Vec::new();
         };
         let (record, pending) = (&self.record, &self.pending);
+        let incarnation = view.member.as_ref().map(|member| member.incarnation);
         let token = |record: &CellRecord, shard| record.owner(shard).map(|owner| owner.token);
         let mut kept: Vec<ShardId> = view.released.keys().copied().collect();
         kept.retain(|shard| {
+            let owner = record.owner(*shard).map(|owner| owner.incarnation);
             let is_reassigned = |next| token(next, *shard) != token(record, *shard);
-            !pending.as_ref().is_some_and(is_reassigned)
+            owner == incarnation && !pending.as_ref().is_some_and(is_reassigned)
         });
         for shard in &kept {
             view.released.remove(shard);
@@ -688,9 +693,7 @@
         let Some(view) = self.members.get(&owner.node) else {
             return false;
         };
-        if self.release_of(shard).is_some() {
-            return true;
-        }
+        let is_released = self.release_of(shard).is_some();
         // A target that does not check fencing tokens may process a request until the request's deadline.
         let fence_wait = if rules.checks_fence {
             BootTime::ZERO
@@ -699,9 +702,15 @@
         };
         let newer = |member: &CellMember| member.incarnation > owner.incarnation;
         if view.member.as_ref().is_some_and(newer) {
-            return now >= view.replaced_at + fence_wait;
+            // The target may have been granted the shard again after it had started as the new incarnation.
+            let held_until = if is_released {
+                view.replaced_at
+            } else {
+                view.former_lease_until + self.terms.drift_margin
+            };
+            return now >= held_until + fence_wait;
         }
-        now >= view.lease_until + self.terms.drift_margin + fence_wait
+        is_released || now >= view.lease_until + self.terms.drift_margin + fence_wait
     }
 
     fn plan_moves(&mut self, rules: &ServiceRules, now: BootTime) {
@@ -802,6 +811,19 @@
     }
 }
 
+impl ReleaseReport {
+    /// Creates the report of a release without an at-most-once record and without handover data.
+    #[must_use]
+    pub fn new(shard: ShardId, token: FencingToken) -> Self {
+        Self {
+            shard,
+            token,
+            record_at: None,
+            handover: None,
+        }
+    }
+}
+
 impl PendingLosses {
     fn none() -> Self {
         Self {
@@ -831,6 +853,7 @@
             newest_report: ReportSequence::default(),
             former_runs: Vec::new(),
             replaced_at: BootTime::ZERO,
+            former_lease_until: BootTime::ZERO,
             released: BTreeMap::new(),
         }
     }
@@ -861,6 +884,7 @@
         self.newest_report = report.mark;
         if known != Some(report.member.incarnation) {
             self.replaced_at = now;
+            self.former_lease_until = self.former_lease_until.max(self.lease_until);
         }
         self.member = Some(report.member.clone());
         self.ready = report.ready;
--- a/crates/anvilrack-core/src/ownership/owner_state.rs
+++ b/crates/anvilrack-core/src/ownership/owner_state.rs
@@ -29,6 +29,7 @@
     version: CellVersion,
     lease_until: BootTime,
     grants: BTreeMap<ShardId, ShardGrant>,
+    former_grants: BTreeMap<ShardId, FencingToken>,
 }
 
 /// A shard that the cell's record grants to this incarnation.
@@ -65,6 +66,7 @@
             version: 0,
             lease_until: BootTime::ZERO,
             grants: BTreeMap::new(),
+            former_grants: BTreeMap::new(),
         }
     }
 
@@ -118,6 +120,9 @@
                 (shard, grant)
             })
             .collect();
+        self.former_grants = record
+            .owned_by_other_incarnations(&self.node, self.incarnation)
+            .collect();
     }
 
     /// Applies the reply to a heartbeat that was sent at `sent_at`; returns whether it was
@@ -188,6 +193,15 @@
             .map(|(shard, grant)| (*shard, grant.token))
     }
 
+    /// Iterates over the shards that the record grants to another incarnation of this router.
+    ///
+    /// This incarnation does not serve them. They have no next owner until it has reported them as released, or
+    /// the lease of the other incarnation has expired.
+    pub fn former(&self) -> impl Iterator<Item = (ShardId, FencingToken)> + '_ {
+        let grants = self.former_grants.iter();
+        grants.map(|(shard, token)| (*shard, *token))
+    }
+
     /// Returns the newest epoch seen.
     #[must_use]
     pub fn epoch(&self) -> Epoch {
--- a/crates/anvilrack-core/src/ownership/target_holds.rs
+++ b/crates/anvilrack-core/src/ownership/target_holds.rs
@@ -7,11 +7,20 @@
 /// A target's clock may run this many percent slow, which makes the target hold keys for longer.
 const SLOW_CLOCK_PERCENT: u32 = 2;
 
-/// Times until which the local target may hold the keys of each shard.
+/// Times until which whatever listens at the local target's address may hold the keys of each shard.
 ///
-/// A grant call without a response may take effect late, also after a release; its hold counts from the arrival
-/// of the call. The target outlives the router's process, so this also holds for the calls of the former
-/// process, of which this one knows nothing but the longest hold that they asked for.
+/// A grant call reaches the process that listens at the address at that moment. A target that has started again
+/// under its id takes it before its router learns of the restart, so a new incarnation of the target ends no hold.
+/// A hold ends
+///
+/// - when its time is over, which counts from the arrival of the call;
+/// - when the target responds to a release, unless the grant call got no response: such a call may take effect
+///   late, also after the release;
+/// - when the address refuses a connection that was attempted after the call ended: the process that got the call
+///   has exited.
+///
+/// The target outlives the router's process, so this also holds for the calls of the former process, of which this
+/// one knows nothing but the longest hold that they asked for.
 ///
 /// ```
 /// use std::time::Duration;
@@ -36,6 +45,8 @@
     unanswered_until: BootTime,
     /// The target holds the keys until this time because of a call that it responded to.
     answered_until: BootTime,
+    /// When the latest call ended, with or without a response.
+    last_call_at: BootTime,
 }
 
 impl TargetHolds {
@@ -56,6 +67,7 @@
         let until = now + at_target(hold);
         let entry = self.shards.entry(shard).or_default();
         entry.unanswered_until = entry.unanswered_until.max(until);
+        entry.last_call_at = entry.last_call_at.max(now);
     }
 
     /// Records that the target responded at `now` that it holds the keys of a shard for `hold`.
@@ -63,6 +75,21 @@
         let until = now + at_target(hold);
         let entry = self.shards.entry(shard).or_default();
         entry.answered_until = entry.answered_until.max(until);
+        entry.last_call_at = entry.last_call_at.max(now);
+    }
+
+    /// Records that the target responded to a release of a shard, for which no grant call was in flight.
+    pub fn on_released(&mut self, shard: ShardId) {
+        if let Some(entry) = self.shards.get_mut(&shard) {
+            entry.answered_until = BootTime::ZERO;
+        }
+    }
+
+    /// Records that the target's address refused a connection that was attempted after `attempted_at`.
+    pub fn on_exit(&mut self, attempted_at: BootTime) {
+        self.former_until = BootTime::ZERO;
+        self.shards
+            .retain(|_, entry| entry.last_call_at >= attempted_at);
     }
 
     /// Returns until when a grant of a shard may take effect although the target has released it.
@@ -86,13 +113,6 @@
     pub fn former_until(&self) -> BootTime {
         self.former_until
     }
-
-    /// Forgets the grants of this process, because a new incarnation of the target holds no keys.
-    ///
-    /// The former process may have made calls to this very incarnation, so these still count.
-    pub fn clear(&mut self) {
-        self.shards.clear();
-    }
 }
 
 /// Returns how long a hold may last by this router's clock.
--- a/crates/anvilrack-core/tests/coordinator_state.rs
+++ b/crates/anvilrack-core/tests/coordinator_state.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use anvilrack_core::{
-    BootTime, CellRecord, CoordinatorState, Incarnation, MemberReport, ReleaseReport,
+    BootTime, CellRecord, CoordinatorState, Incarnation, MemberReport, NodeId, ReleaseReport,
     RenewalAnswer, ReportSequence, RequestClass, ServiceRules, ShardOwner, WriterStamp,
 };
 
@@ -134,6 +134,17 @@
     report
 }
 
+/// Returns the name, incarnation and fencing token of the owner of shard 0 in the next record to write.
+///
+/// The write does not take effect.
+fn owner_planned(coordinator: &mut CoordinatorState, now: BootTime) -> (NodeId, Incarnation, u64) {
+    let planned = coordinator.plan(&rules(), 0, now);
+    coordinator.on_refused();
+    let record = planned.as_ref().unwrap_or(coordinator.record());
+    let owner = record.owner(0).expect("the shard has an owner");
+    (owner.node.clone(), owner.incarnation, owner.token)
+}
+
 fn rules() -> ServiceRules {
     ServiceRules {
         divided_by_key: true,
@@ -254,6 +265,66 @@
         assert!(coordinator.on_heartbeat(&numbered(2, 0), ms(1_010)).renewed);
     }
 
+    // A target had started again and taken the grants of its former life before it reported itself, and its shards
+    // were given to others at once.
+    new_incarnation_frees_no_shard_before_its_release => {
+        let mut coordinator = coordinator_with_shard_of_b();
+        coordinator.on_heartbeat(&report("b", 1), ms(950));
+        assert!(coordinator.on_heartbeat(&report("b", 2), ms(1_000)).renewed);
+        assert_eq!(owner_planned(&mut coordinator, ms(1_050)), ("b".into(), 1, 1));
+        let released = MemberReport {
+            released: report_with_release_by_b().released,
+            ..report("b", 2)
+        };
+        coordinator.on_heartbeat(&released, ms(1_100));
+        assert_ne!(owner_planned(&mut coordinator, ms(1_150)), ("b".into(), 1, 1));
+    }
+
+    // The lease that the new incarnation renews must not keep the shards of the former one without an owner.
+    shard_of_a_former_incarnation_is_free_once_its_lease_has_expired => {
+        let mut coordinator = coordinator_with_shard_of_b();
+        coordinator.on_heartbeat(&report("b", 1), ms(950));
+        for heartbeat in 0..5 {
+            let now = ms(1_000 + 200 * heartbeat);
+            coordinator.on_store_read(&coordinator.record().clone(), now);
+            coordinator.on_heartbeat(&report("b", 2), now);
+            coordinator.on_heartbeat(&report("a", 1), now);
+            assert_eq!(owner_planned(&mut coordinator, now), ("b".into(), 1, 1));
+        }
+        // One lease and one drift margin after the last heartbeat of the former incarnation.
+        assert_ne!(owner_planned(&mut coordinator, ms(2_000)), ("b".into(), 1, 1));
+    }
+
+    // A coordinator that has taken over knows neither the former incarnation nor its last heartbeat.
+    new_coordinator_waits_for_the_release_by_a_new_incarnation => {
+        let record = coordinator_with_shard_of_b().record().clone();
+        let mut coordinator =
+            CoordinatorState::new(record, terms(), ms(0), ms(0), terms().silent_wait());
+        coordinator.on_heartbeat(&report("a", 1), ms(100));
+        coordinator.on_heartbeat(&report("b", 2), ms(100));
+        assert_eq!(owner_planned(&mut coordinator, ms(150)), ("b".into(), 1, 1));
+        let released = MemberReport {
+            released: report_with_release_by_b().released,
+            ..report("b", 2)
+        };
+        coordinator.on_heartbeat(&released, ms(200));
+        assert_ne!(owner_planned(&mut coordinator, ms(250)), ("b".into(), 1, 1));
+    }
+
+    // While the store is unavailable, released shards are returned to their member, which cannot serve those of its
+    // former incarnation.
+    shards_of_a_former_incarnation_are_not_returned => {
+        let mut coordinator = coordinator_with_shard_of_b();
+        coordinator.on_promise(&"b".into(), ms(1_000));
+        let released = MemberReport {
+            released: report_with_release_by_b().released,
+            ..report("b", 2)
+        };
+        let answer = coordinator.on_heartbeat(&released, ms(1_600));
+        assert!(answer.keep.is_empty());
+        assert_ne!(owner_planned(&mut coordinator, ms(1_650)), ("b".into(), 1, 1));
+    }
+
     member_is_silent_until_its_heartbeat_arrives => {
         let mut coordinator = coordinator();
         let silent = |coordinator: &CoordinatorState, now| coordinator.silent_members(ms(900), now).count();
--- a/crates/anvilrack-node/src/guard/target_gateway.rs
+++ b/crates/anvilrack-node/src/guard/target_gateway.rs
@@ -151,7 +151,7 @@
     /// The reply states whether the request ran, did not run or may have run.
     pub async fn run<D: PlatformDialect>(
         &self,
-        node: &NodeState<D>,
+        node: &Arc<NodeState<D>>,
         call: RunCall,
         body: Bytes,
     ) -> (RunReply, Bytes) {
@@ -519,7 +519,7 @@
 
     async fn send<D: PlatformDialect>(
         &self,
-        node: &NodeState<D>,
+        node: &Arc<NodeState<D>>,
         call: RunCall,
         body: Bytes,
         run: AdmittedRun<'_>,
@@ -580,7 +580,7 @@
                 (reply, body)
             }
             Err(error) => {
-                let reply = self.handle_send_error(node, &call, &target, &error);
+                let reply = self.handle_send_error(node, &call, &target, now, &error);
                 match error {
                     // The target may still be at work.
                     SendError::Timeout => drop(run),
@@ -652,16 +652,14 @@
 
     fn handle_send_error<D: PlatformDialect>(
         &self,
-        node: &NodeState<D>,
+        node: &Arc<NodeState<D>>,
         call: &RunCall,
         target: &TargetIncarnation,
+        sent_at: BootTime,
         error: &SendError,
     ) -> (RunReply, Bytes) {
         let reply = match error {
-            error if error.shows_exit() => {
-                if lock(&self.incarnations).end(target.incarnation) {
-                    node.on_target_gone(target, &error.to_string());
-                }
+            error if self.detect_refusal(node, target, sent_at, error) => {
                 return not_run(RefusalReason::OwnerUnreachable, GONE_RETRY_AFTER);
             }
             error if error.is_unsent() => {
@@ -731,7 +729,7 @@
     /// Returns whether an incarnation that broke a connection has crashed.
     async fn has_crashed<D: PlatformDialect>(
         &self,
-        node: &NodeState<D>,
+        node: &Arc<NodeState<D>>,
         target: &TargetIncarnation,
     ) -> bool {
         let is_over = || {
@@ -740,25 +738,55 @@
                 current.incarnation != target.incarnation || current.state == IncarnationState::Gone
             })
         };
+        let checked_at = boot_clock::now();
         if is_over() || !self.pool.has_exited().await {
             return is_over();
         }
-        if lock(&self.incarnations).end(target.incarnation) {
-            node.on_target_gone(target, "it broke a connection and refuses new ones");
-        }
+        let shown_by = "it broke a connection and refuses new ones";
+        self.end_incarnation(node, target, checked_at, shown_by);
         true
     }
 
     /// Checks whether the target has exited, and if so ends its incarnation.
-    pub async fn detect_exit<D: PlatformDialect>(&self, node: &NodeState<D>) {
+    pub async fn detect_exit<D: PlatformDialect>(&self, node: &Arc<NodeState<D>>) {
         let serving = self
             .current_incarnation()
             .filter(|target| target.state == IncarnationState::Serving);
+        let checked_at = boot_clock::now();
         if let Some(target) = serving
             && self.pool.has_exited().await
-            && lock(&self.incarnations).end(target.incarnation)
         {
-            node.on_target_gone(&target, "it refuses connections");
+            self.end_incarnation(node, &target, checked_at, "it refuses connections");
+        }
+    }
+
+    /// Ends an incarnation if the error of a call sent at `sent_at` shows that the target has exited; returns
+    /// whether it does.
+    pub fn detect_refusal<D: PlatformDialect>(
+        &self,
+        node: &Arc<NodeState<D>>,
+        target: &TargetIncarnation,
+        sent_at: BootTime,
+        error: &SendError,
+    ) -> bool {
+        let exited = error.shows_exit();
+        if exited {
+            self.end_incarnation(node, target, sent_at, &error.to_string());
+        }
+        exited
+    }
+
+    /// Ends an incarnation because the target refused a connection that was attempted after `attempted_at`.
+    fn end_incarnation<D: PlatformDialect>(
+        &self,
+        node: &Arc<NodeState<D>>,
+        target: &TargetIncarnation,
+        attempted_at: BootTime,
+        shown_by: &str,
+    ) {
+        node.grants.holds().on_exit(attempted_at);
+        if lock(&self.incarnations).end(target.incarnation) {
+            node.on_target_gone(target, shown_by);
         }
     }
 
--- a/crates/anvilrack-node/src/node_shared/cell_records.rs
+++ b/crates/anvilrack-node/src/node_shared/cell_records.rs
@@ -14,7 +14,7 @@
 use super::NodeState;
 use crate::guard::TargetIncarnation;
 use crate::mutex_lock::lock;
-use crate::ownership::{PackedCell, PackedDelta, refresh_cell, release_all};
+use crate::ownership::{PackedCell, PackedDelta, refresh_cell, release_all, release_exited};
 use crate::peers::{CellRequest, CellUpdate, RecordVersion};
 use crate::{PlatformDialect, emit_event};
 
@@ -216,26 +216,29 @@
 
     // --- incarnations of the target --------------------------------------------------------------
 
-    /// Resets ownership for a new incarnation of the target, which holds no keys yet.
+    /// Resets ownership for a new incarnation of the target, which serves no keys yet.
+    ///
+    /// It may hold keys of the former one, which the next heartbeat begins to release.
     pub fn on_new_incarnation(self: &Arc<Self>) {
         let Some(new) = self.gateway.current_incarnation() else {
             return;
         };
+        let node = self.settings.node.clone();
+        let mut owner = OwnerState::new(node, new.incarnation, self.lease_terms);
+        if let Some(cell) = self.cell(&self.settings.service) {
+            owner.on_record(&cell, boot_clock::now());
+        }
         emit_event!(
             Info,
             events::TARGET_SEEN,
             target = &*new.id,
             incarnation = new.incarnation,
-            slots = new.slots
+            slots = new.slots,
+            former_shards = owner.former().count()
         );
-        let node = self.settings.node.clone();
-        let mut owner = OwnerState::new(node, new.incarnation, self.lease_terms);
-        if let Some(cell) = self.cell(&self.settings.service) {
-            owner.on_record(&cell, boot_clock::now());
-        }
         *self.owner() = owner;
         self.standby().set_incarnation(new.incarnation);
-        self.grants.clear();
+        self.grants.invalidate_all();
         self.publish_entry();
         self.member_updates.notify_one();
     }
@@ -251,19 +254,17 @@
     }
 
     /// Releases all shards because the target's incarnation has ended.
-    pub fn on_target_gone(&self, target: &TargetIncarnation, shown_by: &str) {
+    pub fn on_target_gone(self: &Arc<Self>, target: &TargetIncarnation, shown_by: &str) {
+        let (shards, unreleased) = release_exited(self);
         emit_event!(
             Warn,
             events::TARGET_GONE,
             target = &*target.id,
             incarnation = target.incarnation,
-            shown_by = shown_by
+            shown_by = shown_by,
+            shards = shards,
+            unreleased = unreleased
         );
-        let held: Vec<_> = self.owner().held().collect();
-        for (shard, token) in held {
-            self.owner().release(shard);
-            self.grants.add_release(shard, token, None);
-        }
         self.entry_updates.notify_one();
         let service = self.settings.service.clone();
         self.refresh_selector(&service);
--- a/crates/anvilrack-node/src/ownership/grant_maintainer.rs
+++ b/crates/anvilrack-node/src/ownership/grant_maintainer.rs
@@ -1,6 +1,6 @@
 //! Keeps the grants at the local target consistent with the shards that this router owns.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -47,6 +47,8 @@
     grants: Mutex<BTreeMap<ShardId, AppliedGrant>>,
     holds: Mutex<TargetHolds>,
     released: Mutex<BTreeMap<ShardId, ReleaseReport>>,
+    /// Releases that have begun and not ended.
+    releasing: Mutex<BTreeSet<(ShardId, FencingToken)>>,
     calls: Arc<Semaphore>,
 }
 
@@ -71,6 +73,7 @@
             grants: Mutex::default(),
             holds: Mutex::new(TargetHolds::new(started_at, longest_hold)),
             released: Mutex::default(),
+            releasing: Mutex::default(),
             calls: Arc::new(Semaphore::new(MAX_CONCURRENT_CALLS)),
         }
     }
@@ -90,11 +93,14 @@
         }
     }
 
-    /// Removes everything, because a new incarnation of the target holds no keys.
-    pub fn clear(&self) {
-        lock(&self.grants).clear();
-        lock(&self.holds).clear();
-        lock(&self.released).clear();
+    /// Marks all keys as not held by the target, because a new incarnation of it gets grants of its own.
+    ///
+    /// The target may hold keys all the same, because of grants that it took before this router learned of the
+    /// incarnation; see [`TargetHolds`].
+    pub fn invalidate_all(&self) {
+        for grant in lock(&self.grants).values_mut() {
+            grant.until = BootTime::ZERO;
+        }
     }
 
     /// Returns the released shards, which are reported to the coordinator.
@@ -105,17 +111,32 @@
 
     /// Removes the releases of shards that the record no longer assigns to this router.
     pub fn forget_reassigned(&self, owner: &OwnerState) {
-        let named: Vec<_> = owner.released().collect();
+        let named: BTreeSet<_> = owner.released().chain(owner.former()).collect();
         lock(&self.released).retain(|shard, report| named.contains(&(*shard, report.token)));
     }
 
+    /// Begins the release of a shard; returns false if it is under way or has ended.
+    fn begin_release(&self, shard: ShardId, token: FencingToken) -> bool {
+        let released = lock(&self.released);
+        let has_ended = released.get(&shard).is_some_and(|r| r.token == token);
+        !has_ended && lock(&self.releasing).insert((shard, token))
+    }
+
+    /// Ends the release of a shard, which [`Self::begin_release`] began.
+    fn finish_release(&self, shard: ShardId, token: FencingToken) {
+        lock(&self.releasing).remove(&(shard, token));
+    }
+
+    /// Returns whether the target cannot hold a shard, now or because of a call that is in flight.
+    fn is_free(&self, shard: ShardId, now: BootTime) -> bool {
+        !self.is_call_in_flight(shard) && lock(&self.holds).may_hold_until(shard) <= now
+    }
+
     /// Adds a release, to be reported to the coordinator.
     pub fn add_release(&self, shard: ShardId, token: FencingToken, handover: Option<Arc<str>>) {
         let report = ReleaseReport {
-            shard,
-            token,
-            record_at: None,
             handover,
+            ..ReleaseReport::new(shard, token)
         };
         lock(&self.released).insert(shard, report);
     }
@@ -216,7 +237,7 @@
         node.grants.finish_call(shard, |_| {});
         return;
     };
-    let mut key_range = range_grant(target.id, shard, token);
+    let mut key_range = range_grant(target.id.clone(), shard, token);
     key_range.hold = hold;
     key_range.handover = node.handover_of(shard);
     let call = node.dialect.grant_call(&key_range).map(Full::new);
@@ -259,26 +280,77 @@
             node.grants.finish_call(shard, |grant| {
                 grant.pause_until = boot_clock::now() + RETRY_PAUSE;
             });
+            node.gateway.detect_refusal(&node, &target, sent_at, &error);
         }
     }
 }
 
 /// Stops serving a shard, has the target release it and stores the release for the coordinator.
-pub async fn release_shard<D: PlatformDialect>(node: Arc<NodeState<D>>, shard: ShardId) {
-    let Some(token) = node.owner().release(shard) else {
-        return;
+pub fn release_shard<D: PlatformDialect>(node: &Arc<NodeState<D>>, shard: ShardId) {
+    let token = node.owner().release(shard);
+    if let Some(token) = token
+        && node.grants.begin_release(shard, token)
+    {
+        tokio::spawn(complete_release(node.clone(), shard, token));
+    }
+}
+
+/// Stops serving all shards because the target's process has exited; returns how many there are, and how many of
+/// them the target has to release because it may have started again and taken grants since.
+pub fn release_exited<D: PlatformDialect>(node: &Arc<NodeState<D>>) -> (usize, usize) {
+    let shards: Vec<_> = {
+        let mut owner = node.owner();
+        let held: Vec<_> = owner.held().collect();
+        for (shard, _) in &held {
+            owner.release(*shard);
+        }
+        held
     };
-    let target = node.gateway.current_incarnation();
-    let incarnation = target.as_ref().map(|target| target.incarnation);
+    let owned = shards.len();
+    (owned, release_unserved(node, shards))
+}
+
+/// Releases the shards that the record assigns to other incarnations of the target.
+pub fn release_former<D: PlatformDialect>(node: &Arc<NodeState<D>>) {
+    let shards: Vec<_> = node.owner().former().collect();
+    release_unserved(node, shards);
+}
+
+/// Stores the release of shards that this router does not serve; returns how many the target has to release first,
+/// because it may hold them.
+fn release_unserved<D: PlatformDialect>(
+    node: &Arc<NodeState<D>>,
+    shards: Vec<(ShardId, FencingToken)>,
+) -> usize {
+    let now = boot_clock::now();
+    let mut calls = 0;
+    for (shard, token) in shards {
+        if !node.grants.begin_release(shard, token) {
+            continue;
+        }
+        if node.grants.is_free(shard, now) {
+            node.grants.add_release(shard, token, None);
+            node.grants.finish_release(shard, token);
+        } else {
+            calls += 1;
+            tokio::spawn(complete_release(node.clone(), shard, token));
+        }
+    }
+    calls
+}
+
+/// Has the target release a shard that this router no longer serves and stores the release for the coordinator.
+async fn complete_release<D: PlatformDialect>(
+    node: Arc<NodeState<D>>,
+    shard: ShardId,
+    token: FencingToken,
+) {
     // A grant call that is in flight could reach the target after the release.
     while node.grants.is_call_in_flight(shard) {
         sleep(POLL_INTERVAL / 4).await;
     }
-    let handover = match target {
-        Some(t) => release_keys(&node, range_grant(t.id, shard, token), shard, incarnation).await,
-        None => None,
-    };
-    let waited = await_late_grants(&node, shard, incarnation).await;
+    let handover = release_keys(&node, shard, token).await;
+    let waited = await_late_grants(&node, shard, token).await;
     emit_event!(
         Info,
         events::SHARD_RELEASED,
@@ -287,84 +359,96 @@
         handed_over = handover.is_some(),
         waited_ms = observe::millis(waited)
     );
-    node.grants.invalidate(shard);
-    node.grants.add_release(shard, token, handover);
+    if is_assigned(&node, shard, token) {
+        node.grants.invalidate(shard);
+        node.grants.add_release(shard, token, handover);
+    }
+    node.grants.finish_release(shard, token);
     node.member_updates.notify_one();
 }
 
-/// Waits until no grant of a shard can take effect any more, or the target is replaced; returns how long it took.
+/// Returns whether the record assigns a shard, which this router does not serve, to this router or to another
+/// incarnation of its target.
+fn is_assigned<D: PlatformDialect>(
+    node: &NodeState<D>,
+    shard: ShardId,
+    token: FencingToken,
+) -> bool {
+    let owner = node.owner();
+    let mut unserved = owner.released().chain(owner.former());
+    unserved.any(|unserved| unserved == (shard, token))
+}
+
+/// Waits until no grant of a shard can take effect any more; returns how long it took.
 async fn await_late_grants<D: PlatformDialect>(
     node: &NodeState<D>,
     shard: ShardId,
-    incarnation: Option<u64>,
+    token: FencingToken,
 ) -> Duration {
     let began = boot_clock::now();
     loop {
         let now = boot_clock::now();
         let until = node.grants.holds().may_take_effect_until(shard);
-        if now >= until || !is_same_incarnation(node, incarnation) {
+        if now >= until || !is_assigned(node, shard, token) {
             return now.saturating_sub(began);
         }
         sleep(POLL_INTERVAL.min(until.saturating_sub(now))).await;
     }
 }
 
-/// Has the target release a shard's keys; returns the handover value from its response.
+/// Has whatever listens at the target's address release a shard's keys; returns the handover value from its
+/// response.
 ///
-/// Repeats the call until the target responds, is replaced, or its hold must have expired.
+/// Repeats the call until the target responds, it has exited, or its hold must have expired.
 async fn release_keys<D: PlatformDialect>(
     node: &Arc<NodeState<D>>,
-    key_range: KeyRangeGrant,
     shard: ShardId,
-    incarnation: Option<u64>,
+    token: FencingToken,
 ) -> Option<Arc<str>> {
     let _permit = node.grants.calls.acquire().await;
-    loop {
-        if !is_same_incarnation(node, incarnation) {
+    while is_assigned(node, shard, token) {
+        let held_until = node.grants.holds().may_hold_until(shard);
+        if boot_clock::now() > held_until + node.lease_terms.drift_margin {
             return None;
         }
+        let target = node.gateway.current_incarnation()?;
+        let key_range = range_grant(target.id.clone(), shard, token);
         let call = node.dialect.release_call(&key_range).map(Full::new);
+        let sent_at = boot_clock::now();
         // On a connection in use again, a copy of another response could count as the release.
         let error = match send(node, call, ConnectionAge::New, RELEASE_TIMEOUT).await {
             Ok(response) if response.status() == StatusCode::OK => {
+                node.grants.holds().on_released(shard);
                 return node.dialect.read_handover(response.headers());
             }
             Ok(response) => response.status().to_string(),
-            Err(error) => error.to_string(),
+            Err(error) => {
+                if node.gateway.detect_refusal(node, &target, sent_at, &error) {
+                    continue;
+                }
+                error.to_string()
+            }
         };
         emit_event!(
             Info,
             events::GRANT_UNANSWERED,
             shard = shard,
-            token = key_range.token,
+            token = token,
             fault = error
         );
-        let held_until = node.grants.holds().may_hold_until(shard);
-        if boot_clock::now() > held_until + node.lease_terms.drift_margin {
-            // The hold has expired without a release.
-            return None;
-        }
         sleep(RETRY_PAUSE).await;
     }
+    None
 }
 
 /// Releases every shard that the target holds, each as soon as the work on its keys has ended.
 pub fn release_all<D: PlatformDialect>(node: &Arc<NodeState<D>>) {
     let held: Vec<_> = node.owner().held().collect();
     for (shard, _) in held {
-        tokio::spawn(release_shard(node.clone(), shard));
+        release_shard(node, shard);
     }
 }
 
-/// Returns whether the target is alive and still the given incarnation.
-fn is_same_incarnation<D: PlatformDialect>(node: &NodeState<D>, incarnation: Option<u64>) -> bool {
-    let target = node
-        .gateway
-        .current_incarnation()
-        .filter(|target| target.state != IncarnationState::Gone);
-    target.map(|target| target.incarnation) == incarnation
-}
-
 async fn send<D: PlatformDialect>(
     node: &NodeState<D>,
     call: Request<Full<Bytes>>,
--- a/crates/anvilrack-node/src/ownership/member_role.rs
+++ b/crates/anvilrack-node/src/ownership/member_role.rs
@@ -55,6 +55,7 @@
 
 /// Sends one heartbeat and applies the reply; returns whether the coordinator replied.
 async fn send_heartbeat<D: PlatformDialect>(node: &Arc<NodeState<D>>, cell: &CellRecord) -> bool {
+    grant_maintainer::release_former(node);
     let Some(report) = node.member_report() else {
         return false;
     };
@@ -81,7 +82,7 @@
     node.grants.forget_reassigned(&node.owner());
     resume_released_shards(node, answer.epoch, &answer.keep);
     for shard in releases {
-        tokio::spawn(grant_maintainer::release_shard(node.clone(), shard));
+        grant_maintainer::release_shard(node, shard);
     }
     true
 }
--- a/crates/anvilrack-node/src/ownership/mod.rs
+++ b/crates/anvilrack-node/src/ownership/mod.rs
@@ -16,7 +16,7 @@
 pub use cell_store::read_cell;
 pub use coordinator_role::resign;
 pub use evacuated_member::leave_domain;
-pub use grant_maintainer::{TargetGrants, maintain_grants, release_all};
+pub use grant_maintainer::{TargetGrants, maintain_grants, release_all, release_exited};
 pub use member_role::run_member;
 pub use packed_cell::{PackedCell, PackedDelta};
 
--- a/crates/anvilrack-router/src/router_context.rs
+++ b/crates/anvilrack-router/src/router_context.rs
@@ -6,8 +6,8 @@
 
 use anvilrack_core::{
     CellMember, CellRecord, ConfigRecord, CoordinatorState, Incarnation, LeaseTerms, MemberReport,
-    NodeId, OwnerState, PlacementHistory, RecordDelta, ReportSequence, RouteTable, ServiceName,
-    StandbyState, events,
+    NodeId, OwnerState, PlacementHistory, RecordDelta, ReleaseReport, ReportSequence, RouteTable,
+    ServiceName, StandbyState, events,
 };
 use anvilrack_peer::PeerLinks;
 use anvilrack_settings::RouterSettings;
@@ -278,7 +278,14 @@
 
     /// Creates the report for the next heartbeat, with the next sequence number.
     pub fn report(&self) -> MemberReport {
-        let epoch = self.owner().epoch();
+        let (epoch, former) = {
+            let owner = self.owner();
+            (owner.epoch(), owner.former().collect::<Vec<_>>())
+        };
+        let mut released = self.releases.reports();
+        // The former process is the only one that served these shards, and it has ended.
+        let former = former.into_iter();
+        released.extend(former.map(|(shard, token)| ReleaseReport::new(shard, token)));
         MemberReport {
             member: self.member(),
             mark: ReportSequence {
@@ -287,7 +294,7 @@
             },
             epoch,
             ready: self.target().is_ready(boot_clock::now()),
-            released: self.releases.reports(),
+            released,
             sick: self.admission.is_unhealthy(),
             loads: self.meter.report(boot_clock::now()),
             pace_us: 0,
