Let targets restart beside their routers in the specification

Change: the fault TargetRestart, after which a router learns of the restart at any later time; the rule HoldsOutlastIncarnation with its mutant; seven searches.

--- a/crates/anvilrack-model/src/dropped_rule.rs
+++ b/crates/anvilrack-model/src/dropped_rule.rs
@@ -60,6 +60,9 @@
     ReleaseAfterLateGrants,
     /// A process that has restarted assumes that grants of its former process may still take effect.
     FormerGrantsPending,
+    /// A target that has started again may hold what its router granted before it learned of the restart, until the
+    /// target has released it.
+    HoldsOutlastIncarnation,
     /// A shard whose target does not check fencing tokens is not granted again before the last request
     /// deadline has passed.
     WaitForDeadline,
@@ -67,7 +70,7 @@
 
 impl DroppedRule {
     /// All rules.
-    pub const ALL: [Self; 24] = [
+    pub const ALL: [Self; 25] = [
         Self::RenewWithAuthority,
         Self::NoRenewalWhileLosing,
         Self::KeepPendingWrite,
@@ -91,6 +94,7 @@
         Self::ReleasesEndWithRun,
         Self::ReleaseAfterLateGrants,
         Self::FormerGrantsPending,
+        Self::HoldsOutlastIncarnation,
         Self::WaitForDeadline,
     ];
 
@@ -211,6 +215,7 @@
             Self::FormerGrantsPending => {
                 (&[Run(A::Drain(2))], &[F::LateGrant, F::ProcessRestart], 3)
             }
+            Self::HoldsOutlastIncarnation => (&[Run(A::RestartTarget(2))], &[F::Drain], 2),
             Self::WaitForDeadline => (&[Run(OWNER_ALONE)], &[F::Request], 2),
         }
     }
--- a/crates/anvilrack-model/src/liveness_check.rs
+++ b/crates/anvilrack-model/src/liveness_check.rs
@@ -13,7 +13,7 @@
 
 /// Returns whether the shard is served again once all faults have ended.
 ///
-/// Late messages and a delayed write arrive first; then the schedule runs without faults.
+/// Late messages and a delayed write arrive first, and routers learn of restarts of their targets; then the schedule runs without faults.
 #[must_use]
 pub fn shard_recovers(state: &SystemState, options: ModelOptions) -> bool {
     recovers(state, &SystemSetup::new(options))
@@ -54,8 +54,17 @@
         if state.is_paused(rank) {
             continue;
         }
-        if let Some(next) = state.apply(setup, SystemAction::DeliverLate(rank)) {
-            state = next;
+        for action in [
+            SystemAction::DeliverLate(rank),
+            SystemAction::NoticeTarget(rank),
+        ] {
+            let has_noticed = !state.routers[rank].target.restarted;
+            if has_noticed && action == SystemAction::NoticeTarget(rank) {
+                continue;
+            }
+            if let Some(next) = state.apply(setup, action) {
+                state = next;
+            }
         }
     }
     state
--- a/crates/anvilrack-model/src/model_terms.rs
+++ b/crates/anvilrack-model/src/model_terms.rs
@@ -75,6 +75,8 @@
     Restart,
     /// A router's process fails and restarts beside its target, whose incarnation stays.
     ProcessRestart,
+    /// A target fails and starts again beside its router, which learns of this at any later time.
+    TargetRestart,
     /// A grant to a target gets no response and takes effect late.
     LateGrant,
     /// A heartbeat or the reply to it arrives late.
@@ -97,11 +99,12 @@
 
 impl FaultKind {
     /// All kinds of fault.
-    pub const ALL: [Self; 13] = [
+    pub const ALL: [Self; 14] = [
         Self::Partition,
         Self::Pause,
         Self::Restart,
         Self::ProcessRestart,
+        Self::TargetRestart,
         Self::Loss,
         Self::LateGrant,
         Self::LateMessage,
--- a/crates/anvilrack-model/src/router_model.rs
+++ b/crates/anvilrack-model/src/router_model.rs
@@ -56,6 +56,8 @@
     pub(crate) held_until: BootTime,
     /// Until when a grant that has not taken effect yet makes the target hold the shard.
     pub(crate) late_grant: Option<BootTime>,
+    /// Whether the target has started again and its router does not know yet.
+    pub(crate) restarted: bool,
 }
 
 /// A takeover whose write has an unknown outcome.
@@ -120,6 +122,21 @@
         }
     }
 
+    /// Returns whether the target may hold a shard of a former incarnation.
+    pub(crate) fn holds_former(&self, now: BootTime) -> bool {
+        let mut former = self.owner.former();
+        former.any(|(shard, _)| now < self.holds.may_hold_until(shard))
+    }
+
+    /// Has the target release the shards of its former incarnations.
+    pub(crate) fn release_former(&mut self) {
+        let former: Vec<_> = self.owner.former().collect();
+        for (shard, _) in former {
+            self.target.held_until = BootTime::ZERO;
+            self.holds.on_released(shard);
+        }
+    }
+
     /// Returns this router's entry for the member list of a record.
     #[must_use]
     pub fn member(&self) -> CellMember {
--- a/crates/anvilrack-model/src/system_action.rs
+++ b/crates/anvilrack-model/src/system_action.rs
@@ -73,6 +73,10 @@
     Restart(usize),
     /// The process of a router that has a target restarts; the target's incarnation stays.
     RestartProcess(usize),
+    /// The target of a router starts again; it holds nothing, and takes the grants that its router goes on sending.
+    RestartTarget(usize),
+    /// A router learns that its target has started again, which makes it a new incarnation.
+    NoticeTarget(usize),
     /// A router fails and does not restart.
     Lose(usize),
     /// The store is restored from an earlier copy.
@@ -112,6 +116,8 @@
             Self::Resume(rank) => write!(f, "router-{rank}: resumes"),
             Self::Restart(rank) => write!(f, "router-{rank}: restarts"),
             Self::RestartProcess(rank) => write!(f, "router-{rank}: process restarts"),
+            Self::RestartTarget(rank) => write!(f, "router-{rank}: target restarts"),
+            Self::NoticeTarget(rank) => write!(f, "router-{rank}: learns of its target's restart"),
             Self::Lose(rank) => write!(f, "router-{rank}: fails and does not restart"),
             Self::Restore => write!(f, "store: restored to the record before the last write"),
             Self::ClockSlip(rank) => write!(f, "router-{rank}: clock falls one tick behind"),
--- a/crates/anvilrack-model/src/system_state.rs
+++ b/crates/anvilrack-model/src/system_state.rs
@@ -224,9 +224,14 @@
             }
             if self.is_paused(rank) {
                 actions.push(SystemAction::Resume(rank));
-            } else if self.routers[rank].late_message.is_some() {
+                continue;
+            }
+            if self.routers[rank].late_message.is_some() {
                 actions.push(SystemAction::DeliverLate(rank));
             }
+            if self.routers[rank].target.restarted {
+                actions.push(SystemAction::NoticeTarget(rank));
+            }
         }
     }
 
@@ -277,6 +282,10 @@
                 let targets = ranks.filter(|rank| self.lost >> rank & 1 == 0 && *rank != 0);
                 actions.extend(targets.map(SystemAction::RestartProcess));
             }
+            FaultKind::TargetRestart => {
+                let targets = ranks.filter(|rank| self.lost >> rank & 1 == 0 && *rank != 0);
+                actions.extend(targets.map(SystemAction::RestartTarget));
+            }
             FaultKind::Loss => actions.extend(running.map(SystemAction::Lose)),
             FaultKind::Restore => actions.push(SystemAction::Restore),
             FaultKind::ClockSlip if self.routers.iter().all(|router| router.clock_lag == 0) => {
@@ -351,6 +360,8 @@
             SystemAction::BeginRequest(rank) => context.begin_request(rank),
             SystemAction::Restart(rank) => context.restart(rank),
             SystemAction::RestartProcess(rank) => context.restart_process(rank),
+            SystemAction::RestartTarget(rank) => context.restart_target(rank),
+            SystemAction::NoticeTarget(rank) => context.notice_target(rank),
             _ => next.change_environment(action),
         }
         match action {
@@ -453,6 +464,7 @@
             | SystemAction::Resume(_)
             | SystemAction::DeliverLate(_)
             | SystemAction::ApplyLateGrant(_)
+            | SystemAction::NoticeTarget(_)
             | SystemAction::ApplyDelayedWrite
     )
 }
--- a/crates/anvilrack-model/src/system_steps.rs
+++ b/crates/anvilrack-model/src/system_steps.rs
@@ -9,7 +9,7 @@
 
 use crate::model_terms::ticks;
 use crate::property_check::check_published;
-use crate::router_model::{LateMessage, OpenTakeover, RouterModel};
+use crate::router_model::{LateMessage, OpenTakeover, RouterModel, TargetModel};
 use crate::system_state::{STORE_BIT, SystemSetup, SystemState};
 use crate::{DroppedRule, LostResponseOutcome, ROUTER_COUNT, RouterStep};
 
@@ -327,6 +327,7 @@
         for shard in std::mem::take(&mut router.release_orders) {
             router.release(shard);
         }
+        router.release_former();
         self.report_releases(rank);
     }
 
@@ -337,16 +338,16 @@
         let ignores_grants = self.setup.drops(DroppedRule::ReleaseAfterLateGrants);
         let router = self.router(rank);
         let runs_request = router.busy_until.is_some_and(|until| now < until);
-        let reports = router.owner.released().map(|(shard, token)| ReleaseReport {
-            shard,
-            token,
-            record_at: None,
-            handover: None,
-        });
         let may_be_granted = now < router.holds.may_take_effect_until(0);
-        router.released = reports
+        let released = router.owner.released();
+        let released = released
             .filter(|_| reports_early || !runs_request)
-            .filter(|_| ignores_grants || !may_be_granted)
+            .filter(|_| ignores_grants || !may_be_granted);
+        let former = router.owner.former();
+        let former = former.filter(|(shard, _)| router.holds.may_hold_until(*shard) <= now);
+        let reports = released.chain(former);
+        router.released = reports
+            .map(|(shard, token)| ReleaseReport::new(shard, token))
             .collect();
     }
 
@@ -610,6 +611,36 @@
         }
     }
 
+    /// Restarts the target of a router, which goes on as before.
+    pub(crate) fn restart_target(&mut self, rank: usize) {
+        let router = self.router(rank);
+        router.busy_until = None;
+        router.target = TargetModel {
+            restarted: true,
+            ..TargetModel::default()
+        };
+    }
+
+    /// Makes a router whose target has restarted a new incarnation.
+    pub(crate) fn notice_target(&mut self, rank: usize) {
+        let (now, terms) = (self.state.clock(rank), self.setup.terms);
+        let forgets_holds = self.setup.drops(DroppedRule::HoldsOutlastIncarnation);
+        let router = self.router(rank);
+        router.incarnation += 1;
+        router.owner = OwnerState::new(router.node.clone(), router.incarnation, terms);
+        router.owner.on_record(&router.known, now);
+        router.standby.set_incarnation(router.incarnation);
+        if let Some(standby) = &mut router.standby_without_promises {
+            standby.set_incarnation(router.incarnation);
+        }
+        router.release_orders.clear();
+        router.target.restarted = false;
+        if forgets_holds {
+            router.holds = TargetHolds::default();
+        }
+        self.report_releases(rank);
+    }
+
     pub(crate) fn begin_request(&mut self, rank: usize) {
         let now = self.state.clock(rank);
         let timeout = BootTime::from_millis(self.setup.rules.max_timeout_ms);
@@ -663,7 +694,7 @@
             }
             // A router sends no heartbeats while the outcome of its takeover is unknown.
             RouterStep::SendHeartbeat => self.takeover.is_none(),
-            RouterStep::Release => !self.release_orders.is_empty(),
+            RouterStep::Release => !self.release_orders.is_empty() || self.holds_former(now),
             RouterStep::CheckCoordinator => {
                 let is_due = self.next_step(now) != TakeoverStep::Wait;
                 self.takeover.is_some() || is_due || self.was_coordinator()
--- a/crates/anvilrack-model/tests/rule_mutants.rs
+++ b/crates/anvilrack-model/tests/rule_mutants.rs
@@ -58,5 +58,6 @@
     releases_end_with_run: ReleasesEndWithRun => TwoOwners;
     release_after_late_grants: ReleaseAfterLateGrants => TwoHolders;
     former_grants_pending: FormerGrantsPending => TwoHolders;
+    holds_outlast_incarnation: HoldsOutlastIncarnation => TwoHolders;
     wait_for_deadline: WaitForDeadline => TwoOwners;
 }
--- a/crates/anvilrack-model/tests/sound_model.rs
+++ b/crates/anvilrack-model/tests/sound_model.rs
@@ -30,7 +30,7 @@
 
 sound_searches! {
     shard_is_served_after_any_single_fault: [
-        Partition, Pause, Restart, ProcessRestart, Loss, LateGrant, LateMessage, StoreReply, Restore, ClockSlip, Request, Drain, SlowPublish
+        Partition, Pause, Restart, ProcessRestart, TargetRestart, Loss, LateGrant, LateMessage, StoreReply, Restore, ClockSlip, Request, Drain, SlowPublish
     ], 30, 1, true;
     pause_and_lost_reply: [Pause, StoreReply], 12, 2, false;
     drain_and_restore: [Drain, Restore], 14, 2, false;
@@ -45,9 +45,10 @@
 /// Separates the coordinator from the other routers and the store.
 const STANDBY_AND_OWNER: SystemAction = SystemAction::Partition(0b0_0001);
 
-/// Defines one test for each search in which processes restart beside their targets: its name, the first
-/// fault, the other kinds of fault, the horizon in ticks and the maximum number of faults.
-macro_rules! process_restart_searches {
+/// Defines one test for each search in which processes restart beside their targets, or targets beside their
+/// processes: its name, the first fault, the kinds of fault that follow, the horizon in ticks and the maximum number
+/// of faults.
+macro_rules! restart_searches {
     ($($name:ident: $first:expr, [$($kind:ident),*], $horizon:literal, $faults:literal;)*) => {
         $(
             #[test]
@@ -55,7 +56,7 @@
                 let bounds = SearchBounds {
                     horizon: $horizon,
                     faults: $faults,
-                    kinds: vec![FaultKind::ProcessRestart, $(FaultKind::$kind),*],
+                    kinds: vec![$(FaultKind::$kind),*],
                     initial_steps: vec![InitialStep::Run($first)],
                     max_states: 1_000_000,
                     liveness: false,
@@ -72,12 +73,19 @@
     };
 }
 
-process_restart_searches! {
-    process_restarts_while_a_write_is_pending: SystemAction::Drain(2), [StoreReply], 14, 3;
-    process_restarts_while_a_grant_is_pending: SystemAction::Drain(2), [LateGrant], 14, 3;
-    process_restarts_after_a_late_message: SystemAction::Drain(2), [LateMessage], 10, 3;
-    process_restarts_in_a_partition: COORDINATOR_AND_OWNER, [], 20, 2;
-    process_restarts_without_its_coordinator: STANDBY_AND_OWNER, [], 20, 2;
+restart_searches! {
+    process_restarts_while_a_write_is_pending: SystemAction::Drain(2), [ProcessRestart, StoreReply], 14, 3;
+    process_restarts_while_a_grant_is_pending: SystemAction::Drain(2), [ProcessRestart, LateGrant], 14, 3;
+    process_restarts_after_a_late_message: SystemAction::Drain(2), [ProcessRestart, LateMessage], 10, 3;
+    process_restarts_in_a_partition: COORDINATOR_AND_OWNER, [ProcessRestart], 20, 2;
+    process_restarts_without_its_coordinator: STANDBY_AND_OWNER, [ProcessRestart], 20, 2;
+    target_restarts_while_it_drains: SystemAction::Drain(2), [TargetRestart], 12, 3;
+    target_restarts_while_a_write_is_pending: SystemAction::RestartTarget(2), [Drain, StoreReply], 10, 3;
+    target_restarts_while_a_grant_is_pending: SystemAction::RestartTarget(2), [Drain, LateGrant], 12, 3;
+    target_restarts_after_a_late_message: SystemAction::RestartTarget(2), [Drain, LateMessage], 8, 3;
+    target_restarts_with_its_router: SystemAction::RestartTarget(2), [Drain, ProcessRestart], 12, 3;
+    target_restarts_in_a_partition: COORDINATOR_AND_OWNER, [TargetRestart], 14, 2;
+    target_restarts_without_its_coordinator: STANDBY_AND_OWNER, [TargetRestart], 14, 2;
 }
 
 /// A standby makes a promise, restarts and is named as standby again. A promise of its earlier
