Use no connection again on which a target of anvilrack-router refused

Callers saw (in a test): 503 "not run" for a request that the target may have run, after the target had sent a copy of an earlier refusal on the same connection.

Cause: targets of anvilrack-router name no request in their responses, and a refusal without a body left its connection in the pool.

--- a/crates/anvilrack-router/src/stages/deliver.rs
+++ b/crates/anvilrack-router/src/stages/deliver.rs
@@ -16,6 +16,7 @@
 
 use super::RETRY_SOON;
 use super::lease_transport::{LeaseConnector, LeaseEnded, set_lease_end};
+use super::refusal_transport::RefusalConnector;
 use crate::boot_clock;
 
 /// Timeout for opening a connection to the target, which runs on the same VM.
@@ -69,6 +70,7 @@
             .allow_non_standard_methods(true)
             .build();
         let connector = TcpConnector::default().chain(LeaseConnector);
+        let connector = connector.chain(RefusalConnector);
         Self {
             agent: Agent::with_parts(config, connector, DefaultResolver::default()),
         }
@@ -145,6 +147,11 @@
     message.body(request.body.0.to_vec()).ok()
 }
 
+/// Returns whether a header of a response states that the target has not run the request.
+pub(super) fn is_refusal(name: &str, value: &[u8]) -> bool {
+    name.eq_ignore_ascii_case("Anvilrack-Verdict") && value == b"not-run"
+}
+
 fn read_response(mut response: Response<ureq::Body>) -> RequestVerdict {
     let header = |name| {
         response
@@ -152,7 +159,8 @@
             .get(name)
             .and_then(|value| value.to_str().ok())
     };
-    if header("Anvilrack-Verdict") == Some("not-run") {
+    let mut headers = response.headers().iter();
+    if headers.any(|(name, value)| is_refusal(name.as_str(), value.as_bytes())) {
         return RequestVerdict::NotRun(RefusalReason::TargetRefused, RETRY_SOON);
     }
     let content_type = header("Content-Type").map(Into::into);
--- a/crates/anvilrack-router/src/stages/mod.rs
+++ b/crates/anvilrack-router/src/stages/mod.rs
@@ -11,6 +11,7 @@
 pub mod forward;
 pub mod guard;
 mod lease_transport;
+mod refusal_transport;
 pub mod reply;
 pub mod resolve;
 
