Take no success for a refusal, and pass on no switch of protocols

Callers saw (in a test): 503 "not run" for a request that the target answered with 200, and the status 101, both from faulty targets.

Cause: a success with X-Anvilrack-Not-Executed counted as a refusal; a 101 counted as any other status.

Change: both say nothing certain about the request, so it is told as "may have run".

--- a/crates/anvilrack-node/src/guard/target_gateway.rs
+++ b/crates/anvilrack-node/src/guard/target_gateway.rs
@@ -906,6 +906,9 @@
     request: &RequestId,
 ) -> Option<UncertainReason> {
     let other_request = info.request.as_ref() != Some(request);
+    // A success that states that nothing has run, or a switch to another protocol.
+    let contradictory = status.is_success() && info.not_run;
+    let interim = status.is_informational();
     let unsigned = status.is_success() && !info.signed;
     // These statuses tell the caller that nothing has run, which the target has not confirmed.
     let unconfirmed_refusal = matches!(
@@ -916,6 +919,6 @@
             | StatusCode::MISDIRECTED_REQUEST
     );
     let unusable = unsigned || unconfirmed_refusal || info.encoded;
-    let rejected = other_request || (unusable && !info.not_run);
+    let rejected = other_request || contradictory || interim || (unusable && !info.not_run);
     rejected.then_some(UncertainReason::AnswerCutShort)
 }
