Assume that a target which refused a grant may hold the keys

Cause: responses to grants name no call, so a refusal may be a copy of an earlier one while the target took the grant. Since shards that the target cannot hold are reported without a release call, and refused grants counted as such.

Change: a refused grant counts like one without a response: the shard is released by a call, and reported when the hold is over.

Result: refusal_in_place_of_the_response_to_a_grant_hides_no_hold failed without this (two targets held a range for 2.6 s) and passes. Five cases with copies of earlier refusals of requests (503, 429, 421, 400, and of a request that is sent again) passed before.

--- a/crates/anvilrack-node/src/ownership/grant_maintainer.rs
+++ b/crates/anvilrack-node/src/ownership/grant_maintainer.rs
@@ -258,6 +258,10 @@
                 token = token,
                 status = response.status().as_u16()
             );
+            // Responses to grants name no call, so this may be a copy of an earlier one.
+            node.grants
+                .holds()
+                .on_unanswered(shard, boot_clock::now(), hold);
             node.grants.finish_call(shard, |grant| {
                 grant.until = BootTime::ZERO;
                 grant.pause_until = boot_clock::now() + RETRY_PAUSE;
