Remember that a target is leaving that was not known yet

Cause: the router had just restarted and knew no target, so it acknowledged and dropped the notification. A late heartbeat then started the target as one that serves.

Change: IncarnationTracker remembers the last target that said so while it was not the current incarnation; its first heartbeat starts it as leaving.

--- a/crates/anvilrack-node/src/guard/control_server.rs
+++ b/crates/anvilrack-node/src/guard/control_server.rs
@@ -83,6 +83,12 @@
             born_ms = notification.started_ms,
             fault = "out of order, or from an earlier incarnation or another service"
         ),
+        NotificationEffect::LeftUnknown => emit_event!(
+            Info,
+            events::TARGET_LEAVING,
+            target = &*notification.id,
+            why = "said before its first heartbeat"
+        ),
         NotificationEffect::NewIncarnation => node.on_new_incarnation(),
         NotificationEffect::StartedLeaving => node.on_target_leaving(),
         NotificationEffect::Changed => node.publish_entry(),
--- a/crates/anvilrack-node/src/guard/target_gateway.rs
+++ b/crates/anvilrack-node/src/guard/target_gateway.rs
@@ -251,7 +251,8 @@
     ) -> NotificationEffect {
         let (effect, slots) = {
             let mut incarnations = lock(&self.incarnations);
-            let effect = incarnations.apply(notification, service, boot_clock::now());
+            let (now, wall_ms) = (boot_clock::now(), boot_clock::unix_ms());
+            let effect = incarnations.apply(notification, service, now, wall_ms);
             (effect, incarnations.current().map(|target| target.slots))
         };
         if let (NotificationEffect::NewIncarnation | NotificationEffect::Changed, Some(slots)) =
--- a/crates/anvilrack-node/src/guard/target_incarnation.rs
+++ b/crates/anvilrack-node/src/guard/target_incarnation.rs
@@ -91,6 +91,8 @@
     StartedLeaving,
     /// The target accepts requests again, or its number of slots changed.
     Changed,
+    /// A target that is not known yet has asked not to get new requests, which applies once it is known.
+    LeftUnknown,
     /// None: the notification is out of order, from an earlier incarnation, or from another service.
     Stale,
 }
@@ -101,6 +103,21 @@
     current: Option<TargetIncarnation>,
     last_incarnation: Incarnation,
     said_leaving: Option<Incarnation>,
+    /// The latest target that said that it was leaving while it was not the current incarnation.
+    leaver: Option<UnknownLeaver>,
+}
+
+/// A target that has said that it is leaving before it was known.
+///
+/// A router that has restarted knows its target only after a heartbeat, which may arrive late.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct UnknownLeaver {
+    id: Arc<str>,
+    started_ms: Option<u64>,
+    /// When it said so.
+    at: BootTime,
+    /// The same time on the wall clock, in milliseconds since the Unix epoch.
+    wall_ms: u64,
 }
 
 impl IncarnationTracker {
@@ -110,7 +127,7 @@
         self.current.as_ref()
     }
 
-    /// Applies a notification.
+    /// Applies a notification that arrived at `now`, which is `wall_ms` milliseconds since the Unix epoch.
     ///
     /// Ignores one that is out of order, from an earlier incarnation or from another service.
     pub fn apply(
@@ -118,9 +135,10 @@
         notification: &TargetNotification,
         service: &str,
         now: BootTime,
+        wall_ms: u64,
     ) -> NotificationEffect {
         match &notification.kind {
-            NotificationKind::Leaving => self.apply_leaving(notification, now),
+            NotificationKind::Leaving => self.apply_leaving(notification, now, wall_ms),
             NotificationKind::Alive {
                 service: target_service,
                 ..
@@ -179,13 +197,25 @@
         &mut self,
         notification: &TargetNotification,
         now: BootTime,
+        wall_ms: u64,
     ) -> NotificationEffect {
+        let is_known = self.current.is_some();
         let Some(current) = self
             .current
             .as_mut()
             .filter(|current| current.is_source_of(notification))
         else {
-            return NotificationEffect::Stale;
+            self.leaver = Some(UnknownLeaver {
+                id: notification.id.clone(),
+                started_ms: notification.started_ms,
+                at: now,
+                wall_ms,
+            });
+            return if is_known {
+                NotificationEffect::Stale
+            } else {
+                NotificationEffect::LeftUnknown
+            };
         };
         current.last_notification_at = now;
         if current.state != IncarnationState::Serving {
@@ -216,10 +246,14 @@
             NotificationKind::Leaving => Duration::ZERO,
         };
         self.last_incarnation = started_ms.max(self.last_incarnation + 1);
-        let state = if draining {
-            IncarnationState::Leaving(now)
-        } else {
-            IncarnationState::Serving
+        let leaver = self.leaver.as_ref();
+        let left_at = leaver
+            .filter(|leaver| leaver.is_source_of(&notification.id, started_ms))
+            .map(|leaver| leaver.at);
+        let state = match left_at {
+            Some(left_at) => IncarnationState::Leaving(left_at),
+            None if draining => IncarnationState::Leaving(now),
+            None => IncarnationState::Serving,
         };
         self.current = Some(TargetIncarnation {
             id: notification.id.clone(),
@@ -235,6 +269,17 @@
     }
 }
 
+impl UnknownLeaver {
+    /// Returns whether this is the target with the given id that started at `started_ms`, and not a later one.
+    fn is_source_of(&self, id: &str, started_ms: u64) -> bool {
+        let is_same_start = match self.started_ms {
+            Some(own) => own == started_ms,
+            None => started_ms <= self.wall_ms,
+        };
+        *self.id == *id && is_same_start
+    }
+}
+
 impl TargetIncarnation {
     fn is_source_of(&self, notification: &TargetNotification) -> bool {
         self.id == notification.id
--- a/crates/anvilrack-node/tests/target_incarnations.rs
+++ b/crates/anvilrack-node/tests/target_incarnations.rs
@@ -8,6 +8,9 @@
 
 const SERVICE: &str = "views";
 
+/// Wall clock at which notifications arrive.
+const WALL_MS: u64 = 15;
+
 fn at(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
@@ -57,7 +60,7 @@
     let mut incarnations = IncarnationTracker::default();
     let mut effect = NotificationEffect::TimeUpdated;
     for (notification, seconds) in notifications.iter().zip(1..) {
-        effect = incarnations.apply(notification, SERVICE, at(seconds * 1_000));
+        effect = incarnations.apply(notification, SERVICE, at(seconds * 1_000), WALL_MS);
     }
     let incarnation = incarnations.current();
     (
@@ -106,6 +109,21 @@
     leaving_time_is_that_of_the_first_notification:
         [alive("a", 10, 1), draining(alive("a", 10, 2)), draining(alive("a", 10, 3))]
         => TimeUpdated, "a", IncarnationState::Leaving(at(2_000));
+    // A router that had restarted acknowledged that its target was leaving, and sent requests to it after its next
+    // heartbeat.
+    leaving_before_the_first_heartbeat_counts:
+        [leaving("a", None), alive("a", 10, 7)]
+        => NewIncarnation, "a", IncarnationState::Leaving(at(1_000));
+    leaving_of_a_named_start_before_the_first_heartbeat_counts:
+        [leaving("a", Some(10)), alive("a", 10, 7)]
+        => NewIncarnation, "a", IncarnationState::Leaving(at(1_000));
+    leaving_does_not_count_for_a_later_start_under_the_same_id:
+        [leaving("a", None), alive("a", 20, 1)] => NewIncarnation, "a", IncarnationState::Serving;
+    leaving_of_a_named_start_does_not_count_for_another_one:
+        [leaving("a", Some(9)), alive("a", 10, 1)] => NewIncarnation, "a", IncarnationState::Serving;
+    leaving_of_a_successor_before_its_first_heartbeat_counts:
+        [alive("a", 10, 1), leaving("b", Some(20)), alive("b", 20, 3)]
+        => NewIncarnation, "b", IncarnationState::Leaving(at(2_000));
     notification_of_another_service_is_stale:
         [alive("a", 10, 1), of_service(alive("b", 20, 1), "maps")]
         => Stale, "a", IncarnationState::Serving;
@@ -114,7 +132,7 @@
 #[test]
 fn incarnation_ends_only_once() {
     let mut incarnations = IncarnationTracker::default();
-    incarnations.apply(&alive("a", 10, 1), SERVICE, at(0));
+    incarnations.apply(&alive("a", 10, 1), SERVICE, at(0), WALL_MS);
     assert!(incarnations.end(10));
     assert!(!incarnations.end(10));
     assert!(!incarnations.end(9));
@@ -123,19 +141,19 @@
 #[test]
 fn gone_target_that_sends_a_notification_serves_again() {
     let mut incarnations = IncarnationTracker::default();
-    incarnations.apply(&alive("a", 10, 1), SERVICE, at(0));
+    incarnations.apply(&alive("a", 10, 1), SERVICE, at(0), WALL_MS);
     incarnations.end(10);
-    let effect = incarnations.apply(&alive("a", 10, 2), SERVICE, at(900));
+    let effect = incarnations.apply(&alive("a", 10, 2), SERVICE, at(900), WALL_MS);
     assert_eq!(effect, NotificationEffect::Changed);
 }
 
 #[test]
 fn earlier_start_is_accepted_once_the_current_incarnation_is_silent() {
     let mut incarnations = IncarnationTracker::default();
-    incarnations.apply(&alive("a", 5_000, 9), SERVICE, at(0));
-    let first = incarnations.apply(&alive("b", 3_000, 1), SERVICE, at(1_000));
+    incarnations.apply(&alive("a", 5_000, 9), SERVICE, at(0), WALL_MS);
+    let first = incarnations.apply(&alive("b", 3_000, 1), SERVICE, at(1_000), WALL_MS);
     assert_eq!(first, NotificationEffect::Stale);
-    let second = incarnations.apply(&alive("b", 3_000, 4), SERVICE, at(3_500));
+    let second = incarnations.apply(&alive("b", 3_000, 4), SERVICE, at(3_500), WALL_MS);
     assert_eq!(second, NotificationEffect::NewIncarnation);
     // Incarnation numbers must still rise, because fencing and grants depend on them.
     assert!(
@@ -149,7 +167,7 @@
 #[test]
 fn response_that_says_leaving_stops_new_requests() {
     let mut incarnations = IncarnationTracker::default();
-    incarnations.apply(&alive("a", 10, 1), SERVICE, at(0));
+    incarnations.apply(&alive("a", 10, 1), SERVICE, at(0), WALL_MS);
     assert_eq!(incarnations.said_leaving(), None);
     assert!(
         !incarnations.say_leaving(9, at(500)),
@@ -158,10 +176,10 @@
     assert!(incarnations.say_leaving(10, at(500)));
     assert!(!incarnations.say_leaving(10, at(700)), "known already");
     // The notifications still say that it is ready.
-    incarnations.apply(&alive("a", 10, 2), SERVICE, at(900));
+    incarnations.apply(&alive("a", 10, 2), SERVICE, at(900), WALL_MS);
     let state = incarnations.current().map(|current| current.state);
     assert_eq!(state, Some(IncarnationState::Leaving(at(500))));
     assert_eq!(incarnations.said_leaving(), Some(10));
-    incarnations.apply(&alive("b", 20, 1), SERVICE, at(1_000));
+    incarnations.apply(&alive("b", 20, 1), SERVICE, at(1_000), WALL_MS);
     assert_eq!(incarnations.said_leaving(), None);
 }
