Look up released shards directly, and log only releases that are reported

Cause: each release under way went through all shards of its router at every check, and a release that was overtaken by the end of the lease was logged as if it had been reported.

Change: OwnerState::has_unserved; the event comes with the report. Comments say incarnation throughout.

--- a/crates/anvilrack-core/src/ownership/coordinator_state.rs
+++ b/crates/anvilrack-core/src/ownership/coordinator_state.rs
@@ -84,7 +84,7 @@
     pub epoch: Epoch,
     /// True once the member's target has announced itself and accepts requests.
     pub ready: bool,
-    /// Shards that the member has released.
+    /// Shards that the member has released, or that its former incarnations owned and its target cannot hold.
     pub released: Vec<ReleaseReport>,
     /// True while the member considers its target unhealthy, judged by the requests it sends to it.
     #[serde(default)]
--- a/crates/anvilrack-core/src/ownership/owner_state.rs
+++ b/crates/anvilrack-core/src/ownership/owner_state.rs
@@ -202,6 +202,15 @@
         grants.map(|(shard, token)| (*shard, *token))
     }
 
+    /// Returns whether the record grants a shard with this token to this router, and the router does not serve it:
+    /// because it has released the shard, or because another incarnation of it was granted the shard.
+    #[must_use]
+    pub fn has_unserved(&self, shard: ShardId, token: FencingToken) -> bool {
+        let grant = self.grants.get(&shard);
+        let is_released = grant.is_some_and(|grant| grant.released && grant.token == token);
+        is_released || self.former_grants.get(&shard) == Some(&token)
+    }
+
     /// Returns the newest epoch seen.
     #[must_use]
     pub fn epoch(&self) -> Epoch {
--- a/crates/anvilrack-core/tests/coordinator_state.rs
+++ b/crates/anvilrack-core/tests/coordinator_state.rs
@@ -265,7 +265,7 @@
         assert!(coordinator.on_heartbeat(&numbered(2, 0), ms(1_010)).renewed);
     }
 
-    // A target had started again and taken the grants of its former life before it reported itself, and its shards
+    // A target had started again and taken the grants of its former incarnation before it reported itself, and its shards
     // were given to others at once.
     new_incarnation_frees_no_shard_before_its_release => {
         let mut coordinator = coordinator_with_shard_of_b();
--- a/crates/anvilrack-core/tests/owner_take_back.rs
+++ b/crates/anvilrack-core/tests/owner_take_back.rs
@@ -53,6 +53,7 @@
     owner.on_record(&record, NOW);
     assert!(owner.on_renewal(NOW, 1, 1));
     assert_eq!(owner.former().collect::<Vec<_>>(), [(0, 4)]);
+    assert!(owner.has_unserved(0, 4) && !owner.has_unserved(0, 5));
     assert_eq!(owner.grant(0, NOW).unwrap_err(), RefusalReason::NotOwner);
     assert!(!owner.resume_shard(0, 4));
     let reassigned = CellRecord {
@@ -62,6 +63,7 @@
     };
     owner.on_record(&reassigned, NOW);
     assert_eq!(owner.former().count(), 0);
+    assert!(!owner.has_unserved(0, 4));
 }
 
 #[test]
--- a/crates/anvilrack-node/src/ownership/grant_maintainer.rs
+++ b/crates/anvilrack-node/src/ownership/grant_maintainer.rs
@@ -355,15 +355,16 @@
     }
     let handover = release_keys(&node, shard, token).await;
     let waited = await_late_grants(&node, shard, token).await;
-    emit_event!(
-        Info,
-        events::SHARD_RELEASED,
-        shard = shard,
-        token = token,
-        handed_over = handover.is_some(),
-        waited_ms = observe::millis(waited)
-    );
-    if is_assigned(&node, shard, token) {
+    // Another owner may have got the shard meanwhile, because the lease has expired.
+    if node.owner().has_unserved(shard, token) {
+        emit_event!(
+            Info,
+            events::SHARD_RELEASED,
+            shard = shard,
+            token = token,
+            handed_over = handover.is_some(),
+            waited_ms = observe::millis(waited)
+        );
         node.grants.invalidate(shard);
         node.grants.add_release(shard, token, handover);
     }
@@ -371,18 +372,6 @@
     node.member_updates.notify_one();
 }
 
-/// Returns whether the record assigns a shard, which this router does not serve, to this router or to another
-/// incarnation of its target.
-fn is_assigned<D: PlatformDialect>(
-    node: &NodeState<D>,
-    shard: ShardId,
-    token: FencingToken,
-) -> bool {
-    let owner = node.owner();
-    let mut unserved = owner.released().chain(owner.former());
-    unserved.any(|unserved| unserved == (shard, token))
-}
-
 /// Waits until no grant of a shard can take effect any more; returns how long it took.
 async fn await_late_grants<D: PlatformDialect>(
     node: &NodeState<D>,
@@ -393,7 +382,7 @@
     loop {
         let now = boot_clock::now();
         let until = node.grants.holds().may_take_effect_until(shard);
-        if now >= until || !is_assigned(node, shard, token) {
+        if now >= until || !node.owner().has_unserved(shard, token) {
             return now.saturating_sub(began);
         }
         sleep(POLL_INTERVAL.min(until.saturating_sub(now))).await;
@@ -410,7 +399,7 @@
     token: FencingToken,
 ) -> Option<Arc<str>> {
     let _permit = node.grants.calls.acquire().await;
-    while is_assigned(node, shard, token) {
+    while node.owner().has_unserved(shard, token) {
         let held_until = node.grants.holds().may_hold_until(shard);
         if boot_clock::now() > held_until + node.lease_terms.drift_margin {
             return None;
