--- a/crates/anvilrack-router/tests/target_responses.rs
+++ b/crates/anvilrack-router/tests/target_responses.rs
@@ -4,12 +4,13 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use anvilrack_core::RequestVerdict;
 use anvilrack_router::boot_clock;
 use anvilrack_router::stages::deliver::{self, DeliveryParameters, TargetClient};
 use anvilrack_wire::{BodyBytes, ForwardRequest};
+use rustix::net::sockopt;
 
 const REFUSAL: &str =
     "HTTP/1.1 503 Unavailable\r\nAnvilrack-Verdict: not-run\r\nContent-Length: 0\r\n\r\n";
@@ -29,6 +30,10 @@
 /// Time within which a response is expected.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Size of an upload, more than what fits into the buffers of a connection, and how many are sent in a case.
+const UPLOAD_BYTES: usize = 8 * 1024 * 1024;
+const UPLOADS: usize = 10;
+
 /// What a target does with one request.
 #[derive(Clone, Debug)]
 struct TargetTurn {
@@ -47,6 +52,8 @@
     Closed,
     /// The connection is reset.
     Reset,
+    /// The rest of the request is read for a while, and then the connection is reset.
+    ResetWhileReading,
 }
 
 /// A target that takes the next of these turns for each request that arrives, on whatever connection, and reports
@@ -89,6 +96,12 @@
                 thread::sleep(RESET_DELAY);
                 return;
             }
+            TurnEnding::ResetWhileReading => {
+                let until = Instant::now() + RESET_DELAY;
+                while Instant::now() < until && matches!(stream.read(&mut buffer), Ok(1..)) {}
+                sockopt::set_socket_linger(&stream, Some(Duration::ZERO)).unwrap();
+                return;
+            }
         }
     }
 }
@@ -101,6 +114,10 @@
 }
 
 fn send(client: &TargetClient, address: SocketAddr) -> RequestVerdict {
+    send_body(client, address, Vec::new())
+}
+
+fn send_body(client: &TargetClient, address: SocketAddr, body: Vec<u8>) -> RequestVerdict {
     let request = ForwardRequest {
         service: "bookings".into(),
         key: "key-1".into(),
@@ -110,7 +127,7 @@
         idempotency_key: None,
         caller: "127.0.0.1".into(),
         timeout: RESPONSE_TIMEOUT,
-        body: BodyBytes(Vec::new().into()),
+        body: BodyBytes(body.into()),
     };
     let now = boot_clock::now();
     let parameters = DeliveryParameters {
@@ -207,3 +224,54 @@
     copy_of_a_refusal_without_body: REFUSAL;
     copy_of_a_refusal_with_body: REFUSAL_WITH_BODY;
 }
+
+macro_rules! upload_cases {
+    ($($name:ident: $response:literal then $ending:ident;)*) => {
+        $(
+            /// A target that responds before it has read the request and resets the connection while the rest is
+            /// written has not completed its response.
+            #[test]
+            fn $name() {
+                let turns = vec![turn($response, TurnEnding::$ending); UPLOADS];
+                let (address, _was_used) = start_target(turns);
+                let client = TargetClient::new(4);
+                for _ in 0..UPLOADS {
+                    let verdict = send_body(&client, address, vec![b'x'; UPLOAD_BYTES]);
+                    assert!(matches!(verdict, RequestVerdict::MayHaveRun(_)), "{verdict:?}");
+                }
+            }
+        )*
+    };
+}
+
+upload_cases! {
+    body_answered_without_length_and_reset: "HTTP/1.1 200 OK\r\n\r\nbo" then Reset;
+    body_answered_without_length_and_reset_while_it_is_read: "HTTP/1.1 200 OK\r\n\r\nbo" then ResetWhileReading;
+    body_answered_with_a_part_of_a_head_and_reset: "HTTP/1.1 200 OK\r\nContent-Ty" then Reset;
+    body_refused_without_length_and_reset: "HTTP/1.1 503 Full\r\n\r\nfu" then Reset;
+}
+
+macro_rules! status_cases {
+    ($($name:ident: $line:literal;)*) => {
+        $(
+            /// A status that is none must not be passed on as that of a response.
+            #[test]
+            fn $name() {
+                let response = concat!($line, "\r\nContent-Length: 4\r\n\r\nbody");
+                let (address, _was_used) = start_target(vec![turn(response, TurnEnding::Kept)]);
+                let verdict = send(&TargetClient::new(4), address);
+                assert!(matches!(verdict, RequestVerdict::MayHaveRun(_)), "{verdict:?}");
+            }
+        )*
+    };
+}
+
+status_cases! {
+    response_with_status_000: "HTTP/1.1 000 Trouble";
+    response_with_status_099: "HTTP/1.1 099 Trouble";
+    response_with_status_600: "HTTP/1.1 600 Trouble";
+    response_with_status_999: "HTTP/1.1 999 Trouble";
+    response_with_status_1000: "HTTP/1.1 1000 Trouble";
+    response_with_status_that_is_missing: "HTTP/1.1 ";
+    response_with_status_that_is_no_number: "HTTP/1.1 2OO OK";
+}
