Decide who gives way when memory or connections run out

Nothing bounded what a router process keeps for others. MemoryBudget divides the memory of a process between the bodies of requests and responses; ConnectionLimit selects the connection that makes room for a new one. Both run without a network and get the time as an argument.

What they decide: only what has arrived counts, not what was announced. Bodies without progress give way before those that move; among these, the one that asks when nothing is left is refused, so that some complete. An eighth is left to small bodies and to responses, for which request bodies give way, since they have not run. Large responses that arrive at the same time complete one after the other. A connection that waits the longest for its client is closed for a new one; one with a request in progress is not.

--- a/crates/anvilrack-core/src/lib.rs
+++ b/crates/anvilrack-core/src/lib.rs
@@ -26,11 +26,12 @@
 mod targets;
 
 pub use admission::{
-    AdmissionHint, AdmissionQueue, AdmissionRequest, AdmissionStep, AdmittedShares, CallRoutes,
-    CheckReason, ColdCheck, ColdRules, ColdStart, DemandMeter, EntryAdmission, FairShare, KeyCount,
-    KeySketch, KindDurations, LatencyLimit, OfferedRequest, PRIORITY_COUNT, RateHint, RateLimiter,
-    RecentDurations, RequestRate, RunAdmission, ServiceTimeMeter, ShareMilli, TicketId,
-    UploadPacer, WHOLE_SHARE,
+    AdmissionHint, AdmissionQueue, AdmissionRequest, AdmissionStep, AdmittedShares, BodyRoom,
+    CallRoutes, CheckReason, ColdCheck, ColdRules, ColdStart, ConnectionId, ConnectionLimit,
+    ConnectionShares, ConnectionStep, DemandMeter, EntryAdmission, FairShare, HoldPurpose,
+    HolderId, KeyCount, KeySketch, KindDurations, LatencyLimit, MemoryBudget, MemoryStep,
+    OfferedRequest, PRIORITY_COUNT, RateHint, RateLimiter, RecentDurations, RequestRate,
+    RunAdmission, STALL_TIME, ServiceTimeMeter, ShareMilli, TicketId, UploadPacer, WHOLE_SHARE,
 };
 pub use bounded_duration::{bounded_duration, optional_bounded_duration};
 pub use catalogue::{EVENT_CATALOGUE, LogEvent, METRIC_CATALOGUE, MetricInfo, events, metrics};
@@ -55,7 +56,8 @@
     ExportedRun, ExportedShard, ONE_REPEAT, RefusalReason, RepeatDenial, RepeatMilli, RepeatReason,
     RequestFingerprint, RequestVerdict, ResendSafety, RetryBudget, RetryBudgets, RetryStep,
     RetryTerms, RunDecision, RunOutcome, SharedRetryBudget, TargetAnswer, UncertainReason,
-    fingerprint_of, first_sent_at, is_cancellation_reliable, retry_backoff, retry_step,
+    fingerprint_of, fingerprint_with_body, first_sent_at, is_cancellation_reliable, retry_backoff,
+    retry_step,
 };
 pub use site::{
     CallerLimits, ConfigDocument, ConfigRecord, PlacementWeights, RegionRule, RequestClass,
--- a/crates/anvilrack-core/src/requests/mod.rs
+++ b/crates/anvilrack-core/src/requests/mod.rs
@@ -19,7 +19,7 @@
 pub use crash_quarantine::{
     CrashId, CrashObservation, CrashQuarantine, CrashReport, RequestFingerprint,
 };
-pub use request_identity::{fingerprint_of, first_sent_at};
+pub use request_identity::{fingerprint_of, fingerprint_with_body, first_sent_at};
 pub use request_verdict::{RefusalReason, RequestVerdict, TargetAnswer, UncertainReason};
 pub use retry_budget::{ResendSafety, RetryBudget, RetryStep, retry_backoff, retry_step};
 pub use retry_budgets::{CallCosts, RetryBudgets};
--- a/crates/anvilrack-core/src/requests/request_identity.rs
+++ b/crates/anvilrack-core/src/requests/request_identity.rs
@@ -16,12 +16,31 @@
 /// ```
 #[must_use]
 pub fn fingerprint_of(parts: &[&[u8]]) -> u64 {
+    hash_parts(parts).digest()
+}
+
+/// Returns the fingerprint of a request whose last part is a body in several blocks.
+///
+/// It does not depend on how the body is divided.
+#[must_use]
+pub fn fingerprint_with_body<'a>(
+    parts: &[&[u8]],
+    body_bytes: usize,
+    blocks: impl Iterator<Item = &'a [u8]>,
+) -> u64 {
+    let mut hash = hash_parts(parts);
+    hash.update(&(body_bytes as u64).to_le_bytes());
+    blocks.for_each(|block| hash.update(block));
+    hash.digest()
+}
+
+fn hash_parts(parts: &[&[u8]]) -> Xxh3 {
     let mut hash = Xxh3::new();
     for part in parts {
         hash.update(&(part.len() as u64).to_le_bytes());
         hash.update(part);
     }
-    hash.digest()
+    hash
 }
 
 /// Returns when a request was first sent, on this router's boot clock, from its idempotency key.
--- a/crates/anvilrack-core/src/requests/request_verdict.rs
+++ b/crates/anvilrack-core/src/requests/request_verdict.rs
@@ -116,6 +116,8 @@
     RegionNotAllowed,
     /// The failure domain of the target is evacuated.
     Evacuated,
+    /// A router has no memory for the request's body.
+    NoMemory,
 }
 
 impl RefusalReason {
@@ -145,6 +147,7 @@
             Self::RateLimited => "rate-limited",
             Self::RegionNotAllowed => "region-not-allowed",
             Self::Evacuated => "evacuated",
+            Self::NoMemory => "no-memory",
         }
     }
 
