--- a/crates/anvilrack-core/src/admission/memory_budget.rs
+++ b/crates/anvilrack-core/src/admission/memory_budget.rs
@@ -20,6 +20,9 @@
 /// Share of the capacity that large request bodies leave to small ones and to responses: one in this many.
 const RESERVE_DIVISOR: usize = 8;
 
+/// Share of the capacity for all responses that are being received: one in this many. A response may have no end.
+const RESPONSES_DIVISOR: usize = 4;
+
 /// A body makes progress when it has grown by this part of the memory that it holds.
 const PROGRESS_DIVISOR: usize = 64;
 
@@ -156,7 +159,7 @@
         }
         let purpose = HoldPurpose::Receiving;
         let id = self.open(purpose, now);
-        let limit = self.limit(id, purpose, bytes);
+        let limit = self.limit(purpose, bytes);
         let missing = (self.held + bytes).saturating_sub(limit);
         let evicted = self.evict(id, purpose, missing, now).unwrap_or_default();
         if let Some(holder) = self.holders.get_mut(&id) {
@@ -179,7 +182,7 @@
             .values()
             .filter(|holder| holder.evicted || yields_to_body(holder, now));
         let yielding: usize = yielding.map(Holder::bytes).sum();
-        let limit = self.limit(self.next_id, HoldPurpose::Receiving, bytes);
+        let limit = self.limit(HoldPurpose::Receiving, bytes);
         if self.held - yielding + bytes <= limit {
             BodyRoom::Free
         } else {
@@ -200,8 +203,9 @@
             ..holder
         };
         let added = grown.bytes() - holder.bytes();
-        let limit = self.limit(id, holder.purpose, grown.bytes());
-        if added == 0 || self.held + added <= limit {
+        let limit = self.limit(holder.purpose, grown.bytes());
+        let has_share = self.has_response_share(id, &grown, added);
+        if added == 0 || (has_share && self.held + added <= limit) {
             self.held += added;
             self.holders.insert(id, grown);
             return MemoryStep::Granted;
@@ -211,10 +215,15 @@
             let evicted = self.evict(id, holder.purpose, missing, now);
             return evicted.map_or(MemoryStep::Refused, |evicted| MemoryStep::Wait { evicted });
         }
-        if grown.bytes() > self.capacity {
+        if grown.bytes() > self.capacity / RESPONSES_DIVISOR {
             return MemoryStep::Refused;
         }
-        // A response never fails for lack of memory before its time limit.
+        if !has_share {
+            return MemoryStep::Wait {
+                evicted: Vec::new(),
+            };
+        }
+        // A response never fails because of others before its time limit.
         let missing = (self.held + added).saturating_sub(self.capacity);
         let evicted = self.evict(id, holder.purpose, missing, now);
         MemoryStep::Wait {
@@ -262,25 +271,37 @@
     }
 
     /// Returns up to which number of bytes a holder that then holds `bytes` may use the budget.
-    fn limit(&self, id: HolderId, purpose: HoldPurpose, bytes: usize) -> usize {
+    fn limit(&self, purpose: HoldPurpose, bytes: usize) -> usize {
         let reserve = self.capacity / RESERVE_DIVISOR;
         let is_large = bytes > SMALL_BYTES;
         match purpose {
             HoldPurpose::Receiving if is_large => self.capacity - reserve,
             HoldPurpose::Receiving => self.capacity - reserve / 2,
-            // Large responses that all grow would leave room for none to complete.
-            HoldPurpose::Responding if is_large && self.has_older_response(id) => self.capacity / 2,
-            HoldPurpose::Responding | HoldPurpose::Forwarding | HoldPurpose::Delivering => {
-                self.capacity
-            }
+            _ => self.capacity,
         }
     }
 
-    fn has_older_response(&self, id: HolderId) -> bool {
-        let mut older = self.holders.range(..id);
-        older.any(|(_, holder)| {
+    /// Returns whether the large responses that are being received may grow by `added` bytes.
+    ///
+    /// If all of them grew until their share is used up, none would complete. So the second half of it is for the
+    /// oldest one.
+    fn has_response_share(&self, id: HolderId, grown: &Holder, added: usize) -> bool {
+        let is_large_response = |holder: &Holder| {
             holder.purpose == HoldPurpose::Responding && holder.bytes() > SMALL_BYTES
-        })
+        };
+        if !is_large_response(grown) {
+            return true;
+        }
+        let share = self.capacity / RESPONSES_DIVISOR;
+        let mut responses = self
+            .holders
+            .iter()
+            .filter(|(_, holder)| is_large_response(holder))
+            .peekable();
+        let is_oldest = responses.peek().is_none_or(|(oldest, _)| **oldest >= id);
+        let share = if is_oldest { share } else { share / 2 };
+        let held: usize = responses.map(|(_, holder)| holder.bytes()).sum();
+        held + added <= share
     }
 
     /// Selects holders that together release `missing` bytes; `None` if there are not enough.
--- a/crates/anvilrack-core/src/catalogue/event_catalogue.rs
+++ b/crates/anvilrack-core/src/catalogue/event_catalogue.rs
@@ -39,6 +39,7 @@
     TARGET_WITHDRAWN = 1006, "target.withdrawn", "During a graceful shutdown, the target gets no new requests from now on; reports the requests that it runs and whether it will be served again by the next process.";
     ROUTER_PANICKED = 1007, "router.panicked", "A task of the router ended with an unexpected error, a defect of the router; reports the place in the code and the error.";
     TASK_RESTARTED = 1008, "task.restarted", "A task that runs for the life of the process was started again after an unexpected error.";
+    LIMITS_REACHED = 1009, "limits.reached", "Clients have reached the limits of this VM; reports, since the last such line, the bodies that were refused for lack of memory or gave way to others, the connections that were closed for new ones or refused, and the memory that bodies hold.";
     TARGET_ANNOUNCED = 1101, "target.announced", "A target announced itself to the router next to it.";
     TARGET_READY = 1102, "target.ready", "The readiness that the target reports has changed.";
     TARGET_SEEN = 1103, "target.seen", "The target next to this router started a new incarnation; reports its id and slots, and how many shards the record still assigns to the one before.";
--- a/crates/anvilrack-node/src/body_collector.rs
+++ b/crates/anvilrack-node/src/body_collector.rs
@@ -1,15 +1,16 @@
 //! Reads message bodies whose size is not known beforehand.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use thiserror::Error;
 use tokio::time::{Instant, timeout_at};
 
+use crate::held_body::{BodyBuffer, HeldBody};
+use anvilrack_limits::{MemoryError, MemoryHold};
+
 /// Until when a body is awaited.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct BodyDeadline {
@@ -28,79 +29,54 @@
     /// The connection broke.
     #[error("connection broke: {0}")]
     Broken(Arc<str>),
-    /// This body and others that are received at the same time are too long.
-    #[error("bodies that are received at the same time are longer than {0} bytes together")]
-    TooLong(usize),
-}
-
-/// Bounds the memory of all bodies that are received at the same time.
-#[derive(Debug)]
-pub struct BodyBudget {
-    max_bytes: usize,
-    held_bytes: AtomicUsize,
+    /// The body is longer than allowed.
+    #[error("body is longer than {0} bytes")]
+    TooLong(u64),
+    /// There is no memory for the body.
+    #[error(transparent)]
+    Memory(#[from] MemoryError),
 }
 
-/// The part of a [`BodyBudget`] that one body uses, until it is dropped.
-#[derive(Debug)]
-struct BudgetShare<'a> {
-    budget: &'a BodyBudget,
-    bytes: usize,
-}
-
-impl BodyBudget {
-    /// Creates a budget for bodies of `max_bytes` bytes together.
+impl BodyDeadline {
+    /// Creates a deadline for a complete body.
     #[must_use]
-    pub fn new(max_bytes: usize) -> Self {
-        Self {
-            max_bytes,
-            held_bytes: AtomicUsize::new(0),
-        }
-    }
-}
-
-impl BudgetShare<'_> {
-    /// Adds bytes to the share.
-    fn grow(&mut self, bytes: usize) -> Result<(), BodyError> {
-        self.bytes += bytes;
-        let held_bytes = &self.budget.held_bytes;
-        let held = held_bytes.fetch_add(bytes, Ordering::Relaxed) + bytes;
-        if held > self.budget.max_bytes {
-            return Err(BodyError::TooLong(self.budget.max_bytes));
-        }
-        Ok(())
+    pub fn new(at: Instant) -> Self {
+        Self { at, stall: None }
     }
 }
 
-impl Drop for BudgetShare<'_> {
-    fn drop(&mut self) {
-        let held_bytes = &self.budget.held_bytes;
-        held_bytes.fetch_sub(self.bytes, Ordering::Relaxed);
-    }
-}
-
-/// Reads a complete body within the budget.
+/// Reads a complete body of at most `max_bytes` bytes into the memory of `hold`; calls `on_part` for each part.
 ///
 /// # Errors
 ///
-/// A [`BodyError`] if the body is late or incomplete, or exceeds the budget.
+/// A [`BodyError`] if the body is late, incomplete or too long, or if there is no memory for it.
 pub async fn collect_body(
-    mut body: Incoming,
-    budget: &BodyBudget,
+    body: &mut Incoming,
+    hold: Arc<MemoryHold>,
+    max_bytes: u64,
     deadline: BodyDeadline,
-) -> Result<Bytes, BodyError> {
-    let mut share = BudgetShare { budget, bytes: 0 };
-    let mut collected = BytesMut::new();
+    on_part: impl Fn(),
+) -> Result<HeldBody, BodyError> {
+    let mut buffer = BodyBuffer::new(hold, body.size_hint().exact());
     let mut until = deadline.at;
     loop {
-        let frame = match timeout_at(until, body.frame()).await {
+        let frame = tokio::select! {
+            biased;
+            () = buffer.hold().evicted() => return Err(MemoryError::Evicted.into()),
+            frame = timeout_at(until, body.frame()) => frame,
+        };
+        let frame = match frame {
             Err(_) => return Err(BodyError::Timeout),
-            Ok(None) => return Ok(collected.freeze()),
+            Ok(None) => return Ok(buffer.finish()),
             Ok(Some(Err(error))) => return Err(BodyError::Broken(error.to_string().into())),
             Ok(Some(Ok(frame))) => frame,
         };
         if let Ok(data) = frame.into_data() {
-            share.grow(data.len())?;
-            collected.extend_from_slice(&data);
+            if (buffer.received() + data.len()) as u64 > max_bytes {
+                return Err(BodyError::TooLong(max_bytes));
+            }
+            buffer.write(&data, until).await?;
+            on_part();
         }
         if let Some(stall) = deadline.stall {
             until = until.max(Instant::now() + stall);
--- a/crates/anvilrack-node/src/callers/caller_request.rs
+++ b/crates/anvilrack-node/src/callers/caller_request.rs
@@ -4,18 +4,23 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anvilrack_core::{BootTime, RefusalReason, RepeatReason, SiteRoutes, UncertainReason, events};
+use anvilrack_core::{BootTime, RefusalReason, RepeatReason, UncertainReason, events};
 use anvilrack_router::boot_clock;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::{CONNECTION, HOST, HeaderName, HeaderValue};
+use hyper::header::{CONNECTION, EXPECT, HOST, HeaderName, HeaderValue};
+use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
+use tokio::time::Instant;
 
+use crate::callers::caller_body::{BodyRefusal, CallerBody, discard_rest, read_body};
+use crate::callers::caller_stream::CallerActivity;
 use crate::end_to_end_headers;
+use crate::held_body::HeldBody;
 use crate::peers::RunReply;
 use crate::routing::{CallerRequest, ForwardOutcome, forward};
 use crate::{CallerRequestInfo, NodeState, PlatformDialect, RequestId, emit_event, observe};
+use anvilrack_limits::GatedConnection;
 
 /// `Retry-After` time while this router has no routes, or not the newest ones.
 const SITE_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -33,13 +38,20 @@
 /// Dropping the future, as when the caller disconnects, cancels the request.
 pub async fn respond<D: PlatformDialect>(
     request: Request<Incoming>,
+    activity: &Arc<CallerActivity>,
     node: &Arc<NodeState<D>>,
-) -> Result<Response<Full<Bytes>>, Infallible> {
+) -> Result<Response<CallerBody>, Infallible> {
     let began = boot_clock::now();
-    let head = node.dialect.read_caller_headers(request.headers());
+    let activity = activity.begin_request();
+    let (parts, mut body) = request.into_parts();
+    let head = node.dialect.read_caller_headers(&parts.headers);
     let mut open_request = OpenRequest::new(node, head.request.clone(), began);
-    let mut response = match read_request(request, &head, node, began).await {
+    let connection = activity.connection();
+    let read = read_request(&parts, &mut body, &head, connection, node, began).await;
+    let is_refused = read.is_err();
+    let mut response = match read {
         Ok(request) => {
+            connection.set_busy();
             let outcome = forward(node, &request).await;
             open_request.logged = true;
             log_outcome(node, &request, &outcome, began);
@@ -57,11 +69,16 @@
             refusal.response(node, head.request.as_ref())
         }
     };
-    if node.is_stopping() {
+    let has_rest = is_refused && !body.is_end_stream();
+    // Reading the rest would invite a caller that waits for a `100 Continue` to send it.
+    if has_rest && !parts.headers.contains_key(EXPECT) {
+        tokio::spawn(discard_rest(body));
+    }
+    if node.is_stopping() || has_rest {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
-    Ok(response)
+    Ok(response.map(|body| CallerBody::new(body, activity)))
 }
 
 /// A request refused before it is forwarded.
@@ -70,6 +87,12 @@
     why: &'static str,
 }
 
+impl From<BodyRefusal> for EarlyRefusal {
+    fn from((status, why): BodyRefusal) -> Self {
+        Self::new(status, why)
+    }
+}
+
 impl EarlyRefusal {
     fn new(status: StatusCode, why: &'static str) -> Self {
         Self { status, why }
@@ -79,8 +102,8 @@
         &self,
         node: &NodeState<D>,
         request: Option<&RequestId>,
-    ) -> Response<Full<Bytes>> {
-        let mut response = Response::new(Full::from(self.why));
+    ) -> Response<HeldBody> {
+        let mut response = Response::new(Bytes::from(self.why).into());
         *response.status_mut() = self.status;
         if self.status == StatusCode::SERVICE_UNAVAILABLE {
             let headers = response.headers_mut();
@@ -93,8 +116,10 @@
 
 /// Reads the complete request and finds its route.
 async fn read_request<D: PlatformDialect>(
-    request: Request<Incoming>,
+    parts: &Parts,
+    body: &mut Incoming,
     head: &CallerRequestInfo,
+    connection: &GatedConnection,
     node: &NodeState<D>,
     began: BootTime,
 ) -> Result<CallerRequest, EarlyRefusal> {
@@ -102,7 +127,6 @@
         StatusCode::SERVICE_UNAVAILABLE,
         "no routes are known yet",
     ))?;
-    let (parts, body) = request.into_parts();
     let host = parts.uri.host().map(ToOwned::to_owned).or_else(|| {
         let host = parts.headers.get(HOST)?.to_str().ok()?;
         Some(host.split(':').next().unwrap_or(host).to_owned())
@@ -139,7 +163,9 @@
             RefusalReason::Stopping.as_str(),
         ));
     }
-    let body = read_body(body, &site).await?;
+    let deadline = Instant::now() + (began + timeout).saturating_sub(boot_clock::now());
+    let max_bytes = site.limits.body_bytes;
+    let body = read_body(body, max_bytes, deadline, &node.memory, connection).await?;
     let path = parts.uri.path_and_query();
     Ok(CallerRequest {
         request: id,
@@ -168,32 +194,15 @@
     }
 }
 
-async fn read_body(body: Incoming, site: &SiteRoutes) -> Result<Bytes, EarlyRefusal> {
-    let limit = site.limits.body_bytes;
-    let body_too_long = || EarlyRefusal::new(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long");
-    if body.size_hint().lower() > limit {
-        return Err(body_too_long());
-    }
-    let limit = usize::try_from(limit).unwrap_or(usize::MAX);
-    match Limited::new(body, limit).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(body_too_long()),
-        Err(_) => Err(EarlyRefusal::new(
-            StatusCode::BAD_REQUEST,
-            "the body ended early",
-        )),
-    }
-}
-
 /// Converts the outcome to the response that is sent to the caller.
 fn build_response<D: PlatformDialect>(
     node: &NodeState<D>,
     request: &RequestId,
     outcome: ForwardOutcome,
-) -> Response<Full<Bytes>> {
+) -> Response<HeldBody> {
     match outcome.reply {
         RunReply::Ran { status, headers } => {
-            let mut response = Response::new(Full::new(outcome.body));
+            let mut response = Response::new(outcome.body);
             *response.status_mut() =
                 StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
             for (name, value) in headers {
@@ -209,7 +218,7 @@
             retry_after,
             ..
         } => {
-            let mut response = Response::new(Full::from(reason.as_str()));
+            let mut response = Response::new(Bytes::from(reason.as_str()).into());
             *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
             let headers = response.headers_mut();
             node.dialect
@@ -217,7 +226,7 @@
             response
         }
         RunReply::MayHaveRun(reason) => {
-            let mut response = Response::new(Full::from(reason.as_str()));
+            let mut response = Response::new(Bytes::from(reason.as_str()).into());
             *response.status_mut() = if reason == UncertainReason::TimedOut {
                 StatusCode::GATEWAY_TIMEOUT
             } else {
--- a/crates/anvilrack-node/src/directory/evacuation_spread.rs
+++ b/crates/anvilrack-node/src/directory/evacuation_spread.rs
@@ -58,7 +58,7 @@
 /// Asks a router for the evacuated failure domains that it knows, and applies them.
 pub async fn fetch_evacuations<D: PlatformDialect>(node: &Arc<NodeState<D>>, router: SocketAddr) {
     let call = PeerCall::PullEvacuations;
-    let fault = match node.links.call(router, &call, &[], CALL_TIMEOUT).await {
+    let fault = match node.links.call(router, &call, CALL_TIMEOUT).await {
         Ok((PeerReply::Evacuations(set), _)) => {
             if let Some(set) = set {
                 node.apply_fetched_evacuations(&set);
--- a/crates/anvilrack-node/src/end_to_end_headers.rs
+++ b/crates/anvilrack-node/src/end_to_end_headers.rs
@@ -2,12 +2,12 @@
 
 use hyper::HeaderMap;
 use hyper::header::{
-    CONNECTION, CONTENT_LENGTH, HeaderName, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
-    TRANSFER_ENCODING, UPGRADE,
+    CONNECTION, CONTENT_LENGTH, EXPECT, HeaderName, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE,
+    TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
 
 /// Headers that apply to a single connection, in addition to those named by `Connection`.
-const HOP_BY_HOP_HEADERS: [HeaderName; 8] = [
+const HOP_BY_HOP_HEADERS: [HeaderName; 9] = [
     CONNECTION,
     PROXY_AUTHENTICATE,
     PROXY_AUTHORIZATION,
@@ -17,6 +17,8 @@
     UPGRADE,
     // Set again from the length of the body that was read.
     CONTENT_LENGTH,
+    // The complete body is sent at once.
+    EXPECT,
 ];
 
 /// Returns the end-to-end headers as a list for messages between routers.
--- a/crates/anvilrack-node/src/guard/cold_target.rs
+++ b/crates/anvilrack-node/src/guard/cold_target.rs
@@ -17,6 +17,7 @@
     IncarnationState, NotificationEffect, NotificationKind, TargetGateway, TargetIncarnation,
     TargetNotification,
 };
+use crate::held_body::HeldBody;
 use crate::http_pool::{ConnectionAge, within};
 use crate::mutex_lock::lock;
 use crate::peers::RunCall;
@@ -137,7 +138,7 @@
         &self,
         node: &NodeState<D>,
         call: &RunCall,
-        response: &Response<Bytes>,
+        response: &Response<HeldBody>,
         took: Duration,
     ) {
         let now = boot_clock::now();
--- a/crates/anvilrack-node/src/guard/control_server.rs
+++ b/crates/anvilrack-node/src/guard/control_server.rs
@@ -13,6 +13,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::TcpListener;
+use tokio::time::timeout;
 
 use crate::guard::{NotificationEffect, TargetNotification};
 use crate::{NodeState, NotificationError, PlatformDialect, accept_loop, emit_event};
@@ -23,18 +24,28 @@
 /// Timeout for reading a request head; it also runs while a connection is idle.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Timeout for reading a notification, which the target gives up after a second.
+const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Serves the target until the process ends.
 pub async fn serve_control<D: PlatformDialect>(listener: TcpListener, node: Arc<NodeState<D>>) {
-    accept_loop(&listener, |stream| {
+    let gate = node.gates.control.clone();
+    accept_loop(&listener, &gate, |stream, gated| {
         let node = node.clone();
         tokio::spawn(async move {
-            let service = service_fn(move |request| respond(request, node.clone()));
+            let service = service_fn(|request| {
+                gated.set_waiting();
+                respond(request, node.clone())
+            });
             let connection = http1::Builder::new()
                 .timer(TokioTimer::new())
                 .header_read_timeout(HEAD_TIMEOUT)
                 .serve_connection(TokioIo::new(stream), service);
-            if let Err(error) = connection.await {
-                log::debug!("control connection of the target failed: {error}");
+            tokio::select! {
+                result = connection => if let Err(error) = result {
+                    log::debug!("control connection of the target failed: {error}");
+                },
+                () = gated.closing() => {}
             }
         });
     })
@@ -46,9 +57,11 @@
     node: Arc<NodeState<D>>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     let (parts, body) = request.into_parts();
-    let body = match Limited::new(body, MAX_NOTIFICATION_BYTES).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(_) => return Ok(empty_response(StatusCode::BAD_REQUEST)),
+    let body = Limited::new(body, MAX_NOTIFICATION_BYTES).collect();
+    let body = match timeout(BODY_TIMEOUT, body).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(_)) => return Ok(empty_response(StatusCode::BAD_REQUEST)),
+        Err(_) => return Ok(empty_response(StatusCode::REQUEST_TIMEOUT)),
     };
     let request = Request::from_parts(parts, body);
     let response = match node.dialect.parse_notification(&request) {
--- a/crates/anvilrack-node/src/guard/crash_monitor.rs
+++ b/crates/anvilrack-node/src/guard/crash_monitor.rs
@@ -296,17 +296,12 @@
         marks: Vec::new(),
     };
     let call = PeerCall::Crashes(digest);
-    let (reply, _) = node
-        .links
-        .call(router, &call, &[], EXCHANGE_TIMEOUT)
-        .await?;
+    let (reply, _) = node.links.call(router, &call, EXCHANGE_TIMEOUT).await?;
     let known = merge_reply(node, &reply);
     let missing = monitor.quarantine().report(known, boot_clock::now());
     if !missing.marks.is_empty() {
         let call = PeerCall::Crashes(missing);
-        node.links
-            .call(router, &call, &[], EXCHANGE_TIMEOUT)
-            .await?;
+        node.links.call(router, &call, EXCHANGE_TIMEOUT).await?;
     }
     Ok(())
 }
--- a/crates/anvilrack-node/src/guard/target_gateway.rs
+++ b/crates/anvilrack-node/src/guard/target_gateway.rs
@@ -12,8 +12,6 @@
     UncertainReason, events,
 };
 use anvilrack_router::boot_clock;
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use tokio::sync::Notify;
@@ -24,6 +22,7 @@
     BodyCapacity, IncarnationState, IncarnationTracker, NotificationEffect, StartedRequests,
     SuspectTurn, TargetIncarnation, TargetNotification,
 };
+use crate::held_body::HeldBody;
 use crate::http_pool::{ConnectionAge, HttpPool, SendError, within};
 use crate::mutex_lock::lock;
 use crate::peers::{BodyCapacityCall, RunCall, RunReply};
@@ -32,6 +31,7 @@
     NodeState, PlatformDialect, RateLimitNotice, RequestId, TargetCondition, TargetRequestInfo,
     TargetResponseInfo, emit_event, observe,
 };
+use anvilrack_limits::{MemoryHold, MemoryPool};
 
 /// Timeout for connecting to the target, which runs on the same VM.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -57,6 +57,12 @@
 /// `Retry-After` time of a router that has just started.
 const STARTING_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// Time after which memory that was reserved for a body is released if the body has not begun to arrive.
+const RESERVATION_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// `Retry-After` time while there is no memory for a request.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// `Retry-After` time while the failure domain of the target is evacuated.
 const EVACUATED_RETRY_AFTER: Duration = Duration::from_millis(400);
 
@@ -83,6 +89,9 @@
     waiters: Mutex<HashMap<TicketId, Arc<Notify>>>,
     started: Mutex<StartedRequests>,
     capacity: Mutex<BodyCapacity>,
+    memory: MemoryPool,
+    /// Memory for bodies that are about to arrive, by the request.
+    reservations: Arc<Mutex<HashMap<RequestId, Arc<MemoryHold>>>>,
     meter: Mutex<ShardMeter>,
     service_time: Mutex<ServiceTimeMeter>,
     /// Time that recent requests took at the target, by route.
@@ -123,11 +132,13 @@
 
 impl TargetGateway {
     /// Creates the gateway to the target at `target`, on a VM with a link of `link_mbps` megabits per
-    /// second.
+    /// second. Responses are received in `memory`.
     #[must_use]
-    pub fn new(target: std::net::SocketAddr, link_mbps: u32) -> Self {
+    pub fn new(target: std::net::SocketAddr, link_mbps: u32, memory: MemoryPool) -> Self {
         Self {
-            pool: HttpPool::new(target, CONNECT_TIMEOUT),
+            pool: HttpPool::new(target, CONNECT_TIMEOUT).with_memory(memory.clone()),
+            memory,
+            reservations: Arc::default(),
             incarnations: Mutex::default(),
             queue: Mutex::new(AdmissionQueue::new(
                 LatencyLimit::new(DEFAULT_SLOTS).with_fixed_limit(),
@@ -153,8 +164,8 @@
         &self,
         node: &Arc<NodeState<D>>,
         call: RunCall,
-        body: Bytes,
-    ) -> (RunReply, Bytes) {
+        body: HeldBody,
+    ) -> (RunReply, HeldBody) {
         let deadline = boot_clock::now() + call.time_left;
         let content = call.content(&body).fingerprint();
         match self.admit(node, &call, content, deadline).await {
@@ -164,7 +175,8 @@
                     slot,
                     target,
                 };
-                self.send(node, call, body, run, deadline).await
+                // On the heap, since it is large and most waiting requests have not come so far.
+                Box::pin(self.send(node, call, body, run, deadline)).await
             }
             Err((reason, retry_after)) => {
                 let (running, waiting) = self.load();
@@ -186,7 +198,7 @@
         }
     }
 
-    /// Reserves capacity for a long body before its request is sent.
+    /// Reserves capacity of the link and memory for a long body before its request is sent.
     ///
     /// # Errors
     ///
@@ -202,7 +214,9 @@
             Err((RefusalReason::Stopping, GONE_RETRY_AFTER))
         } else {
             let result = lock(&self.capacity).reserve(&call.request, bytes, now);
-            result.map_err(|after| (RefusalReason::Overloaded, after.max(MIN_RETRY_AFTER)))
+            let result =
+                result.map_err(|after| (RefusalReason::Overloaded, after.max(MIN_RETRY_AFTER)));
+            result.and_then(|()| self.reserve_memory(&call.request, bytes))
         };
         reservation.map_err(|(reason, retry_after)| {
             emit_event!(
@@ -218,6 +232,43 @@
         })
     }
 
+    /// Holds memory for a body until it begins to arrive.
+    fn reserve_memory(&self, request: &RequestId, bytes: usize) -> Result<(), Refusal> {
+        let Some(hold) = self.memory.reserve(bytes) else {
+            lock(&self.capacity).release_reservation(request);
+            return Err((RefusalReason::NoMemory, MEMORY_RETRY_AFTER));
+        };
+        let needed = Arc::new(Notify::new());
+        hold.notify_owner(needed.clone());
+        let (reservations, request) = (self.reservations.clone(), request.clone());
+        let reserved = Arc::downgrade(&hold);
+        lock(&reservations).insert(request.clone(), hold);
+        tokio::spawn(async move {
+            // Ends early if others need the memory.
+            within(RESERVATION_TIMEOUT, needed.notified()).await;
+            let mut reservations = lock(&reservations);
+            let is_same = |hold: &Arc<MemoryHold>| Arc::as_ptr(hold) == reserved.as_ptr();
+            if reservations.get(&request).is_some_and(is_same) {
+                reservations.remove(&request);
+            }
+        });
+        Ok(())
+    }
+
+    /// Returns the memory that is reserved for the body of a request, which now arrives.
+    #[must_use]
+    pub fn take_reservation(&self, request: &RequestId) -> Option<Arc<MemoryHold>> {
+        let hold = lock(&self.reservations).remove(request)?;
+        hold.notify_self();
+        Some(hold)
+    }
+
+    /// Returns the refusal of a request for whose body there is no memory.
+    #[must_use]
+    pub fn refuse_for_memory(&self) -> (RunReply, HeldBody) {
+        not_run(RefusalReason::NoMemory, MEMORY_RETRY_AFTER)
+    }
+
     /// Releases the body reservation of a request that has arrived completely.
     pub fn release_body_reservation(&self, request: &RequestId) {
         lock(&self.capacity).release_reservation(request);
@@ -522,10 +573,10 @@
         &self,
         node: &Arc<NodeState<D>>,
         call: RunCall,
-        body: Bytes,
+        body: HeldBody,
         run: AdmittedRun<'_>,
         deadline: Duration,
-    ) -> (RunReply, Bytes) {
+    ) -> (RunReply, HeldBody) {
         let AdmittedRun {
             content,
             mut slot,
@@ -553,7 +604,7 @@
             ConnectionAge::Any
         };
         let run = node.crash_monitor.begin_run(content);
-        let is_refusal = |response: &Response<Bytes>| is_refusal(node, response);
+        let is_refusal = |response: &Response<HeldBody>| is_refusal(node, response);
         let sent = self.pool.send_repeatable(
             request,
             &call.request,
@@ -609,10 +660,10 @@
         &self,
         node: &NodeState<D>,
         call: &RunCall,
-        response: Response<Bytes>,
+        response: Response<HeldBody>,
         shard: Option<ShardId>,
         target: &TargetIncarnation,
-    ) -> (RunReply, Bytes) {
+    ) -> (RunReply, HeldBody) {
         let (parts, body) = response.into_parts();
         let info = node
             .dialect
@@ -628,7 +679,7 @@
                 answered = info.request.as_deref(),
                 outcome = reason.as_str()
             );
-            return (RunReply::MayHaveRun(reason), Bytes::new());
+            return (RunReply::MayHaveRun(reason), HeldBody::default());
         }
         let by_other_target =
             info.other_target.is_some() || parts.status == StatusCode::MISDIRECTED_REQUEST;
@@ -642,7 +693,7 @@
             if let (Some(shard), StatusCode::MISDIRECTED_REQUEST) = (shard, parts.status) {
                 node.grants.invalidate(shard);
             }
-            return (reply, Bytes::new());
+            return (reply, HeldBody::default());
         }
         let reply = RunReply::Ran {
             status: parts.status.as_u16(),
@@ -658,7 +709,7 @@
         target: &TargetIncarnation,
         sent_at: BootTime,
         error: &SendError,
-    ) -> (RunReply, Bytes) {
+    ) -> (RunReply, HeldBody) {
         let reply = match error {
             error if self.detect_refusal(node, target, sent_at, error) => {
                 return not_run(RefusalReason::OwnerUnreachable, GONE_RETRY_AFTER);
@@ -680,7 +731,7 @@
             target = &*target.id,
             outcome = error.to_string()
         );
-        (reply, Bytes::new())
+        (reply, HeldBody::default())
     }
 
     /// Applies what a response says about the state of the target.
@@ -842,27 +893,27 @@
     Ok(monitor.is_suspect(request).then_some(turn))
 }
 
-fn not_run(reason: RefusalReason, retry_after: Duration) -> (RunReply, Bytes) {
+fn not_run(reason: RefusalReason, retry_after: Duration) -> (RunReply, HeldBody) {
     let reply = RunReply::NotRun {
         reason,
         retry_after,
         by_target: false,
     };
-    (reply, Bytes::new())
+    (reply, HeldBody::default())
 }
 
 /// Builds the request that is sent to the target; `None` if its method, path or headers are invalid.
 fn build_request<D: PlatformDialect>(
     node: &NodeState<D>,
     call: &RunCall,
-    body: Bytes,
+    body: HeldBody,
     target: &TargetIncarnation,
     time_left: Duration,
-) -> Option<Request<Full<Bytes>>> {
+) -> Option<Request<HeldBody>> {
     let mut request = Request::builder()
         .method(call.method.as_str())
         .uri(call.path.as_str())
-        .body(Full::new(body))
+        .body(body)
         .ok()?;
     let mut headers = HeaderMap::new();
     for (name, value) in &call.headers {
@@ -880,7 +931,7 @@
 }
 
 /// Returns whether a response states that the target has not run the request, which may then be sent again.
-fn is_refusal<D: PlatformDialect>(node: &NodeState<D>, response: &Response<Bytes>) -> bool {
+fn is_refusal<D: PlatformDialect>(node: &NodeState<D>, response: &Response<HeldBody>) -> bool {
     let (status, headers) = (response.status(), response.headers());
     !status.is_success() && node.dialect.read_response_info(status, headers).not_run
 }
--- a/crates/anvilrack-node/src/http_pool.rs
+++ b/crates/anvilrack-node/src/http_pool.rs
@@ -5,8 +5,9 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use anvilrack_core::HoldPurpose;
 use bytes::Bytes;
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{CONNECTION, HOST, HeaderMap, HeaderValue};
 use hyper::{Request, Response};
@@ -15,12 +16,15 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
-use crate::body_collector::{BodyBudget, BodyDeadline, BodyError, collect_body};
+use crate::body_collector::{BodyDeadline, BodyError, collect_body};
+use crate::held_body::HeldBody;
 use crate::{RequestId, socket_options};
+use anvilrack_limits::MemoryPool;
 
-/// Maximum size of all response bodies that are received from a server at the same time.
+/// Maximum size of all response bodies that are received from a server at the same time, if the pool has no memory in
+/// common with others.
 ///
-/// A server may send without end on each of its connections, and small VMs allow the router 160 MB.
+/// A server may send without end on each of its connections.
 const MAX_RECEIVED_BYTES: usize = 24 * 1024 * 1024;
 
 /// Idle time after which the kernel probes whether the other end of a connection is still there.
@@ -56,13 +60,13 @@
     address: SocketAddr,
     connect_timeout: Duration,
     stall_timeout: Option<Duration>,
-    body_budget: Arc<BodyBudget>,
+    memory: MemoryPool,
     idle: Arc<Mutex<Vec<IdleConnection>>>,
 }
 
 #[derive(Debug)]
 struct Connection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<HeldBody>,
     /// Requests that the server refused on this connection.
     ///
     /// A second copy of a refusal may still arrive, and would answer the same request when it is sent again.
@@ -137,7 +141,7 @@
             address,
             connect_timeout,
             stall_timeout: None,
-            body_budget: Arc::new(BodyBudget::new(MAX_RECEIVED_BYTES)),
+            memory: MemoryPool::new(MAX_RECEIVED_BYTES),
             idle: Arc::default(),
         }
     }
@@ -152,6 +156,12 @@
         }
     }
 
+    /// Receives responses in memory that is shared with others.
+    #[must_use]
+    pub fn with_memory(self, memory: MemoryPool) -> Self {
+        Self { memory, ..self }
+    }
+
     /// Returns the server's address.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
@@ -172,7 +182,11 @@
         age: ConnectionAge,
         limit: Duration,
     ) -> Result<Response<Bytes>, SendError> {
-        self.exchange(request, age, limit, None, |_| false).await
+        let (parts, body) = request.into_parts();
+        let Ok(body) = body.collect().await;
+        let request = Request::from_parts(parts, body.to_bytes().into());
+        let exchange = self.exchange(request, age, limit, None, |_| false);
+        Ok(exchange.await?.map(HeldBody::into_bytes))
     }
 
     /// Like [`Self::send`], for a request that may be sent again under the same `id` if the server refuses it.
@@ -185,24 +199,24 @@
     /// As [`Self::send`].
     pub async fn send_repeatable(
         &self,
-        request: Request<Full<Bytes>>,
+        request: Request<HeldBody>,
         id: &RequestId,
         age: ConnectionAge,
         limit: Duration,
-        is_refusal: impl Fn(&Response<Bytes>) -> bool,
-    ) -> Result<Response<Bytes>, SendError> {
+        is_refusal: impl Fn(&Response<HeldBody>) -> bool,
+    ) -> Result<Response<HeldBody>, SendError> {
         self.exchange(request, age, limit, Some(id), is_refusal)
             .await
     }
 
     async fn exchange(
         &self,
-        request: Request<Full<Bytes>>,
+        request: Request<HeldBody>,
         age: ConnectionAge,
         limit: Duration,
         id: Option<&RequestId>,
-        is_refusal: impl Fn(&Response<Bytes>) -> bool,
-    ) -> Result<Response<Bytes>, SendError> {
+        is_refusal: impl Fn(&Response<HeldBody>) -> bool,
+    ) -> Result<Response<HeldBody>, SendError> {
         let deadline = Instant::now() + limit;
         let mut request = request;
         if !request.headers().contains_key(HOST)
@@ -244,13 +258,14 @@
         &self,
         response: Response<hyper::body::Incoming>,
         deadline: Instant,
-    ) -> Result<Response<Bytes>, SendError> {
-        let (parts, body) = response.into_parts();
+    ) -> Result<Response<HeldBody>, SendError> {
+        let (parts, mut body) = response.into_parts();
         let deadline = BodyDeadline {
             at: deadline,
             stall: self.stall_timeout,
         };
-        let body = match collect_body(body, &self.body_budget, deadline).await {
+        let hold = self.memory.hold(HoldPurpose::Responding);
+        let body = match collect_body(&mut body, hold, u64::MAX, deadline, || ()).await {
             Ok(body) => body,
             Err(BodyError::Timeout) => return Err(SendError::Timeout),
             Err(error) => return Err(SendError::Broken(error.to_string().into())),
--- a/crates/anvilrack-node/src/lib.rs
+++ b/crates/anvilrack-node/src/lib.rs
@@ -15,9 +15,11 @@
 
 mod body_collector;
 pub mod callers;
+mod connection_gates;
 pub mod directory;
 mod end_to_end_headers;
 pub mod guard;
+pub mod held_body;
 pub mod http_pool;
 mod mutex_lock;
 mod node_process;
@@ -33,7 +35,8 @@
 mod socket_options;
 mod supervised_task;
 
-pub use node_process::{accept_loop, run};
+pub use connection_gates::ConnectionGates;
+pub use node_process::{accept_loop, run, serve_pending};
 pub use node_settings::{
     DeploymentLimits, ListenAddresses, NodeSettings, RetryLimits, parse_duration,
 };
--- a/crates/anvilrack-node/src/node_process.rs
+++ b/crates/anvilrack-node/src/node_process.rs
@@ -20,7 +20,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use crate::callers::serve_callers;
 use crate::directory::{
@@ -33,10 +33,17 @@
 use crate::ownership::{maintain_grants, resign, run_member};
 use crate::peers::serve_peers;
 use crate::{NodeSettings, NodeState, PlatformDialect, emit_event, observe, spawn_supervised};
+use anvilrack_limits::{ConnectionGate, GatedConnection};
 
 /// Pause after accepting a connection failed.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Minimum time between two log lines on such failures.
+const ACCEPT_LOG_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Interval between checks whether clients have reached limits.
+const LIMITS_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Interval between checks for expired entries.
 const EXPIRE_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -82,8 +89,10 @@
     );
     tokio::spawn(serve_callers(callers, node.clone()));
     tokio::spawn(serve_peers(peers, node.clone()));
-    tokio::spawn(serve_status(ready, node.clone(), ready_response));
-    tokio::spawn(serve_status(metrics, node.clone(), metrics_response));
+    let gate = node.gates.ready.clone();
+    tokio::spawn(serve_status(ready, gate, node.clone(), ready_response));
+    let gate = node.gates.metrics.clone();
+    tokio::spawn(serve_status(metrics, gate, node.clone(), metrics_response));
     tokio::spawn(serve_control(control, node.clone()));
     macro_rules! supervise {
         ($($task:ident),* $(,)?) => {
@@ -101,6 +110,7 @@
         maintain_entry,
         probe_expired_routers,
         expire_entries,
+        report_limits,
         run_member,
         maintain_grants,
         follow_leaving_target,
@@ -176,19 +186,44 @@
     );
 }
 
-/// Accepts connections and passes them to `serve` until the process ends.
-pub async fn accept_loop(listener: &TcpListener, serve: impl Fn(TcpStream)) {
+/// Accepts connections that `gate` admits and passes them to `serve` until the process ends.
+pub async fn accept_loop(
+    listener: &TcpListener,
+    gate: &Arc<ConnectionGate>,
+    serve: impl Fn(TcpStream, GatedConnection),
+) {
+    let mut logged_at: Option<Instant> = None;
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => serve(stream),
+            Ok((stream, _)) => {
+                if let Some(connection) = gate.open() {
+                    serve(stream, connection);
+                }
+            }
             Err(error) => {
-                log::warn!("cannot accept a connection: {error}");
+                if logged_at.is_none_or(|at| at.elapsed() >= ACCEPT_LOG_INTERVAL) {
+                    log::warn!("cannot accept a connection: {error}");
+                    logged_at = Some(Instant::now());
+                }
                 sleep(ACCEPT_PAUSE).await;
             }
         }
     }
 }
 
+/// Passes the last connections of a listener that `gate` admits to `serve`.
+pub fn serve_pending(
+    streams: Vec<TcpStream>,
+    gate: &Arc<ConnectionGate>,
+    serve: impl Fn(TcpStream, GatedConnection),
+) {
+    for stream in streams {
+        if let Some(connection) = gate.open() {
+            serve(stream, connection);
+        }
+    }
+}
+
 async fn bind(address: SocketAddr) -> Result<TcpListener> {
     TcpListener::bind(address)
         .await
@@ -211,16 +246,52 @@
     }
 }
 
+/// Logs once in an interval how many bodies and connections gave way to others or were refused.
+async fn report_limits<D: PlatformDialect>(node: Arc<NodeState<D>>) {
+    let count = || {
+        let (bodies_refused, bodies_evicted) = node.memory.refusals();
+        let (mut closed, mut refused) = (0, 0);
+        for (_, gate) in node.gates.by_port() {
+            let (gate_closed, gate_refused) = gate.refusals();
+            closed += gate_closed;
+            refused += gate_refused;
+        }
+        [bodies_refused, bodies_evicted, closed, refused]
+    };
+    let mut before = count();
+    loop {
+        sleep(LIMITS_INTERVAL).await;
+        let now = count();
+        if now == before {
+            continue;
+        }
+        let (capacity, held) = node.memory.usage();
+        emit_event!(
+            Warn,
+            events::LIMITS_REACHED,
+            bodies_refused = now[0] - before[0],
+            bodies_evicted = now[1] - before[1],
+            connections_closed = now[2] - before[2],
+            connections_refused = now[3] - before[3],
+            held_bytes = held,
+            capacity_bytes = capacity
+        );
+        before = now;
+    }
+}
+
 /// Serves the readiness or the metrics address; `respond` handles all paths.
 async fn serve_status<D: PlatformDialect>(
     listener: TcpListener,
+    gate: Arc<ConnectionGate>,
     node: Arc<NodeState<D>>,
     respond: fn(&NodeState<D>, &str) -> Response<Full<Bytes>>,
 ) {
-    accept_loop(&listener, |stream| {
+    accept_loop(&listener, &gate, |stream, gated| {
         let node = node.clone();
         tokio::spawn(async move {
             let service = service_fn(|request: Request<Incoming>| {
+                gated.set_waiting();
                 let response = respond(&node, request.uri().path());
                 async move { Ok::<_, Infallible>(response) }
             });
@@ -228,8 +299,11 @@
                 .timer(TokioTimer::new())
                 .header_read_timeout(HEAD_TIMEOUT)
                 .serve_connection(TokioIo::new(stream), service);
-            if let Err(error) = connection.await {
-                log::debug!("connection of a readiness or metrics client failed: {error}");
+            tokio::select! {
+                result = connection => if let Err(error) = result {
+                    log::debug!("connection of a readiness or metrics client failed: {error}");
+                },
+                () = gated.closing() => {}
             }
         });
     })
@@ -280,11 +354,39 @@
         let _ = writeln!(text, "anvilrack_domains_evacuated {}", evacuated.len());
         let _ = writeln!(text, "anvilrack_own_domain_evacuated {}", u8::from(own));
     }
+    write_limit_metrics(node, &mut text);
     write_admission_metrics(node, &mut text);
     write_retry_metrics(node, &mut text);
     Response::new(Full::from(text))
 }
 
+/// Adds what the router holds for others, and how often it had to refuse to.
+fn write_limit_metrics<D: PlatformDialect>(node: &NodeState<D>, text: &mut String) {
+    let (capacity, held) = node.memory.usage();
+    let (refused, evicted) = node.memory.refusals();
+    // Writing to a `String` cannot fail.
+    let _ = writeln!(text, "anvilrack_memory_capacity_bytes {capacity}");
+    let _ = writeln!(text, "anvilrack_memory_held_bytes {held}");
+    let _ = writeln!(text, "anvilrack_bodies_refused_total {refused}");
+    let _ = writeln!(text, "anvilrack_bodies_evicted_total {evicted}");
+    for (port, gate) in node.gates.by_port() {
+        let (open, max_open) = gate.usage();
+        let (closed, refused) = gate.refusals();
+        let series = [
+            ("open", open as u64),
+            ("max", max_open as u64),
+            ("closed_total", closed),
+            ("refused_total", refused),
+        ];
+        for (name, value) in series {
+            let _ = writeln!(
+                text,
+                "anvilrack_connections_{name}{{port=\"{port}\"}} {value}"
+            );
+        }
+    }
+}
+
 /// Adds the repeats that this router may send now, by service.
 fn write_retry_metrics<D: PlatformDialect>(node: &NodeState<D>, text: &mut String) {
     for (service, left) in node.with_retry_budget(RetryBudgets::left) {
--- a/crates/anvilrack-node/src/node_settings.rs
+++ b/crates/anvilrack-node/src/node_settings.rs
@@ -8,6 +8,15 @@
 use anvilrack_settings::{FieldError, SettingsError, read_checked};
 use serde::{Deserialize, Deserializer};
 
+/// Memory of a VM whose settings name none, in megabytes.
+const DEFAULT_MEMORY_MB: u32 = 256;
+
+/// Minimum memory in megabytes: what the process itself needs, and some room for requests.
+const MIN_MEMORY_MB: u32 = 64;
+
+/// Bytes in a megabyte of the settings.
+const MEGABYTE: usize = 1_000_000;
+
 /// Settings of one router process, read at startup.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -33,7 +42,7 @@
     /// Bandwidth of the VM's network link, in megabits per second.
     #[serde(default = "default_link_mbps", deserialize_with = "rounded_mbps")]
     pub link_mbps: u32,
-    /// Memory of the VM that the router may use, in megabytes; `None` if it is not limited.
+    /// Memory of the VM that the router may use, in megabytes; `None` for 256.
     #[serde(default)]
     pub memory_mb: Option<u32>,
     /// Limits of the deployment.
@@ -131,6 +140,12 @@
         read_checked(path, Self::check)
     }
 
+    /// Returns the memory that the router may use, in bytes.
+    #[must_use]
+    pub fn memory_bytes(&self) -> usize {
+        self.memory_mb.unwrap_or(DEFAULT_MEMORY_MB) as usize * MEGABYTE
+    }
+
     /// Returns the address at which other routers reach this one.
     #[must_use]
     pub fn peer_address(&self) -> SocketAddr {
@@ -150,8 +165,9 @@
         if self.terms.stop_grace < Duration::from_secs(1) {
             return Err(FieldError::new("terms.stop_grace", "must be at least 1s"));
         }
-        if self.memory_mb == Some(0) {
-            return Err(FieldError::new("memory_mb", "must be at least 1"));
+        if self.memory_mb.is_some_and(|memory| memory < MIN_MEMORY_MB) {
+            let allowed = format!("must be at least {MIN_MEMORY_MB}");
+            return Err(FieldError::new("memory_mb", allowed));
         }
         if let Some(retries) = self.terms.retries {
             if !(retries.ratio.is_finite() && retries.ratio >= 0.0) {
--- a/crates/anvilrack-node/src/node_shared/mod.rs
+++ b/crates/anvilrack-node/src/node_shared/mod.rs
@@ -25,6 +25,7 @@
 use leaving_targets::LeavingTargets;
 use withdrawn_routers::WithdrawnRouters;
 
+use crate::connection_gates::ConnectionGates;
 use crate::directory::{DirectoryEntry, DirectoryView, ReaderMonitor, SiteArchive, SiteTracker};
 use crate::guard::{CrashMonitor, IncarnationState, TargetGateway};
 use crate::mutex_lock::lock;
@@ -32,6 +33,7 @@
 use crate::ownership::{RefreshTimes, TargetGrants, lease_terms, release_all};
 use crate::peers::{PeerLinks, RunReply};
 use crate::{NodeSettings, PlatformDialect, emit_event};
+use anvilrack_limits::MemoryPool;
 
 /// Maximum number of routers whose calls are measured; if there are more, the measurement starts anew.
 const MAX_TRANSIT_METERS: usize = 4_096;
@@ -47,6 +49,10 @@
     pub dialect: D,
     /// Client of the platform's metadata store.
     pub store: D::Store,
+    /// Memory for the bodies of requests and responses.
+    pub memory: MemoryPool,
+    /// Connections to the ports of this router.
+    pub gates: ConnectionGates,
     /// Links to other routers.
     pub links: PeerLinks,
     /// Versions of the site document that this router and others have.
@@ -136,11 +142,14 @@
         let now = boot_clock::now();
         let run = boot_clock::unix_ms();
         let site_tracker = Arc::new(SiteTracker::default());
+        let memory = MemoryPool::of_process(settings.memory_bytes());
         Self {
-            gateway: TargetGateway::new(settings.target, settings.link_mbps),
+            gateway: TargetGateway::new(settings.target, settings.link_mbps, memory.clone()),
+            gates: ConnectionGates::unlimited(),
             dialect,
             store,
-            links: PeerLinks::new(site_tracker.clone()),
+            links: PeerLinks::new(site_tracker.clone()).with_memory(memory.clone()),
+            memory,
             site_tracker,
             crash_monitor: CrashMonitor::new(&format!("{node}/{run}")),
             grants: TargetGrants::new(now, terms.owner_lease().min(settings.terms.longest_hold)),
--- a/crates/anvilrack-node/src/ownership/coordinator_role.rs
+++ b/crates/anvilrack-node/src/ownership/coordinator_role.rs
@@ -104,7 +104,7 @@
         .collect();
     let call = PeerCall::Resign(record.service.clone(), record.epoch);
     for address in addresses {
-        let reply = node.links.call(address, &call, &[], CALL_TIMEOUT).await;
+        let reply = node.links.call(address, &call, CALL_TIMEOUT).await;
         let declined = matches!(reply, Ok((PeerReply::Resigned(false), _)))
             || reply.as_ref().is_err_and(CallError::is_unsent);
         if declined {
--- a/crates/anvilrack-node/src/ownership/member_role.rs
+++ b/crates/anvilrack-node/src/ownership/member_role.rs
@@ -146,11 +146,7 @@
     }
     let address = cell.member(&cell.coordinator)?.peer_address;
     let request = PeerCall::Heartbeat(Box::new(heartbeat));
-    match node
-        .links
-        .call(address, &request, &[], HEARTBEAT_TIMEOUT)
-        .await
-    {
+    match node.links.call(address, &request, HEARTBEAT_TIMEOUT).await {
         Ok((PeerReply::Heartbeat(reply), _)) => Some(*reply),
         Ok((PeerReply::NotCoordinator(update), _)) => {
             match update {
--- a/crates/anvilrack-node/src/peers/peer_frame.rs
+++ b/crates/anvilrack-node/src/peers/peer_frame.rs
@@ -2,11 +2,13 @@
 
 use anvilrack_core::SiteVersion;
 use anvilrack_wire::{WireError, decode, encode};
-use bytes::{Buf, BufMut, Bytes, BytesMut};
+use bytes::{Buf, BufMut, BytesMut};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use thiserror::Error;
 
+use crate::held_body::HeldBody;
+
 /// Size of the length prefix of the message, in bytes.
 const LENGTH_BYTES: usize = 4;
 
@@ -22,14 +24,14 @@
 }
 
 /// A message between routers with what accompanies it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug)]
 pub struct PeerFrame<M> {
     /// Version of the sender's site document; `None` if it has none.
     pub site: Option<SiteVersion>,
     /// The message.
     pub message: M,
     /// The body that follows the message.
-    pub body: Bytes,
+    pub body: HeldBody,
 }
 
 /// Packs a message and its body into a frame that names the sender's site version.
@@ -40,15 +42,14 @@
 pub fn pack<M: Serialize>(
     site: Option<SiteVersion>,
     message: &M,
-    body: &[u8],
-) -> Result<Bytes, FrameError> {
+    body: HeldBody,
+) -> Result<HeldBody, FrameError> {
     let message = encode(&(site, message))?;
     let length = u32::try_from(message.len()).map_err(|_| FrameError::Short)?;
-    let mut frame = BytesMut::with_capacity(LENGTH_BYTES + message.len() + body.len());
-    frame.put_u32(length);
-    frame.put_slice(&message);
-    frame.put_slice(body);
-    Ok(frame.freeze())
+    let mut prefix = BytesMut::with_capacity(LENGTH_BYTES + message.len());
+    prefix.put_u32(length);
+    prefix.put_slice(&message);
+    Ok(body.with_prefix(prefix.freeze()))
 }
 
 /// Unpacks a frame.
@@ -56,15 +57,10 @@
 /// # Errors
 ///
 /// [`FrameError`] if the bytes are not a valid frame.
-pub fn unpack<M: DeserializeOwned>(mut frame: Bytes) -> Result<PeerFrame<M>, FrameError> {
-    if frame.len() < LENGTH_BYTES {
-        return Err(FrameError::Short);
-    }
-    let length = frame.get_u32() as usize;
-    if frame.len() < length {
-        return Err(FrameError::Short);
-    }
-    let message = frame.split_to(length);
+pub fn unpack<M: DeserializeOwned>(mut frame: HeldBody) -> Result<PeerFrame<M>, FrameError> {
+    let mut length = frame.split_to(LENGTH_BYTES).ok_or(FrameError::Short)?;
+    let length = length.get_u32() as usize;
+    let message = frame.split_to(length).ok_or(FrameError::Short)?;
     let (site, message) = decode(&message)?;
     Ok(PeerFrame {
         site,
--- a/crates/anvilrack-node/src/peers/peer_links.rs
+++ b/crates/anvilrack-node/src/peers/peer_links.rs
@@ -5,9 +5,10 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use anvilrack_core::HoldPurpose;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http2::{self, SendRequest};
+use hyper::header::HeaderValue;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use thiserror::Error;
@@ -15,11 +16,16 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
-use crate::body_collector::{BodyBudget, BodyDeadline, BodyError, collect_body};
+use crate::body_collector::{BodyDeadline, BodyError, collect_body};
 use crate::directory::SiteTracker;
+use crate::held_body::HeldBody;
 use crate::mutex_lock::lock;
-use crate::peers::{FrameError, PeerCall, PeerFrame, PeerReply, PeerTraffic, pack, unpack};
-use crate::socket_options;
+use crate::peers::{
+    FrameError, PeerCall, PeerFrame, PeerReply, PeerTraffic, RESERVATION_HEADER, RUN_PATH, pack,
+    unpack,
+};
+use crate::{RequestId, socket_options};
+use anvilrack_limits::MemoryPool;
 
 /// Timeout of opening a connection.
 ///
@@ -49,8 +55,8 @@
 /// On a link of 10 Mbit/s, uploads alone delay other packets by half a second.
 const STALL_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Maximum size of all replies that are received at the same time, in bytes.
-const MAX_REPLY_BYTES: usize = 96 * 1024 * 1024;
+/// Maximum size of all replies that are received at the same time, in bytes, if the memory is not shared with others.
+const DEFAULT_REPLY_BYTES: usize = 96 * 1024 * 1024;
 
 /// HTTP/2 flow-control window of each stream and of the connection, and the send buffer size of each
 /// stream, in bytes.
@@ -84,7 +90,7 @@
     }
 }
 
-type PeerSender = SendRequest<Full<Bytes>>;
+type PeerSender = SendRequest<HeldBody>;
 
 /// Links to other routers, opened on the first call.
 ///
@@ -96,7 +102,7 @@
     links: Arc<Mutex<HashMap<SocketAddr, Arc<PeerLink>>>>,
     tracker: Arc<SiteTracker>,
     traffic: Arc<PeerTraffic>,
-    reply_budget: Arc<BodyBudget>,
+    memory: MemoryPool,
 }
 
 impl Default for PeerLinks {
@@ -133,11 +139,17 @@
         Self {
             links: Arc::default(),
             traffic: Arc::default(),
-            reply_budget: Arc::new(BodyBudget::new(MAX_REPLY_BYTES)),
+            memory: MemoryPool::new(DEFAULT_REPLY_BYTES),
             tracker,
         }
     }
 
+    /// Receives replies in memory that is shared with others.
+    #[must_use]
+    pub fn with_memory(self, memory: MemoryPool) -> Self {
+        Self { memory, ..self }
+    }
+
     /// Returns the metrics of the calls on these links, in the Prometheus text format.
     #[must_use]
     pub fn traffic_text(&self) -> String {
@@ -156,14 +168,31 @@
         &self,
         address: SocketAddr,
         call: &PeerCall,
-        body: &[u8],
         limit: Duration,
     ) -> Result<(PeerReply, Bytes), CallError> {
-        let deadline = BodyDeadline {
-            at: Instant::now() + limit,
-            stall: None,
-        };
-        self.exchange(address, call, body, deadline).await
+        let deadline = BodyDeadline::new(Instant::now() + limit);
+        let (reply, body) = self
+            .exchange(address, call, HeldBody::default(), None, deadline)
+            .await?;
+        Ok((reply, body.into_bytes()))
+    }
+
+    /// Calls a router to run a request with a body, for which it may have reserved memory.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::call`].
+    pub async fn run(
+        &self,
+        address: SocketAddr,
+        call: &PeerCall,
+        request: &RequestId,
+        body: HeldBody,
+        limit: Duration,
+    ) -> Result<(PeerReply, HeldBody), CallError> {
+        let deadline = BodyDeadline::new(Instant::now() + limit);
+        self.exchange(address, call, body, Some(request), deadline)
+            .await
     }
 
     /// Calls a router for a reply of any size, which may take any time as long as it is being received.
@@ -180,38 +209,48 @@
             at: Instant::now() + STALL_TIMEOUT,
             stall: Some(STALL_TIMEOUT),
         };
-        self.exchange(address, call, &[], deadline).await
+        let (reply, body) = self
+            .exchange(address, call, HeldBody::default(), None, deadline)
+            .await?;
+        Ok((reply, body.into_bytes()))
     }
 
     async fn exchange(
         &self,
         address: SocketAddr,
         call: &PeerCall,
-        body: &[u8],
+        body: HeldBody,
+        run: Option<&RequestId>,
         deadline: BodyDeadline,
-    ) -> Result<(PeerReply, Bytes), CallError> {
+    ) -> Result<(PeerReply, HeldBody), CallError> {
         let until = deadline.at;
+        let path = if run.is_some() { RUN_PATH } else { "/" };
         let mut frame = pack(self.tracker.version(), call, body)?;
         self.traffic.record_call(call, frame.len());
         for is_last in [false, true] {
             let mut sender = self.sender(address, until).await?;
-            let request = Request::post(format!("http://{address}/"))
-                .body(Full::new(frame))
+            let mut request = Request::post(format!("http://{address}{path}"))
+                .body(frame)
                 .map_err(|_| CallError::NotSent)?;
+            // An id that is no header value has no reservation.
+            let id = run.and_then(|id| HeaderValue::from_str(id).ok());
+            if let Some(id) = id {
+                request.headers_mut().insert(RESERVATION_HEADER, id);
+            }
             let response = match timeout_at(until, sender.try_send_request(request)).await {
                 Err(_) => return Err(CallError::Timeout),
                 Ok(Ok(response)) => response,
                 Ok(Err(mut error)) => match error.take_message() {
                     // The connection had ended before the call; it is reopened once.
                     Some(unsent) if !is_last => {
-                        frame = collect(unsent).await;
+                        frame = unsent.into_body();
                         continue;
                     }
                     Some(_) => return Err(CallError::NotSent),
                     None => return Err(CallError::Lost(error.error().to_string().into())),
                 },
             };
-            let (reply, bytes) = read_reply(response, &self.reply_budget, deadline).await?;
+            let (reply, bytes) = read_reply(response, &self.memory, deadline).await?;
             self.traffic.record_reply(call, bytes);
             self.tracker.on_named(reply.site, None);
             return Ok((reply.message, reply.body));
@@ -230,7 +269,7 @@
             .into_iter()
             .map(|address| {
                 let (links, call) = (self.clone(), call.clone());
-                tokio::spawn(async move { links.call(address, &call, &[], limit).await })
+                tokio::spawn(async move { links.call(address, &call, limit).await })
             })
             .collect();
         let mut replies = Vec::with_capacity(tasks.len());
@@ -330,21 +369,16 @@
     Some(sender)
 }
 
-async fn collect(request: Request<Full<Bytes>>) -> Bytes {
-    match request.into_body().collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(infallible) => match infallible {},
-    }
-}
-
 /// Reads a reply; returns it and its size in bytes.
 async fn read_reply(
     response: hyper::Response<hyper::body::Incoming>,
-    budget: &BodyBudget,
+    memory: &MemoryPool,
     deadline: BodyDeadline,
 ) -> Result<(PeerFrame<PeerReply>, usize), CallError> {
     let status = response.status();
-    let body = match collect_body(response.into_body(), budget, deadline).await {
+    let mut body = response.into_body();
+    let hold = memory.hold(HoldPurpose::Responding);
+    let body = match collect_body(&mut body, hold, u64::MAX, deadline, || ()).await {
         Ok(body) => body,
         Err(BodyError::Timeout) => return Err(CallError::Timeout),
         Err(error) => return Err(CallError::Lost(error.to_string().into())),
--- a/crates/anvilrack-node/src/peers/peer_message.rs
+++ b/crates/anvilrack-node/src/peers/peer_message.rs
@@ -14,6 +14,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::directory::{DirectoryEntry, ReaderHeartbeat};
+use crate::held_body::HeldBody;
 use crate::ownership::{PackedCell, PackedDelta};
 use crate::{KeyNumber, RequestContent, RequestId};
 
@@ -174,7 +175,7 @@
 
     /// Returns the content of the request with this body.
     #[must_use]
-    pub fn content<'a>(&'a self, body: &'a [u8]) -> RequestContent<'a> {
+    pub fn content<'a>(&'a self, body: &'a HeldBody) -> RequestContent<'a> {
         RequestContent {
             service: &self.service,
             method: &self.method,
--- a/crates/anvilrack-node/src/peers/peer_server.rs
+++ b/crates/anvilrack-node/src/peers/peer_server.rs
@@ -1,29 +1,36 @@
 //! Serves calls from other routers.
 
 use std::convert::Infallible;
+use std::future::pending;
 use std::net::IpAddr;
 use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use anvilrack_core::{AdmissionHint, HoldPurpose};
 use anvilrack_router::accept_drain;
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::server::conn::http2;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::timeout;
+use tokio::time::{Instant, sleep, timeout};
 
+use crate::body_collector::{BodyDeadline, BodyError, collect_body};
 use crate::directory::serve_site;
+use crate::held_body::HeldBody;
 use crate::ownership::cell_calls;
-use crate::peers::{PeerCall, PeerFrame, PeerReply, pack, unpack};
-use crate::{NodeState, PlatformDialect, accept_loop, socket_options};
+use crate::peers::{PeerCall, PeerFrame, PeerReply, RESERVATION_HEADER, RUN_PATH, pack, unpack};
+use crate::{NodeState, PlatformDialect, RequestId, accept_loop, serve_pending, socket_options};
+use anvilrack_limits::GatedConnection;
 
-/// Maximum size of a call, in bytes.
-const MAX_CALL_BYTES: usize = 96 * 1024 * 1024;
+/// Maximum time between two parts of a call.
+const CALL_STALL_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Time within which the first call of a new link has to arrive.
+const FIRST_CALL_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Interval between two pings on a link without other traffic.
 ///
@@ -52,21 +59,26 @@
 
 /// Accepts links from other routers until this router disconnects from its peers.
 pub async fn serve_peers<D: PlatformDialect>(listener: TcpListener, node: Arc<NodeState<D>>) {
-    let serve = |stream| {
-        tokio::spawn(serve_link(stream, node.clone()));
+    let gate = node.gates.routers.clone();
+    let serve = |stream, connection| {
+        tokio::spawn(serve_link(stream, connection, node.clone()));
     };
     tokio::select! {
-        () = accept_loop(&listener, serve) => {}
+        () = accept_loop(&listener, &gate, serve) => {}
         () = node.links_closed() => {}
     }
     // A pending link that were reset would leave its router in doubt about the calls on it.
     match accept_drain::close_listener(listener) {
-        Ok(pending) => pending.into_iter().for_each(serve),
+        Ok(pending) => serve_pending(pending, &gate, serve),
         Err(error) => log::warn!("cannot accept the pending links: {error}"),
     }
 }
 
-async fn serve_link<D: PlatformDialect>(stream: TcpStream, node: Arc<NodeState<D>>) {
+async fn serve_link<D: PlatformDialect>(
+    stream: TcpStream,
+    gated: GatedConnection,
+    node: Arc<NodeState<D>>,
+) {
     socket_options::set(&stream, PING_INTERVAL);
     let from = match stream.peer_addr() {
         Ok(address) => address.ip(),
@@ -76,7 +88,13 @@
         }
     };
     node.remember_linked_router(from);
-    let service = service_fn(|request| respond(request, from, node.clone()));
+    let has_calls = AtomicBool::new(false);
+    let service = service_fn(|request| {
+        if !has_calls.swap(true, Ordering::Relaxed) {
+            gated.set_busy();
+        }
+        respond(request, from, node.clone())
+    });
     let connection = http2::Builder::new(TokioExecutor::new())
         .timer(TokioTimer::new())
         .keep_alive_interval(PING_INTERVAL)
@@ -87,8 +105,16 @@
         .max_send_buf_size(WINDOW_BYTES as usize)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
+    let unused = async {
+        sleep(FIRST_CALL_TIMEOUT).await;
+        if has_calls.load(Ordering::Relaxed) {
+            pending::<()>().await;
+        }
+    };
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
+        () = gated.closing() => return,
+        () = unused => return,
         () = node.links_closed() => {
             if let Ok(ended) = timeout(LINK_CLOSE_DELAY, connection.as_mut()).await {
                 ended
@@ -107,14 +133,40 @@
     request: Request<Incoming>,
     from: IpAddr,
     node: Arc<NodeState<D>>,
-) -> Result<Response<Full<Bytes>>, Infallible> {
-    let frame = match Limited::new(request.into_body(), MAX_CALL_BYTES)
-        .collect()
-        .await
-    {
-        Ok(frame) => frame.to_bytes(),
+) -> Result<Response<HeldBody>, Infallible> {
+    let is_run = request.uri().path() == RUN_PATH;
+    let id = request.headers().get(RESERVATION_HEADER);
+    let id = id.and_then(|id| id.to_str().ok()).map(RequestId::from);
+    let reserved = id.and_then(|id| node.gateway.take_reservation(&id));
+    // Routers' own messages go before the bodies of callers.
+    let purpose = if is_run {
+        HoldPurpose::Receiving
+    } else {
+        HoldPurpose::Responding
+    };
+    let hold = reserved.unwrap_or_else(|| node.memory.hold(purpose));
+    let deadline = BodyDeadline {
+        at: Instant::now() + CALL_STALL_TIMEOUT,
+        stall: Some(CALL_STALL_TIMEOUT),
+    };
+    let mut body = request.into_body();
+    let frame = match collect_body(&mut body, hold, u64::MAX, deadline, || ()).await {
+        Ok(frame) => frame,
+        Err(BodyError::Memory(_)) if is_run => {
+            let (reply, body) = node.gateway.refuse_for_memory();
+            let reply = PeerReply::Run(
+                reply,
+                node.gateway.target_load(),
+                AdmissionHint::default(),
+                None,
+            );
+            return Ok(pack_reply(&node, &reply, body));
+        }
         Err(error) => return Ok(refuse(StatusCode::BAD_REQUEST, &error.to_string())),
     };
+    if is_run {
+        frame.set_purpose(HoldPurpose::Forwarding);
+    }
     let mut call: PeerFrame<PeerCall> = match unpack(frame) {
         Ok(call) => call,
         Err(error) => return Ok(refuse(StatusCode::BAD_REQUEST, &error.to_string())),
@@ -128,17 +180,25 @@
         run.subtract_delay(node.transit_delay(from, run.sent_at));
     }
     let (reply, body) = dispatch(call.message, call.body, &node).await;
-    Ok(match pack(node.site_tracker.version(), &reply, &body) {
-        Ok(frame) => Response::new(Full::new(frame)),
+    Ok(pack_reply(&node, &reply, body))
+}
+
+fn pack_reply<D: PlatformDialect>(
+    node: &NodeState<D>,
+    reply: &PeerReply,
+    body: HeldBody,
+) -> Response<HeldBody> {
+    match pack(node.site_tracker.version(), reply, body) {
+        Ok(frame) => Response::new(frame),
         Err(error) => refuse(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string()),
-    })
+    }
 }
 
 async fn dispatch<D: PlatformDialect>(
     call: PeerCall,
-    body: Bytes,
+    body: HeldBody,
     node: &Arc<NodeState<D>>,
-) -> (PeerReply, Bytes) {
+) -> (PeerReply, HeldBody) {
     let reply = match call {
         PeerCall::Run(run) => {
             node.gateway.release_body_reservation(&run.request);
@@ -175,7 +235,7 @@
         }
         PeerCall::PullSite(request) => {
             let (reply, body) = serve_site(node, &request);
-            return (PeerReply::Site(reply), body);
+            return (PeerReply::Site(reply), body.into());
         }
         PeerCall::PullEntries => PeerReply::Entries(node.known_entries()),
         PeerCall::Crashes(report) => {
@@ -189,13 +249,13 @@
         PeerCall::PullEvacuations => PeerReply::Evacuations(node.evacuation_set()),
         call => cell_calls::handle_call(node, call),
     };
-    (reply, Bytes::new())
+    (reply, HeldBody::default())
 }
 
 /// Logs the error of a call and returns an empty response with the status.
-fn refuse(status: StatusCode, error: &str) -> Response<Full<Bytes>> {
+fn refuse(status: StatusCode, error: &str) -> Response<HeldBody> {
     log::warn!("cannot reply to a router's call: {error}");
-    let mut response = Response::new(Full::default());
+    let mut response = Response::new(HeldBody::default());
     *response.status_mut() = status;
     response
 }
--- a/crates/anvilrack-node/src/request_content.rs
+++ b/crates/anvilrack-node/src/request_content.rs
@@ -1,9 +1,10 @@
 //! The content of a request, by which resends under new ids are recognized.
 
-use anvilrack_core::{RequestFingerprint, fingerprint_of};
+use anvilrack_core::{RequestFingerprint, fingerprint_with_body};
 use hyper::header::HOST;
 
 use crate::KeyNumber;
+use crate::held_body::HeldBody;
 
 /// What stays the same each time that a request is sent.
 #[derive(Clone, Copy, Debug)]
@@ -19,7 +20,7 @@
     /// The request's key; `None` if the caller named none.
     pub key: Option<KeyNumber>,
     /// The complete body.
-    pub body: &'a [u8],
+    pub body: &'a HeldBody,
 }
 
 impl RequestContent<'_> {
@@ -28,14 +29,14 @@
     pub fn fingerprint(&self) -> RequestFingerprint {
         let host = self.headers.iter().find(|(name, _)| name == HOST.as_str());
         let key = self.key.map(KeyNumber::to_le_bytes);
-        fingerprint_of(&[
+        let parts = [
             self.service.as_bytes(),
             self.method.as_bytes(),
             host.map_or(&[], |(_, host)| host),
             self.path.as_bytes(),
             key.as_ref().map_or(&[], |key| key),
-            self.body,
-        ])
+        ];
+        fingerprint_with_body(&parts, self.body.len(), self.body.blocks())
     }
 }
 
--- a/crates/anvilrack-node/src/routing/forward.rs
+++ b/crates/anvilrack-node/src/routing/forward.rs
@@ -12,9 +12,9 @@
     UncertainReason, WHOLE_SHARE, events, is_cancellation_reliable, retry_backoff,
 };
 use anvilrack_router::boot_clock;
-use bytes::Bytes;
 use tokio::time::sleep;
 
+use crate::held_body::HeldBody;
 use crate::http_pool::within;
 use crate::ownership::refresh_cell;
 use crate::peers::{BodyCapacityCall, CallError, PeerCall, PeerReply, RunCall, RunReply};
@@ -82,7 +82,7 @@
     /// Headers without the hop-by-hop ones.
     pub headers: Vec<(String, Vec<u8>)>,
     /// The complete body.
-    pub body: Bytes,
+    pub body: HeldBody,
     /// The request's key; `None` if the caller named none.
     pub key: Option<KeyNumber>,
     /// Time after which the response misses the route's latency objective.
@@ -112,7 +112,7 @@
     /// The outcome reported to the caller.
     pub reply: RunReply,
     /// Body of the response; empty unless the target ran the request.
-    pub body: Bytes,
+    pub body: HeldBody,
     /// Number of routers that the request was sent to.
     pub routers_tried: u32,
     /// The last of these routers; `None` if there was none.
@@ -139,13 +139,13 @@
 /// How an attempt ended.
 struct EndedAttempt {
     reply: RunReply,
-    body: Bytes,
+    body: HeldBody,
     outcome: AttemptOutcome,
 }
 
 impl EndedAttempt {
     /// An attempt that was answered by the router beside the target.
-    fn replied(reply: RunReply, body: Bytes) -> Self {
+    fn replied(reply: RunReply, body: HeldBody) -> Self {
         let outcome = match &reply {
             RunReply::NotRun { by_target, .. } if !by_target => AttemptOutcome::RefusedByRouter,
             RunReply::NotRun { .. } => AttemptOutcome::RefusedByTarget,
@@ -163,7 +163,7 @@
     fn not_started(reason: RefusalReason, outcome: AttemptOutcome) -> Self {
         Self {
             reply: not_started(reason),
-            body: Bytes::new(),
+            body: HeldBody::default(),
             outcome,
         }
     }
@@ -171,7 +171,7 @@
 
 /// What to do after an attempt.
 enum NextStep {
-    Reply(RunReply, Bytes),
+    Reply(RunReply, HeldBody),
     Retry,
 }
 
@@ -277,7 +277,7 @@
             }
             RunReply::MayHaveRun(reason) => {
                 if !self.may_repeat(outcome) {
-                    return NextStep::Reply(RunReply::MayHaveRun(reason), Bytes::new());
+                    return NextStep::Reply(RunReply::MayHaveRun(reason), HeldBody::default());
                 }
                 sleep(retry_backoff(0, rand::random())).await;
                 NextStep::Retry
@@ -441,7 +441,7 @@
                 Some(Some((reply, body))) => EndedAttempt::replied(reply, body),
                 Some(None) => EndedAttempt::replied(
                     RunReply::MayHaveRun(UncertainReason::TimedOut),
-                    Bytes::new(),
+                    HeldBody::default(),
                 ),
                 None => cancelled_at_end(),
             };
@@ -453,13 +453,14 @@
         {
             return EndedAttempt {
                 reply: refusal,
-                body: Bytes::new(),
+                body: HeldBody::default(),
                 outcome: AttemptOutcome::Unsent,
             };
         }
         let sent_at = call.sent_at;
         let call = PeerCall::Run(call);
-        let execution = links.call(address, &call, body, timeout);
+        let request = &self.request.request;
+        let execution = links.run(address, &call, request, body.clone(), timeout);
         let Some(result) = self
             .unless_cancelled(execution, self.cancel_at_router(address, sent_at))
             .await
@@ -487,7 +488,7 @@
         match error {
             CallError::Timeout => EndedAttempt::replied(
                 RunReply::MayHaveRun(UncertainReason::TimedOut),
-                Bytes::new(),
+                HeldBody::default(),
             ),
             CallError::Unreachable(_) => {
                 EndedAttempt::not_started(unreachable, AttemptOutcome::Unsent)
@@ -510,7 +511,7 @@
             bytes: self.request.body.len() as u64,
         });
         let timeout = RESERVE_TIMEOUT.min(self.time_left());
-        match self.node.links.call(address, &call, &[], timeout).await {
+        match self.node.links.call(address, &call, timeout).await {
             Ok((PeerReply::Room(reservation, load), _)) => {
                 self.record_load(router, load);
                 reservation.err()
@@ -571,7 +572,7 @@
             return EndedAttempt::not_started(unreachable, AttemptOutcome::AssumedNotRun);
         }
         let uncertain = RunReply::MayHaveRun(UncertainReason::ConnectionLost);
-        EndedAttempt::replied(uncertain, Bytes::new())
+        EndedAttempt::replied(uncertain, HeldBody::default())
     }
 
     /// Cancels the request, which was sent to the router at `address` at `sent_at`, before it starts.
@@ -582,7 +583,7 @@
         let sent_ago = asked_at.saturating_sub(sent_at);
         let call = PeerCall::Bar(self.request.request.clone(), sent_ago);
         let timeout = CANCEL_TIMEOUT.min(self.time_left());
-        let reply = self.node.links.call(address, &call, &[], timeout).await;
+        let reply = self.node.links.call(address, &call, timeout).await;
         let reliable = is_cancellation_reliable(asked_at, boot_clock::now(), CANCEL_TIMEOUT);
         let cancelled = reliable && matches!(reply, Ok((PeerReply::Barred(true), _)));
         emit_event!(
@@ -646,6 +647,7 @@
         let other_target_may_accept = moving
             || unreachable
             || reason == RefusalReason::Overloaded
+            || reason == RefusalReason::NoMemory
             || reason == RefusalReason::SuspectRunning
             || reason == RefusalReason::RateLimited
             || reason == RefusalReason::DeadlineTooShort;
@@ -759,7 +761,7 @@
                 by_target: false,
             }
         };
-        NextStep::Reply(reply, Bytes::new())
+        NextStep::Reply(reply, HeldBody::default())
     }
 
     fn refuse_quarantined(&self, left: Duration) -> NextStep {
