Bound the connections that others open to anvilrack-platform

Callers saw: no response, when other clients had opened more connections than the VM has descriptors and sent nothing, or heads that never end. header-timeout was decoded and used nowhere; the accept loop logged a line every 20 ms.

Cause: no port had a limit on its connections, so that callers, or clients of any other port, could use up the descriptors that links, the store and the target need.

Change: half of the descriptors are for callers, fewer on VMs with little memory, a quarter for links, a 64th each for the target, health checks and operators; the rest is the router's own. New setting max_descriptors, filled in from the platform's; without it, the limit of the kernel counts.

--- a/crates/anvilrack-node/src/callers/caller_connection.rs
+++ b/crates/anvilrack-node/src/callers/caller_connection.rs
@@ -20,6 +20,9 @@
 /// closed.
 const IDLE_MARGIN: Duration = Duration::from_secs(2);
 
+/// Time beyond the configured timeout after which a head that is not complete ends its connection.
+const HEAD_MARGIN: Duration = Duration::from_secs(1);
+
 /// Minimum buffer size that hyper accepts for a request head.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 
@@ -64,7 +67,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout + IDLE_MARGIN)
         .max_buf_size(buffer_bytes);
-    let head_timeout = limits.idle_timeout + IDLE_MARGIN;
+    let head_timeout = limits.head_timeout + HEAD_MARGIN;
     let stream = CallerStream::new(stream, activity.clone(), head_timeout);
     let io = TokioIo::new(stream);
     let served = accept_drain::serve_until_closed(&builder, io, service, node.callers_closed());
--- a/crates/anvilrack-node/src/connection_gates.rs
+++ b/crates/anvilrack-node/src/connection_gates.rs
@@ -2,7 +2,10 @@
 
 use std::sync::Arc;
 
-use anvilrack_limits::ConnectionGate;
+use anvilrack_core::ConnectionShares;
+use anvilrack_limits::{ConnectionGate, descriptor_limit};
+
+use crate::NodeSettings;
 
 /// The connections to all ports of a router.
 #[derive(Debug)]
@@ -20,16 +23,17 @@
 }
 
 impl ConnectionGates {
-    /// Creates gates that admit all connections.
+    /// Divides the descriptors of the process by the settings.
     #[must_use]
-    pub fn unlimited() -> Self {
-        let unlimited = || ConnectionGate::new(usize::MAX);
+    pub fn new(settings: &NodeSettings) -> Self {
+        let descriptors = settings.max_descriptors.unwrap_or_else(descriptor_limit);
+        let shares = ConnectionShares::new(descriptors as usize, settings.memory_bytes());
         Self {
-            callers: unlimited(),
-            routers: unlimited(),
-            control: unlimited(),
-            ready: unlimited(),
-            metrics: unlimited(),
+            callers: ConnectionGate::new(shares.callers),
+            routers: ConnectionGate::new(shares.routers),
+            control: ConnectionGate::new(shares.clients),
+            ready: ConnectionGate::new(shares.clients),
+            metrics: ConnectionGate::new(shares.clients),
         }
     }
 
--- a/crates/anvilrack-node/src/node_settings.rs
+++ b/crates/anvilrack-node/src/node_settings.rs
@@ -11,8 +11,9 @@
 /// Memory of a VM whose settings name none, in megabytes.
 const DEFAULT_MEMORY_MB: u32 = 256;
 
-/// Minimum memory in megabytes: what the process itself needs, and some room for requests.
+/// Minimum memory and number of descriptors: what the process itself needs, and some room for requests.
 const MIN_MEMORY_MB: u32 = 64;
+const MIN_DESCRIPTORS: u32 = 128;
 
 /// Bytes in a megabyte of the settings.
 const MEGABYTE: usize = 1_000_000;
@@ -45,6 +46,9 @@
     /// Memory of the VM that the router may use, in megabytes; `None` for 256.
     #[serde(default)]
     pub memory_mb: Option<u32>,
+    /// Maximum number of descriptors that the router may have open; `None` for the limit of the kernel.
+    #[serde(default)]
+    pub max_descriptors: Option<u32>,
     /// Limits of the deployment.
     #[serde(default)]
     pub terms: DeploymentLimits,
@@ -169,6 +173,13 @@
             let allowed = format!("must be at least {MIN_MEMORY_MB}");
             return Err(FieldError::new("memory_mb", allowed));
         }
+        if self
+            .max_descriptors
+            .is_some_and(|count| count < MIN_DESCRIPTORS)
+        {
+            let allowed = format!("must be at least {MIN_DESCRIPTORS}");
+            return Err(FieldError::new("max_descriptors", allowed));
+        }
         if let Some(retries) = self.terms.retries {
             if !(retries.ratio.is_finite() && retries.ratio >= 0.0) {
                 return Err(FieldError::new(
--- a/crates/anvilrack-node/src/node_shared/mod.rs
+++ b/crates/anvilrack-node/src/node_shared/mod.rs
@@ -145,7 +145,7 @@
         let memory = MemoryPool::of_process(settings.memory_bytes());
         Self {
             gateway: TargetGateway::new(settings.target, settings.link_mbps, memory.clone()),
-            gates: ConnectionGates::unlimited(),
+            gates: ConnectionGates::new(&settings),
             dialect,
             store,
             links: PeerLinks::new(site_tracker.clone()).with_memory(memory.clone()),
--- a/crates/anvilrack-node/tests/node_settings.rs
+++ b/crates/anvilrack-node/tests/node_settings.rs
@@ -77,6 +77,7 @@
     address_without_port_is_reported: "127.0.0.1:7" => "127.0.0.1", "`store`";
     time_without_unit_is_reported: "2000ms" => "2000", "`terms.drain`";
     too_little_memory_is_reported: "\"store\"" => "\"memory_mb\": 20, \"store\"", "`memory_mb`";
+    too_few_descriptors_are_reported: "\"store\"" => "\"max_descriptors\": 10, \"store\"", "`max_descriptors`";
     too_short_grace_is_reported: "\"6s\"" => "\"200ms\"", "`terms.stop_grace`";
 }
 
