Bound what anvilrack-router holds for callers by its VM

Callers saw: a router beyond the memory of its VM. 24 clients with bodies of 16 MiB took 633,316 kB at one router, of 250,000 kB; at four routers one took 1,109,820 kB.

Cause: BODY_CAPACITY_BYTES was 256 MiB, all that a VM has, and counted bodies only while they were read; a complete body that waited for a worker, its encoded copy, and bodies from other routers were not counted. 8,192 connections of 31 kB would have used as much.

Change: bodies belong to the memory pool of the process from their first byte until the verdict, with two copies each, and so do calls of other routers and replies. A body has to arrive within the time limit of its request. Connections of callers and links pass gates.

--- a/crates/anvilrack-bench/src/slopes/heartbeat.rs
+++ b/crates/anvilrack-bench/src/slopes/heartbeat.rs
@@ -6,7 +6,7 @@
 
 use anvilrack_core::{CoordinatorState, CrashReport};
 use anvilrack_harness::free_port;
-use anvilrack_peer::{LinkClass, PeerLinks, PeerServer, PeerService, ReplySender};
+use anvilrack_peer::{LinkClass, PeerLimits, PeerLinks, PeerServer, PeerService, ReplySender};
 use anvilrack_wire::{HeartbeatReply, HeartbeatRequest, PeerReply, PeerRequest, TableDigest};
 use eyre::ensure;
 use tokio::runtime::Runtime;
@@ -79,7 +79,8 @@
         let handler = HeartbeatHandler {
             state: Mutex::new(sample_coordinator(members)),
         };
-        PeerServer::start(runtime.handle(), coordinator, Arc::new(handler))?;
+        let limits = PeerLimits::default();
+        PeerServer::start(runtime.handle(), coordinator, Arc::new(handler), limits)?;
         Ok(Self {
             links: PeerLinks::new(runtime.handle().clone()),
             runtime,
--- a/crates/anvilrack-limits/src/lib.rs
+++ b/crates/anvilrack-limits/src/lib.rs
@@ -2,14 +2,17 @@
 //!
 //! * [`MemoryPool`] is the memory for the bodies of requests and responses; one for the process.
 //! * [`ConnectionGate`] bounds the connections to one port.
+//! * [`LimitCounts`] tells how often these limits were reached.
 //!
 //! Who gives way is decided in `anvilrack-core`, by `MemoryBudget` and `ConnectionLimit`. Stalls are measured with the
 //! steady clock, which stops while a VM is suspended: callers cannot send in that time.
 
 mod connection_gate;
+mod limit_counts;
 mod memory_pool;
 
 pub use connection_gate::{ConnectionGate, GatedConnection, descriptor_limit};
+pub use limit_counts::LimitCounts;
 pub use memory_pool::{MemoryError, MemoryHold, MemoryPool};
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
--- a/crates/anvilrack-node/src/connection_gates.rs
+++ b/crates/anvilrack-node/src/connection_gates.rs
@@ -38,13 +38,13 @@
     }
 
     /// Returns the gates with the names of their ports.
-    pub fn by_port(&self) -> impl Iterator<Item = (&'static str, &ConnectionGate)> {
+    pub fn by_port(&self) -> impl Iterator<Item = (&'static str, &Arc<ConnectionGate>)> {
         [
-            ("callers", &*self.callers),
-            ("peers", &*self.routers),
-            ("control", &*self.control),
-            ("ready", &*self.ready),
-            ("metrics", &*self.metrics),
+            ("callers", &self.callers),
+            ("peers", &self.routers),
+            ("control", &self.control),
+            ("ready", &self.ready),
+            ("metrics", &self.metrics),
         ]
         .into_iter()
     }
--- a/crates/anvilrack-node/src/node_process.rs
+++ b/crates/anvilrack-node/src/node_process.rs
@@ -33,7 +33,7 @@
 use crate::ownership::{maintain_grants, resign, run_member};
 use crate::peers::serve_peers;
 use crate::{NodeSettings, NodeState, PlatformDialect, emit_event, observe, spawn_supervised};
-use anvilrack_limits::{ConnectionGate, GatedConnection};
+use anvilrack_limits::{ConnectionGate, GatedConnection, LimitCounts};
 
 /// Pause after accepting a connection failed.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -248,35 +248,26 @@
 
 /// Logs once in an interval how many bodies and connections gave way to others or were refused.
 async fn report_limits<D: PlatformDialect>(node: Arc<NodeState<D>>) {
-    let count = || {
-        let (bodies_refused, bodies_evicted) = node.memory.refusals();
-        let (mut closed, mut refused) = (0, 0);
-        for (_, gate) in node.gates.by_port() {
-            let (gate_closed, gate_refused) = gate.refusals();
-            closed += gate_closed;
-            refused += gate_refused;
-        }
-        [bodies_refused, bodies_evicted, closed, refused]
-    };
-    let mut before = count();
+    let mut before = LimitCounts::default();
     loop {
         sleep(LIMITS_INTERVAL).await;
-        let now = count();
-        if now == before {
+        let gates = node.gates.by_port().map(|(_, gate)| gate);
+        let counts = LimitCounts::of(&node.memory, gates);
+        let Some(added) = counts.since(before) else {
             continue;
-        }
+        };
         let (capacity, held) = node.memory.usage();
         emit_event!(
             Warn,
             events::LIMITS_REACHED,
-            bodies_refused = now[0] - before[0],
-            bodies_evicted = now[1] - before[1],
-            connections_closed = now[2] - before[2],
-            connections_refused = now[3] - before[3],
+            bodies_refused = added.bodies_refused,
+            bodies_evicted = added.bodies_evicted,
+            connections_closed = added.connections_closed,
+            connections_refused = added.connections_refused,
             held_bytes = held,
             capacity_bytes = capacity
         );
-        before = now;
+        before = counts;
     }
 }
 
--- a/crates/anvilrack-peer/src/lib.rs
+++ b/crates/anvilrack-peer/src/lib.rs
@@ -13,4 +13,4 @@
 mod peer_server;
 
 pub use peer_links::{LinkClass, PeerError, PeerLinks};
-pub use peer_server::{PeerServer, PeerService, ReplySender};
+pub use peer_server::{PeerLimits, PeerServer, PeerService, ReplySender};
--- a/crates/anvilrack-peer/src/peer_links.rs
+++ b/crates/anvilrack-peer/src/peer_links.rs
@@ -5,6 +5,8 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use anvilrack_core::HoldPurpose;
+use anvilrack_limits::MemoryPool;
 use anvilrack_wire::{PeerReply, PeerRequest, decode, encode};
 use bytes::Bytes;
 use h2::client::SendRequest;
@@ -13,7 +15,7 @@
 use tokio::net::TcpStream;
 use tokio::runtime::Handle;
 
-use crate::body_stream::{LINK_WINDOW, STREAM_WINDOW, read_body};
+use crate::body_stream::{BodyError, LINK_WINDOW, REQUEST_PATH, STREAM_WINDOW, read_body};
 use crate::link_watch::{LinkProgress, watch_link};
 
 /// Timeout for opening a link.
@@ -22,6 +24,9 @@
 /// Maximum number of open links; beyond it, the least recently used link is dropped.
 const MAX_LINKS: usize = 1_024;
 
+/// Maximum size of all replies that are received at the same time, in bytes, if the memory is not shared with others.
+const DEFAULT_REPLY_BYTES: usize = 128 * 1024 * 1024;
+
 /// The kind of link that a call uses; each peer has one link of each kind.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum LinkClass {
@@ -58,8 +63,9 @@
     links: Arc<LinkTable>,
 }
 
-#[derive(Default)]
 struct LinkTable {
+    /// Memory in which replies are received.
+    memory: MemoryPool,
     open: Mutex<HashMap<(SocketAddr, LinkClass), PeerLink>>,
 }
 
@@ -73,9 +79,19 @@
     /// Creates an empty set of links; they run on `runtime`.
     #[must_use]
     pub fn new(runtime: Handle) -> Self {
+        Self::with_memory(runtime, MemoryPool::new(DEFAULT_REPLY_BYTES))
+    }
+
+    /// Creates an empty set of links; replies are received in `memory`.
+    #[must_use]
+    pub fn with_memory(runtime: Handle, memory: MemoryPool) -> Self {
+        let links = LinkTable {
+            memory,
+            open: Mutex::default(),
+        };
         Self {
             runtime,
-            links: Arc::default(),
+            links: Arc::new(links),
         }
     }
 
@@ -173,7 +189,7 @@
             .map_err(PeerError::NotSent)?;
         let sent_at_ms = link.progress.now_ms();
         let open_call = link.progress.begin_call();
-        let exchange = exchange(link.sender.clone(), &link.progress, body);
+        let exchange = self.exchange(link.sender.clone(), &link.progress, class, body);
         let reply = tokio::select! {
             // A silent link is closed when it is detected, which also fails the exchange. The
             // silence is polled first so that callers receive it as the cause of the error.
@@ -195,6 +211,35 @@
         reply
     }
 
+    async fn exchange(
+        &self,
+        sender: SendRequest<Bytes>,
+        progress: &LinkProgress,
+        class: LinkClass,
+        body: Bytes,
+    ) -> Result<PeerReply, PeerError> {
+        let not_sent = |error: h2::Error| PeerError::NotSent(error.to_string());
+        let mut sender = sender.ready().await.map_err(not_sent)?;
+        let path = match class {
+            LinkClass::Control => "/peer",
+            LinkClass::Request => REQUEST_PATH,
+        };
+        let request = Request::post(path)
+            .body(())
+            .map_err(|error| PeerError::NotSent(error.to_string()))?;
+        let (response, mut stream) = sender.send_request(request, false).map_err(not_sent)?;
+        stream.send_data(body, true).map_err(unanswered)?;
+        let response = response.await.map_err(unanswered)?;
+        progress.on_received();
+        let hold = self.memory.hold(HoldPurpose::Responding);
+        let body = read_body(&mut response.into_body(), &hold, || progress.on_received()).await;
+        let body = body.map_err(|error| match error {
+            BodyError::Stream(error) => unanswered(error),
+            error => PeerError::Unanswered(error.to_string()),
+        })?;
+        decode(&body).map_err(|error| PeerError::Unanswered(error.to_string()))
+    }
+
     /// Returns the open link to a peer, or opens one.
     async fn link(&self, peer: SocketAddr, class: LinkClass) -> Result<PeerLink, String> {
         let open = self.table().get(&(peer, class)).cloned();
@@ -260,26 +305,6 @@
     Ok(PeerLink { sender, progress })
 }
 
-async fn exchange(
-    sender: SendRequest<Bytes>,
-    progress: &LinkProgress,
-    body: Bytes,
-) -> Result<PeerReply, PeerError> {
-    let not_sent = |error: h2::Error| PeerError::NotSent(error.to_string());
-    let mut sender = sender.ready().await.map_err(not_sent)?;
-    let request = Request::post("/peer")
-        .body(())
-        .map_err(|error| PeerError::NotSent(error.to_string()))?;
-    let (response, mut stream) = sender.send_request(request, false).map_err(not_sent)?;
-    stream.send_data(body, true).map_err(unanswered)?;
-    let response = response.await.map_err(unanswered)?;
-    progress.on_received();
-    let body = read_body(&mut response.into_body(), || progress.on_received())
-        .await
-        .map_err(unanswered)?;
-    decode(&body).map_err(|error| PeerError::Unanswered(error.to_string()))
-}
-
 #[expect(
     clippy::needless_pass_by_value,
     reason = "passed to `map_err`, which passes the error by value"
--- a/crates/anvilrack-peer/src/peer_server.rs
+++ b/crates/anvilrack-peer/src/peer_server.rs
@@ -1,9 +1,13 @@
 //! The server for calls from other routers.
 
+use std::future::pending;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
+use anvilrack_core::{HoldPurpose, RefusalReason, RequestVerdict};
+use anvilrack_limits::{ConnectionGate, GatedConnection, MemoryHold, MemoryPool};
 use anvilrack_wire::{PeerReply, PeerRequest, decode, encode};
 use bytes::Bytes;
 use h2::server::SendResponse;
@@ -12,12 +16,26 @@
 use tokio::runtime::Handle;
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
-use crate::body_stream::{LINK_WINDOW, STREAM_WINDOW, read_body};
+use crate::body_stream::{BodyError, LINK_WINDOW, REQUEST_PATH, STREAM_WINDOW, read_body};
 
 /// Maximum number of concurrent streams, and so of calls, on one link.
 const MAX_STREAMS: u32 = 1_024;
 
+/// `Retry-After` time of a request for which there is no memory.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// Default limits on the memory of requests, in bytes, and on open links.
+const DEFAULT_MEMORY_BYTES: usize = 128 * 1024 * 1024;
+const DEFAULT_LINKS: usize = 1_024;
+
+/// Delay before accepting again after an accept error.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+
+/// Time within which the first call of a new link has to arrive.
+const FIRST_CALL_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Handles the requests of peers.
 ///
 /// `serve` must not block: longer work must be passed to another thread together with the sender.
@@ -30,6 +48,8 @@
 #[derive(Debug)]
 pub struct ReplySender {
     sender: oneshot::Sender<PeerReply>,
+    /// Memory of the request; it is released with the sender.
+    _hold: Arc<MemoryHold>,
 }
 
 impl ReplySender {
@@ -45,13 +65,31 @@
     }
 }
 
+/// Limits on what other routers may use.
+#[derive(Clone, Debug)]
+pub struct PeerLimits {
+    /// Memory in which requests are held.
+    pub memory: MemoryPool,
+    /// Bounds the open links.
+    pub gate: Arc<ConnectionGate>,
+}
+
+impl Default for PeerLimits {
+    fn default() -> Self {
+        Self {
+            memory: MemoryPool::new(DEFAULT_MEMORY_BYTES),
+            gate: ConnectionGate::new(DEFAULT_LINKS),
+        }
+    }
+}
+
 /// Listens for links from other routers.
 pub struct PeerServer {
     listener: JoinHandle<()>,
 }
 
 impl PeerServer {
-    /// Listens on `address` and passes each request to `service`.
+    /// Listens on `address` and passes each request to `service`, which holds it in `memory` until its reply.
     ///
     /// # Errors
     ///
@@ -60,9 +98,10 @@
         runtime: &Handle,
         address: SocketAddr,
         service: Arc<S>,
+        limits: PeerLimits,
     ) -> io::Result<Self> {
         let listener = runtime.block_on(TcpListener::bind(address))?;
-        let listener = runtime.spawn(accept_links(listener, service));
+        let listener = runtime.spawn(accept_links(listener, service, limits));
         Ok(Self { listener })
     }
 
@@ -72,21 +111,30 @@
     }
 }
 
-async fn accept_links<S: PeerService>(listener: TcpListener, service: Arc<S>) {
+async fn accept_links<S: PeerService>(listener: TcpListener, service: Arc<S>, limits: PeerLimits) {
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
-                tokio::spawn(serve_link(stream, peer, service.clone()));
+                if let Some(gated) = limits.gate.open() {
+                    let (service, memory) = (service.clone(), limits.memory.clone());
+                    tokio::spawn(serve_link(stream, peer, gated, service, memory));
+                }
             }
             Err(error) => {
                 log::warn!("cannot accept a link: {error}");
-                tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+                sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
     }
 }
 
-async fn serve_link<S: PeerService>(stream: TcpStream, peer: SocketAddr, service: Arc<S>) {
+async fn serve_link<S: PeerService>(
+    stream: TcpStream,
+    peer: SocketAddr,
+    gated: GatedConnection,
+    service: Arc<S>,
+    memory: MemoryPool,
+) {
     if stream.set_nodelay(true).is_err() {
         return;
     }
@@ -95,16 +143,41 @@
         .initial_connection_window_size(LINK_WINDOW)
         .max_concurrent_streams(MAX_STREAMS)
         .handshake::<_, Bytes>(stream);
-    let Ok(mut link) = handshake.await else {
+    let handshake = tokio::select! {
+        handshake = timeout(FIRST_CALL_TIMEOUT, handshake) => handshake,
+        () = gated.closing() => return,
+    };
+    let Ok(Ok(mut link)) = handshake else {
         return;
     };
-    while let Some(stream) = link.accept().await {
-        let Ok((request, respond)) = stream else {
+    let mut first_call = Some(Instant::now() + FIRST_CALL_TIMEOUT);
+    loop {
+        let unused = async {
+            match first_call {
+                Some(until) => sleep_until(until).await,
+                None => pending().await,
+            }
+        };
+        let stream = tokio::select! {
+            stream = link.accept() => stream,
+            () = gated.closing() => return,
+            () = unused => return,
+        };
+        let Some(Ok((request, respond))) = stream else {
             break;
         };
-        let service = service.clone();
+        if first_call.take().is_some() {
+            gated.set_busy();
+        }
+        // Routers' own messages go before the requests of callers.
+        let purpose = if request.uri().path() == REQUEST_PATH {
+            HoldPurpose::Receiving
+        } else {
+            HoldPurpose::Responding
+        };
+        let (hold, service) = (memory.hold(purpose), service.clone());
         tokio::spawn(async move {
-            if let Err(error) = serve_stream(request, respond, service).await {
+            if let Err(error) = serve_stream(request, respond, hold, service).await {
                 log::debug!("stream from {peer} failed: {error}");
             }
         });
@@ -114,14 +187,32 @@
 async fn serve_stream<S: PeerService>(
     request: Request<h2::RecvStream>,
     mut respond: SendResponse<Bytes>,
+    hold: Arc<MemoryHold>,
     service: Arc<S>,
 ) -> Result<(), h2::Error> {
-    let body = read_body(&mut request.into_body(), || ()).await?;
+    let body = match read_body(&mut request.into_body(), &hold, || ()).await {
+        Ok(body) => body,
+        Err(BodyError::Stream(error)) => return Err(error),
+        Err(BodyError::Memory(error)) => {
+            log::debug!("a request was refused: {error}");
+            return send_reply(&mut respond, &PeerReply::Forwarded(no_memory().into()));
+        }
+        Err(error @ (BodyError::Stalled | BodyError::TooLong)) => {
+            log::debug!("a request was not received: {error}");
+            return send_status(&mut respond, StatusCode::BAD_REQUEST);
+        }
+    };
+    hold.set_purpose(HoldPurpose::Forwarding);
     let Ok(message) = decode::<PeerRequest>(&body) else {
         return send_status(&mut respond, StatusCode::BAD_REQUEST);
     };
+    drop(body);
     let (sender, receiver) = oneshot::channel();
-    service.serve(message, ReplySender { sender });
+    let reply = ReplySender {
+        sender,
+        _hold: hold,
+    };
+    service.serve(message, reply);
     let reply = tokio::select! {
         reply = receiver => reply.ok(),
         reset = std::future::poll_fn(|context| respond.poll_reset(context)) => {
@@ -129,8 +220,20 @@
             None
         }
     };
-    let Some(bytes) = reply.and_then(|reply| encode(&reply).ok()) else {
-        return send_status(&mut respond, StatusCode::INTERNAL_SERVER_ERROR);
+    match reply {
+        Some(reply) => send_reply(&mut respond, &reply),
+        None => send_status(&mut respond, StatusCode::INTERNAL_SERVER_ERROR),
+    }
+}
+
+/// The verdict on a request for whose body there is no memory.
+fn no_memory() -> RequestVerdict {
+    RequestVerdict::NotRun(RefusalReason::NoMemory, MEMORY_RETRY_AFTER)
+}
+
+fn send_reply(respond: &mut SendResponse<Bytes>, reply: &PeerReply) -> Result<(), h2::Error> {
+    let Ok(bytes) = encode(reply) else {
+        return send_status(respond, StatusCode::INTERNAL_SERVER_ERROR);
     };
     let mut stream = respond.send_response(Response::new(()), false)?;
     stream.send_data(bytes.into(), true)
--- a/crates/anvilrack-router/src/caller_body.rs
+++ b/crates/anvilrack-router/src/caller_body.rs
@@ -1,64 +1,97 @@
-//! Reads callers' request bodies with limits on size, time and total memory.
+//! Reads callers' request bodies with limits on size, time and memory.
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use anvilrack_core::{RefusalReason, RequestVerdict};
+use anvilrack_core::{BodyRoom, HoldPurpose, RefusalReason, RequestVerdict};
+use anvilrack_limits::{GatedConnection, MemoryError, MemoryHold, MemoryPool};
 use anvilrack_wire::BodyBytes;
 use http_body_util::BodyExt;
-use hyper::body::{Body, Bytes, Incoming};
-use tokio::sync::{Semaphore, SemaphorePermit};
+use hyper::body::{Body, Incoming};
+use tokio::time::{Instant, timeout, timeout_at};
 
-use crate::peer_handler::overloaded;
 use crate::stages::RETRY_SOON;
 
-/// Maximum total size of the bodies that are being read at once, over all callers, in bytes.
-pub const BODY_CAPACITY_BYTES: usize = 256 * 1024 * 1024;
+/// Number of times that a body is in memory while it is passed on: as it was received, and as it is sent.
+const BODY_COPIES: usize = 2;
 
-/// Timeout for reading a whole body.
+/// Maximum time for reading a whole body, whatever the timeout of its request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Time for which the rest of a refused body is read and discarded, so that the caller gets the
 /// response instead of a connection reset.
 const DRAIN_TIME: Duration = Duration::from_millis(500);
 
-/// Reads a whole body. A truncated body is an error, with `Content-Length` and with chunked
-/// encoding.
+/// `Retry-After` time of a request for whose body there is no memory.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// A complete body and its memory, which is released when this is dropped.
+#[derive(Clone, Debug)]
+pub struct HeldBody {
+    /// The body.
+    pub bytes: BodyBytes,
+    /// Its memory; `None` if it is empty.
+    pub hold: Option<Arc<MemoryHold>>,
+}
+
+/// Reads a whole body within `time`. A truncated body is an error, with `Content-Length` and with
+/// chunked encoding.
 ///
 /// # Errors
 ///
-/// Returns `NotRun` if the body is larger than `limit`, truncated or too slow, or if all capacity
-/// is in use.
+/// Returns `NotRun` if the body is larger than `limit`, truncated or too slow, or if there is no
+/// memory for it.
 pub async fn read(
     mut body: Incoming,
     limit: usize,
-    capacity: &Semaphore,
-) -> Result<BodyBytes, RequestVerdict> {
+    time: Duration,
+    memory: &MemoryPool,
+    connection: &GatedConnection,
+) -> Result<HeldBody, RequestVerdict> {
     if body.is_end_stream() {
-        return Ok(BodyBytes(Vec::new().into()));
+        return Ok(HeldBody {
+            bytes: BodyBytes(Vec::new().into()),
+            hold: None,
+        });
     }
-    let frames = read_frames(&mut body, limit, capacity);
-    let result = tokio::time::timeout(BODY_TIMEOUT, frames).await;
-    let verdict = match result {
-        Ok(Ok(bytes)) => return Ok(BodyBytes(bytes.into())),
-        Ok(Err(verdict)) => verdict,
-        Err(_) => refuse(RefusalReason::BadRequest),
+    let until = Instant::now() + time.min(BODY_TIMEOUT);
+    let verdict = match read_frames(&mut body, limit, until, memory, connection).await {
+        Ok(body) => return Ok(body),
+        Err(verdict) => verdict,
     };
     // The response is the same whether or not the rest of the body arrives.
-    let _ = tokio::time::timeout(DRAIN_TIME, drain(&mut body)).await;
+    let _ = timeout(DRAIN_TIME, drain(&mut body)).await;
     Err(verdict)
 }
 
 async fn read_frames(
     body: &mut Incoming,
     limit: usize,
-    capacity: &Semaphore,
-) -> Result<Vec<u8>, RequestVerdict> {
-    if body.size_hint().lower() > limit as u64 {
+    until: Instant,
+    memory: &MemoryPool,
+    connection: &GatedConnection,
+) -> Result<HeldBody, RequestVerdict> {
+    let announced = body.size_hint().lower();
+    if announced > limit as u64 {
         return Err(refuse(RefusalReason::BodyTooLarge));
     }
-    let mut reserved: Option<SemaphorePermit<'_>> = None;
+    match memory.room_for(announced.saturating_mul(BODY_COPIES as u64)) {
+        BodyRoom::Free => {}
+        BodyRoom::Occupied => return Err(no_memory(MemoryError::Refused)),
+        BodyRoom::Never => return Err(refuse(RefusalReason::BodyTooLarge)),
+    }
+    let hold = memory.hold(HoldPurpose::Receiving);
     let mut bytes = Vec::new();
-    while let Some(frame) = body.frame().await {
+    loop {
+        let frame = tokio::select! {
+            biased;
+            () = hold.evicted() => return Err(no_memory(MemoryError::Evicted)),
+            frame = timeout_at(until, body.frame()) => frame,
+        };
+        let frame = frame.map_err(|_| refuse(RefusalReason::DeadlineTooShort))?;
+        let Some(frame) = frame else {
+            break;
+        };
         let frame = frame.map_err(|_| refuse(RefusalReason::BadRequest))?;
         let Ok(data) = frame.into_data() else {
             continue;
@@ -66,32 +99,28 @@
         if bytes.len() + data.len() > limit {
             return Err(refuse(RefusalReason::BodyTooLarge));
         }
-        reserve_capacity(&mut reserved, &data, capacity)?;
+        let grown = hold.grow(data.len() * BODY_COPIES, until).await;
+        grown.map_err(no_memory)?;
         bytes.extend_from_slice(&data);
+        hold.on_received(bytes.len() * BODY_COPIES);
+        connection.set_waiting();
     }
-    Ok(bytes)
-}
-
-fn reserve_capacity<'a>(
-    reserved: &mut Option<SemaphorePermit<'a>>,
-    data: &Bytes,
-    capacity: &'a Semaphore,
-) -> Result<(), RequestVerdict> {
-    let length = u32::try_from(data.len()).map_err(|_| overloaded())?;
-    let added = capacity
-        .try_acquire_many(length)
-        .map_err(|_| overloaded())?;
-    match reserved {
-        Some(reserved) => reserved.merge(added),
-        None => *reserved = Some(added),
-    }
-    Ok(())
+    hold.set_purpose(HoldPurpose::Forwarding);
+    Ok(HeldBody {
+        bytes: BodyBytes(bytes.into()),
+        hold: Some(hold),
+    })
 }
 
 async fn drain(body: &mut Incoming) {
     while let Some(Ok(_)) = body.frame().await {}
 }
 
+fn no_memory(error: MemoryError) -> RequestVerdict {
+    log::debug!("a body was refused: {error}");
+    RequestVerdict::NotRun(RefusalReason::NoMemory, MEMORY_RETRY_AFTER)
+}
+
 fn refuse(reason: RefusalReason) -> RequestVerdict {
     RequestVerdict::NotRun(reason, RETRY_SOON)
 }
--- a/crates/anvilrack-router/src/caller_server.rs
+++ b/crates/anvilrack-router/src/caller_server.rs
@@ -17,6 +17,7 @@
 use std::time::Duration;
 
 use anvilrack_core::{BootTime, RequestVerdict, UncertainReason, events};
+use anvilrack_limits::GatedConnection;
 use crossbeam::channel::{Receiver, Sender, bounded};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -25,10 +26,10 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Handle;
-use tokio::sync::{Semaphore, oneshot, watch};
+use tokio::sync::{oneshot, watch};
 use tokio::task::JoinHandle;
 
-use crate::caller_body::{self, BODY_CAPACITY_BYTES};
+use crate::caller_body;
 use crate::guard_pool::GuardPool;
 use crate::peer_handler::overloaded;
 use crate::router_context::RouterContext;
@@ -38,9 +39,6 @@
 use crate::stages::{accept, forward, reply};
 use crate::{accept_drain, boot_clock, log_event};
 
-/// Maximum number of open caller connections; further ones wait in the listener's backlog.
-const MAX_CONNECTIONS: usize = 8_192;
-
 /// Timeout for reading a head; it also runs while a connection is idle.
 const HEAD_TIMEOUT: Duration = Duration::from_mins(1);
 
@@ -65,8 +63,6 @@
     jobs: Sender<CallerJob>,
     /// Number of requests that are being read, processed or answered.
     in_flight: AtomicUsize,
-    /// Remaining capacity for bodies that are being read, in bytes.
-    body_capacity: Semaphore,
     /// Number of open connections.
     connections: AtomicUsize,
     /// Set to `true` to close the listener and let connections shut down after their current
@@ -135,7 +131,6 @@
             context: context.clone(),
             jobs: sender,
             in_flight: AtomicUsize::new(0),
-            body_capacity: Semaphore::new(BODY_CAPACITY_BYTES),
             connections: AtomicUsize::new(0),
             closing: watch::Sender::new(false),
         });
@@ -168,24 +163,14 @@
 }
 
 async fn accept_callers(listener: TcpListener, shared: Arc<CallersShared>) {
-    let slots = Arc::new(Semaphore::new(MAX_CONNECTIONS));
     let mut closing = shared.closing.subscribe();
     loop {
-        let Ok(slot) = slots.clone().acquire_owned().await else {
-            return;
-        };
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             () = wait_until_closing(&mut closing) => break,
         };
         match accepted {
-            Ok((stream, caller)) => {
-                let (shared, connection) = (shared.clone(), OpenConnection::new(&shared));
-                tokio::spawn(async move {
-                    serve_caller(stream, caller, shared).await;
-                    drop((connection, slot));
-                });
-            }
+            Ok((stream, caller)) => spawn_caller(stream, caller, &shared),
             Err(error) => {
                 log::warn!("cannot accept a caller's connection: {error}");
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -195,14 +180,9 @@
     match accept_drain::close_listener(listener) {
         Ok(backlog) => {
             for stream in backlog {
-                let Ok(caller) = stream.peer_addr() else {
-                    continue;
-                };
-                let (shared, connection) = (shared.clone(), OpenConnection::new(&shared));
-                tokio::spawn(async move {
-                    serve_caller(stream, caller, shared).await;
-                    drop(connection);
-                });
+                if let Ok(caller) = stream.peer_addr() {
+                    spawn_caller(stream, caller, &shared);
+                }
             }
         }
         Err(error) => log::warn!(
@@ -211,12 +191,30 @@
     }
 }
 
-async fn serve_caller(stream: TcpStream, caller: SocketAddr, shared: Arc<CallersShared>) {
+/// Serves a connection in a task of its own, if there is room for it.
+fn spawn_caller(stream: TcpStream, caller: SocketAddr, shared: &Arc<CallersShared>) {
+    let Some(gated) = shared.context.caller_gate.open() else {
+        return;
+    };
+    let (shared, connection) = (shared.clone(), OpenConnection::new(shared));
+    tokio::spawn(async move {
+        serve_caller(stream, caller, gated, shared).await;
+        drop(connection);
+    });
+}
+
+async fn serve_caller(
+    stream: TcpStream,
+    caller: SocketAddr,
+    gated: GatedConnection,
+    shared: Arc<CallersShared>,
+) {
     if stream.set_nodelay(true).is_err() {
         return;
     }
     let mut closing = shared.closing.subscribe();
-    let service = service_fn(|request| handle_request(shared.clone(), caller.ip(), request));
+    let service =
+        service_fn(|request| handle_request(shared.clone(), caller.ip(), &gated, request));
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
@@ -224,9 +222,12 @@
         .max_buf_size(MAX_HEAD_BYTES);
     let io = TokioIo::new(stream);
     let closing = wait_until_closing(&mut closing);
-    let result = accept_drain::serve_until_closed(&builder, io, service, closing).await;
-    if let Err(error) = result {
-        log::debug!("connection of {caller} closed with an error: {error}");
+    let served = accept_drain::serve_until_closed(&builder, io, service, closing);
+    tokio::select! {
+        result = served => if let Err(error) = result {
+            log::debug!("connection of {caller} closed with an error: {error}");
+        },
+        () = gated.closing() => log::debug!("connection of {caller} was closed for others"),
     }
 }
 
@@ -238,6 +239,7 @@
 async fn handle_request(
     shared: Arc<CallersShared>,
     caller: IpAddr,
+    gated: &GatedConnection,
     request: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, Infallible> {
     shared.in_flight.fetch_add(1, Ordering::Relaxed);
@@ -245,26 +247,36 @@
         in_flight: &shared.in_flight,
     };
     let received_at = boot_clock::now();
-    let verdict = match read_request(&shared, caller, request, received_at).await {
-        Ok(accepted) => shared.run(accepted, received_at).await,
+    gated.set_waiting();
+    let verdict = match read_request(&shared, caller, gated, request, received_at).await {
+        Ok(accepted) => {
+            gated.set_busy();
+            shared.run(accepted, received_at).await
+        }
         Err(verdict) => {
             log_event!(Info, events::REQUEST_REFUSED, "verdict" = verdict.as_str());
             verdict
         }
     };
+    gated.set_waiting();
     Ok(reply::process(verdict, shared.context.is_stopping()))
 }
 
 async fn read_request(
     shared: &CallersShared,
     caller: IpAddr,
+    gated: &GatedConnection,
     request: Request<Incoming>,
     received_at: BootTime,
 ) -> Result<AcceptedRequest, RequestVerdict> {
     let limits = &shared.context.settings.limits;
     let (head, body) = request.into_parts();
     let accepted = accept::process(&head, caller, limits, received_at);
-    let body = caller_body::read(body, limits.body_bytes, &shared.body_capacity).await;
+    let time = accepted.as_ref().map_or(Duration::ZERO, |accepted| {
+        accepted.deadline.saturating_sub(boot_clock::now())
+    });
+    let memory = &shared.context.memory;
+    let body = caller_body::read(body, limits.body_bytes, time, memory, gated).await;
     Ok(accepted?.with_body(body?))
 }
 
--- a/crates/anvilrack-router/src/lib.rs
+++ b/crates/anvilrack-router/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod grant_notifications;
 pub mod guard_pool;
 pub mod health_hints;
+pub mod limits_report;
 pub mod load_meter;
 pub mod log_writer;
 pub mod membership;
--- a/crates/anvilrack-router/src/router_context.rs
+++ b/crates/anvilrack-router/src/router_context.rs
@@ -5,10 +5,11 @@
 use std::time::Duration;
 
 use anvilrack_core::{
-    CellMember, CellRecord, ConfigRecord, CoordinatorState, Incarnation, LeaseTerms, MemberReport,
-    NodeId, OwnerState, PlacementHistory, RecordDelta, ReleaseReport, ReportSequence, RouteTable,
-    ServiceName, StandbyState, events,
+    CellMember, CellRecord, ConfigRecord, ConnectionShares, CoordinatorState, Incarnation,
+    LeaseTerms, MemberReport, NodeId, OwnerState, PlacementHistory, RecordDelta, ReleaseReport,
+    ReportSequence, RouteTable, ServiceName, StandbyState, events,
 };
+use anvilrack_limits::{ConnectionGate, MemoryPool, descriptor_limit};
 use anvilrack_peer::PeerLinks;
 use anvilrack_settings::RouterSettings;
 use anvilrack_store::HttpStore;
@@ -29,6 +30,9 @@
 use crate::worker_shares::WorkerShares;
 use crate::{boot_clock, log_event};
 
+/// Bytes in a megabyte of the settings.
+const MEGABYTE: usize = 1_000_000;
+
 /// The state of one router process.
 ///
 /// Each lock guards one value and is held only briefly; no lock is held during I/O.
@@ -42,6 +46,12 @@
     pub terms: LeaseTerms,
     /// Client of the platform's key-value store.
     pub store: HttpStore,
+    /// Memory for the bodies of requests and replies.
+    pub memory: MemoryPool,
+    /// Connections of callers.
+    pub caller_gate: Arc<ConnectionGate>,
+    /// Links from other routers.
+    pub peer_gate: Arc<ConnectionGate>,
     /// Connections to other routers.
     pub links: PeerLinks,
     /// Metrics for the operators' monitoring.
@@ -85,10 +95,18 @@
         let node = settings.node.clone();
         let now = boot_clock::now();
         let own = member_of(&settings, incarnation, false);
+        let limits = &settings.limits;
+        let memory = limits.memory_mb * MEGABYTE;
+        let descriptors = limits.max_descriptors.unwrap_or_else(descriptor_limit);
+        let shares = ConnectionShares::new(descriptors as usize, memory);
+        let memory = MemoryPool::of_process(memory.saturating_sub(limits.record_bytes));
         Self {
+            caller_gate: ConnectionGate::new(shares.callers),
+            peer_gate: ConnectionGate::new(shares.routers),
             service_selectors: ServiceSelectors::new(settings.policies.choice, own),
             store: HttpStore::new(settings.store),
-            links: PeerLinks::new(runtime),
+            links: PeerLinks::with_memory(runtime, memory.clone()),
+            memory,
             releases: ReleaseTracker::default(),
             at_most_once_record: SharedAtMostOnceRecord::new(&settings.limits),
             admission: AdmissionControl::new(settings.policies.admission),
--- a/crates/anvilrack-router/src/router_process.rs
+++ b/crates/anvilrack-router/src/router_process.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use anvilrack_core::events;
-use anvilrack_peer::PeerServer;
+use anvilrack_peer::{PeerLimits, PeerServer};
 use anvilrack_settings::RouterSettings;
 use eyre::WrapErr;
 use tokio::runtime::{Builder, Runtime};
@@ -16,7 +16,7 @@
 use crate::router_context::RouterContext;
 use crate::{
     accept_wakeup, boot_clock, control_port, coordinator_role, grant_notifications, health_hints,
-    log_event, membership, table_sync,
+    limits_report, log_event, membership, table_sync,
 };
 
 /// Threads of the asynchronous runtime, which runs the ports for callers and peers and the links to
@@ -57,7 +57,11 @@
         let guard = GuardPool::start(&context);
         let handler = Arc::new(PeerHandler::new(context.clone(), guard.clone()));
         let address = context.settings.peer_address();
-        let peers = PeerServer::start(runtime.handle(), address, handler)
+        let limits = PeerLimits {
+            memory: context.memory.clone(),
+            gate: context.peer_gate.clone(),
+        };
+        let peers = PeerServer::start(runtime.handle(), address, handler, limits)
             .wrap_err_with(|| format!("cannot listen on {address}"))?;
         control_port::start(&context)?;
         let address = context.settings.caller_address();
@@ -71,6 +75,7 @@
             table_sync::run,
             grant_notifications::run,
             health_hints::run,
+            limits_report::run,
         ];
         for thread in threads {
             let context = context.clone();
--- a/crates/anvilrack-router/src/stages/accept.rs
+++ b/crates/anvilrack-router/src/stages/accept.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use anvilrack_core::{BootTime, RefusalReason, RequestVerdict};
+use anvilrack_limits::MemoryHold;
 use anvilrack_settings::RouterLimits;
 use anvilrack_wire::{BodyBytes, ForwardRequest};
 use hyper::header::HeaderValue;
@@ -13,6 +14,7 @@
 use percent_encoding::percent_decode_str;
 
 use super::RETRY_SOON;
+use crate::caller_body::HeldBody;
 
 /// Maximum length of a path with its query, in bytes.
 const MAX_PATH_BYTES: usize = 4_096;
@@ -30,13 +32,16 @@
     pub request: ForwardRequest,
     /// Time at which the caller's timeout ends.
     pub deadline: BootTime,
+    /// Memory of the body; `None` if it is empty.
+    pub hold: Option<Arc<MemoryHold>>,
 }
 
 impl AcceptedRequest {
     /// Sets the body, which is read after the head.
     #[must_use]
-    pub fn with_body(mut self, body: BodyBytes) -> Self {
-        self.request.body = body;
+    pub fn with_body(mut self, body: HeldBody) -> Self {
+        self.request.body = body.bytes;
+        self.hold = body.hold;
         self
     }
 }
@@ -82,7 +87,11 @@
         path,
     };
     let deadline = received_at + timeout;
-    Ok(AcceptedRequest { request, deadline })
+    Ok(AcceptedRequest {
+        request,
+        deadline,
+        hold: None,
+    })
 }
 
 /// Returns the service and the decoded key of `/{service}/{key}[/rest][?query]`.
--- a/crates/anvilrack-settings/src/router_settings.rs
+++ b/crates/anvilrack-settings/src/router_settings.rs
@@ -51,6 +51,10 @@
     pub guard_workers: usize,
     /// Maximum size of a body, in bytes.
     pub body_bytes: usize,
+    /// Memory of the VM that the router may use, in megabytes.
+    pub memory_mb: usize,
+    /// Maximum number of descriptors that the router may have open; `None` for the limit of the kernel.
+    pub max_descriptors: Option<u32>,
     /// Timeout of a request whose caller does not set one, in milliseconds.
     pub default_timeout_ms: u64,
     /// Maximum time that a graceful stop waits for requests in flight, in milliseconds.
@@ -69,6 +73,8 @@
             caller_workers: 128,
             guard_workers: 64,
             body_bytes: 4 * 1024 * 1024,
+            memory_mb: 256,
+            max_descriptors: None,
             default_timeout_ms: 2_000,
             stop_ms: 15_000,
             record_entries: 262_144,
@@ -153,6 +159,7 @@
             ("limits.caller_workers", self.caller_workers, 1, 4_096),
             ("limits.guard_workers", self.guard_workers, 1, 4_096),
             ("limits.body_bytes", self.body_bytes, 1, 16 * 1024 * 1024),
+            ("limits.memory_mb", self.memory_mb, 64, 1024 * 1024),
             (
                 "limits.record_entries",
                 self.record_entries,
@@ -166,6 +173,13 @@
                 4 * 1024 * 1024 * 1024,
             ),
         ];
+        if self
+            .max_descriptors
+            .is_some_and(|count| count < MIN_DESCRIPTORS)
+        {
+            let allowed = format!("must be at least {MIN_DESCRIPTORS}");
+            return Err(FieldError::new("limits.max_descriptors", allowed));
+        }
         for (field, value, min, max) in counts {
             if !(min..=max).contains(&value) {
                 return Err(FieldError::new(
@@ -174,6 +188,14 @@
                 ));
             }
         }
+        let needed = PROCESS_BYTES + self.record_bytes + BODIES_IN_MEMORY * self.body_bytes;
+        let needed_mb = needed.div_ceil(MEGABYTE);
+        if self.memory_mb < needed_mb {
+            let allowed = format!(
+                "must be at least {needed_mb} for a record of `record_bytes` and a body of `body_bytes`"
+            );
+            return Err(FieldError::new("limits.memory_mb", allowed));
+        }
         let times = [
             (
                 "limits.default_timeout_ms",
@@ -201,6 +223,18 @@
     }
 }
 
+/// Minimum number of descriptors: what the process itself needs, and some for callers.
+const MIN_DESCRIPTORS: u32 = 128;
+
+/// Bytes in a megabyte of the settings.
+const MEGABYTE: usize = 1_000_000;
+
+/// Memory for the process itself, in bytes.
+const PROCESS_BYTES: usize = 64 * MEGABYTE;
+
+/// Number of bodies of the maximum size that must fit beside the record: two copies of one, and what small ones use.
+const BODIES_IN_MEMORY: usize = 3;
+
 /// Maximum length of a name, in bytes.
 const MAX_NAME_BYTES: usize = 63;
 
--- a/crates/anvilrack-settings/tests/settings_errors.rs
+++ b/crates/anvilrack-settings/tests/settings_errors.rs
@@ -59,6 +59,10 @@
         "3: field `node`: must be 1 to 63 letters, digits, `-`, `_` or `.`";
     zero_limit: router_error, "\"guard_workers\": 8" => "\"guard_workers\": 0",
         "11: field `limits.guard_workers`: must be from 1 to 4096";
+    memory_for_no_body: router_error, "\"guard_workers\": 8" => "\"memory_mb\": 128",
+        "11: field `limits.memory_mb`: must be at least 211 for a record of `record_bytes` and a body of `body_bytes`";
+    too_few_descriptors: router_error, "\"guard_workers\": 8" => "\"max_descriptors\": 20",
+        "11: field `limits.max_descriptors`: must be at least 128";
     zero_shards: config_error, "\"shards\": 16" => "\"shards\": 0",
         "6: field `services.viewer.shards`: must be from 1 to 8192";
     unknown_region: config_error, "\"regions\": [\"norte\"]" => "\"regions\": [\"sul\"]",
