Take no reset for the end of a response in anvilrack-router

Callers saw: a part of a response with success, when its target sent it without a length and reset the connection.

Cause: the HTTP client takes a reset for the end of the connection while it reads a body without a length, and so the response for complete. An upload brings it about, since its rest is unread when the target closes the connection.

The three other orders (reset while writing is blocked, after a part of a head, of a refusal) held, since writing fails then.

Change: the connections to the target report a reset as an error that the client does not take for an end.

--- a/crates/anvilrack-router/src/stages/deliver.rs
+++ b/crates/anvilrack-router/src/stages/deliver.rs
@@ -17,6 +17,7 @@
 use super::RETRY_SOON;
 use super::lease_transport::{LeaseConnector, LeaseEnded, set_lease_end};
 use super::refusal_transport::RefusalConnector;
+use super::reset_transport::ResetConnector;
 use crate::boot_clock;
 
 /// Timeout for opening a connection to the target, which runs on the same VM.
@@ -71,6 +72,7 @@
             .build();
         let connector = TcpConnector::default().chain(LeaseConnector);
         let connector = connector.chain(RefusalConnector);
+        let connector = connector.chain(ResetConnector);
         Self {
             agent: Agent::with_parts(config, connector, DefaultResolver::default()),
         }
--- a/crates/anvilrack-router/src/stages/mod.rs
+++ b/crates/anvilrack-router/src/stages/mod.rs
@@ -13,6 +13,7 @@
 mod lease_transport;
 mod refusal_transport;
 pub mod reply;
+mod reset_transport;
 pub mod resolve;
 
 /// Time to retry after, for refusals whose cause usually passes within a second.
