Pass no status on that is none

Callers saw: a response with status 600 to 999 that a target in trouble had sent, signed or not, in both routers.

Cause: the HTTP libraries take each number of three digits from 100 on; 000, 099, 1000, a missing status and one that is no number were refused before, which the tests show.

Change: a response with a status that HTTP does not define may have run (502).

Result: the cases that failed pass, in reset_responses and target_responses.

--- a/crates/anvilrack-node/src/guard/target_gateway.rs
+++ b/crates/anvilrack-node/src/guard/target_gateway.rs
@@ -971,6 +971,9 @@
             | StatusCode::MISDIRECTED_REQUEST
     );
     let unusable = unsigned || unconfirmed_refusal || info.encoded;
-    let rejected = other_request || contradictory || interim || (unusable && !info.not_run);
+    // HTTP defines no such classes.
+    let undefined = status.as_u16() >= 600;
+    let invalid = other_request || contradictory || interim || undefined;
+    let rejected = invalid || (unusable && !info.not_run);
     rejected.then_some(UncertainReason::AnswerCutShort)
 }
--- a/crates/anvilrack-router/src/stages/deliver.rs
+++ b/crates/anvilrack-router/src/stages/deliver.rs
@@ -167,6 +167,10 @@
     }
     let content_type = header("Content-Type").map(Into::into);
     let status = response.status().as_u16();
+    // HTTP defines no such classes.
+    if status >= 600 {
+        return RequestVerdict::MayHaveRun(UncertainReason::AnswerCutShort);
+    }
     let body = response
         .body_mut()
         .with_config()
