--- a/crates/anvilrack-router/tests/target_responses.rs
+++ b/crates/anvilrack-router/tests/target_responses.rs
@@ -97,6 +97,8 @@
                 return;
             }
             TurnEnding::ResetWhileReading => {
+                // All of the request may have been read before.
+                stream.set_read_timeout(Some(RESET_DELAY)).unwrap();
                 let until = Instant::now() + RESET_DELAY;
                 while Instant::now() < until && matches!(stream.read(&mut buffer), Ok(1..)) {}
                 sockopt::set_socket_linger(&stream, Some(Duration::ZERO)).unwrap();
