Keep connections whose refused request had a short body

Callers would have noticed: since the bound on memory, each refusal from the head alone closed its connection if the request had a body, however short. And a connection whose last bytes had waited to be written counted as one with a request in progress until the next request, so that no new connection could take its place.

Change: a refused body of up to 8 KiB that is not itself the reason is skipped by the connection, as before. A connection takes its place back only while its request is in progress. Both were found by reading; the cases of caller_limits and caller_crowds cover them in part: refusals by the body still close.

--- a/crates/anvilrack-node/src/callers/caller_request.rs
+++ b/crates/anvilrack-node/src/callers/caller_request.rs
@@ -28,6 +28,9 @@
 /// Timeout of a request that states none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Maximum length of the body of a refused request after which its connection is used again, in bytes.
+const MAX_SKIPPED_BYTES: u64 = 8 * 1024;
+
 /// One in this many successful requests is logged, selected by its id.
 ///
 /// All routers select the same requests, so that their log lines can be joined.
@@ -48,7 +51,9 @@
     let mut open_request = OpenRequest::new(node, head.request.clone(), began);
     let connection = activity.connection();
     let read = read_request(&parts, &mut body, &head, connection, node, began).await;
-    let is_refused = read.is_err();
+    let has_rest = read
+        .as_ref()
+        .is_err_and(|refusal| !body.is_end_stream() && refusal.leaves_rest(&body));
     let mut response = match read {
         Ok(request) => {
             connection.set_busy();
@@ -69,7 +74,6 @@
             refusal.response(node, head.request.as_ref())
         }
     };
-    let has_rest = is_refused && !body.is_end_stream();
     // Reading the rest would invite a caller that waits for a `100 Continue` to send it.
     if has_rest && !parts.headers.contains_key(EXPECT) {
         tokio::spawn(discard_rest(body));
@@ -85,17 +89,32 @@
 struct EarlyRefusal {
     status: StatusCode,
     why: &'static str,
+    /// Whether the body is the reason.
+    by_body: bool,
 }
 
 impl From<BodyRefusal> for EarlyRefusal {
     fn from((status, why): BodyRefusal) -> Self {
-        Self::new(status, why)
+        Self {
+            by_body: true,
+            ..Self::new(status, why)
+        }
     }
 }
 
 impl EarlyRefusal {
     fn new(status: StatusCode, why: &'static str) -> Self {
-        Self { status, why }
+        Self {
+            status,
+            why,
+            by_body: false,
+        }
+    }
+
+    /// Returns whether more of the body may arrive than what comes together with the head, which the connection skips.
+    fn leaves_rest(&self, body: &Incoming) -> bool {
+        let length = body.size_hint().upper();
+        self.by_body || length.is_none_or(|length| length > MAX_SKIPPED_BYTES)
     }
 
     fn response<D: PlatformDialect>(
--- a/crates/anvilrack-node/src/callers/caller_stream.rs
+++ b/crates/anvilrack-node/src/callers/caller_stream.rs
@@ -74,6 +74,10 @@
         }
     }
 
+    fn is_in_request(&self) -> bool {
+        *lock(&self.phase) == CallerPhase::Request
+    }
+
     fn head_since(&self) -> Option<Instant> {
         match *lock(&self.phase) {
             CallerPhase::Head(since) => Some(since),
@@ -152,7 +156,7 @@
         written: Poll<io::Result<usize>>,
     ) -> Poll<io::Result<usize>> {
         if written.is_ready() {
-            if self.write_timer.take().is_some() {
+            if self.write_timer.take().is_some() && self.activity.is_in_request() {
                 self.activity.connection.set_busy();
             }
             return written;
