Copy a body again before anvilrack-router sends it to the target

The check of the lease before the write is unchanged, but no test showed it any more.

Change: the copy is back; the memory of a body has counted two copies all along.

--- a/crates/anvilrack-router/src/caller_body.rs
+++ b/crates/anvilrack-router/src/caller_body.rs
@@ -12,7 +12,8 @@
 
 use crate::stages::RETRY_SOON;
 
-/// Number of times that a body is in memory while it is passed on: as it was received, and as it is sent.
+/// Number of times that a body is in memory while it is passed on: as it was received, and as it is sent to a router
+/// or to the target.
 const BODY_COPIES: usize = 2;
 
 /// Maximum time for reading a whole body, whatever the timeout of its request.
--- a/crates/anvilrack-router/src/stages/deliver.rs
+++ b/crates/anvilrack-router/src/stages/deliver.rs
@@ -128,11 +128,11 @@
     })
 }
 
-fn build_message<'a>(
-    request: &'a ForwardRequest,
+fn build_message(
+    request: &ForwardRequest,
     parameters: &DeliveryParameters,
     remaining: Duration,
-) -> Option<Request<&'a [u8]>> {
+) -> Option<Request<Vec<u8>>> {
     let lease_end_ms = parameters.lease_until.as_millis();
     let fence = format!("{};{};{lease_end_ms}", parameters.shard, parameters.token);
     let mut message = Request::builder()
@@ -146,7 +146,7 @@
     if let Some(content_type) = &request.content_type {
         message = message.header("Content-Type", &**content_type);
     }
-    message.body(&*request.body.0).ok()
+    message.body(request.body.0.to_vec()).ok()
 }
 
 /// Returns whether a header of a response states that the target has not run the request.
