--- a/crates/anvilrack-core/src/admission/memory_budget.rs
+++ b/crates/anvilrack-core/src/admission/memory_budget.rs
@@ -242,7 +242,7 @@
         self.held -= before - holder.bytes();
     }
 
-    /// Records that `received` bytes of a body have arrived; memory that was reserved counts as used from then on.
+    /// Records that `received` bytes of a body have arrived in all; only a noticeable part counts as progress.
     pub fn on_received(&mut self, id: HolderId, received: usize, now: BootTime) {
         if let Some(holder) = self.holders.get_mut(&id)
             && received > holder.marked + holder.bytes() / PROGRESS_DIVISOR
