Decide in the core when a target's departure may be acknowledged and forgotten

Cause: that a target is leaving was known to the memory of one process, and no decision covered the next one. Change: DepartureLog (which incarnations are leaving), DepartureReceipt (when that is acknowledged), DepartureReading (when a process that has started uses a target) and KeptDepartures (what a router keeps for others), without I/O.

--- a/crates/anvilrack-core/src/lib.rs
+++ b/crates/anvilrack-core/src/lib.rs
@@ -66,6 +66,9 @@
 };
 pub use stop_admission::{StopAdmission, StopRequest};
 pub use targets::{
-    ChoiceDraws, HealthOutcome, TargetCapacity, TargetDistance, TargetHealth, TargetLoad,
-    TargetPace, TargetReport, TargetSelector, TransitMeter, USUAL_PACE_PERCENT,
+    ChoiceDraws, DEPARTURE_RETENTION, DepartureKeeper, DepartureLog, DepartureReading,
+    DepartureReceipt, DepartureVersion, HealthOutcome, KeptDepartures, MAX_DEPARTURES,
+    ReadingSource, ReadingStep, ReceiptStep, TargetCapacity, TargetDeparture, TargetDistance,
+    TargetHealth, TargetLoad, TargetPace, TargetReport, TargetSelector, TransitMeter,
+    USUAL_PACE_PERCENT, departure_keepers,
 };
