Acknowledge a leaving target once the next process of its router will know

Callers saw: a router restarted after it had acknowledged that its target was leaving. Cause: the acknowledgement was given from the memory of one process. The store had the state only as part of the router's directory entry, whose lease ends with the process and which the next process overwrote without reading it. Ruled out: an order of events in IncarnationTracker alone; the log of the restarted process shows that the late heartbeat is its first one. Change: a notification that the target is leaving is acknowledged once the store has it under a key of its own, written only if the key is as last read, or once two of four fixed routers keep it while the store fails; if neither does within 750 ms, the target gets 503 and repeats it. A process that starts applies no heartbeat before it has read the store and asked those routers; without the store the target's health check decides. A departed incarnation is never ready again, also after a refused connection was taken for its end; the next one is taken at once, also with its clock set back.

--- a/crates/anvilrack-core/src/catalogue/event_catalogue.rs
+++ b/crates/anvilrack-core/src/catalogue/event_catalogue.rs
@@ -45,7 +45,10 @@
     TARGET_SEEN = 1103, "target.seen", "The target next to this router started a new incarnation; reports its id and slots, and how many shards the record still assigns to the one before.";
     TARGET_LEAVING = 1104, "target.leaving", "The target accepts no new requests; reports the reason and the time since it was last heard from.";
     TARGET_GONE = 1105, "target.gone", "The target has exited; reports how this was detected, how many shards it owned, and how many of these a process that has started since may hold.";
-    NOTICE_REFUSED = 1106, "target.notice-refused", "A target notification arrived late or could not be parsed, and was ignored.";
+    NOTICE_REFUSED = 1106, "target.notice-refused", "A target notification arrived late or could not be parsed, or is from an incarnation that is leaving, and was ignored; reports why.";
+    DEPARTURE_KEPT = 1107, "target.departure-kept", "The target said that it is leaving; reports who keeps this for the next process of this router, or `none` if the target was not acknowledged because nobody does, and the time that it took.";
+    DEPARTURES_RESTORED = 1108, "target.departures-restored", "This router learned that incarnations of its target are leaving, which a former process acknowledged; reports how many, from where, and the time since this process started.";
+    DEPARTURES_READ = 1109, "target.departures-read", "A router that has started may use its target from now on; reports what allows that, how many departures it knows, how many notifications had to wait, and the time since the start.";
     GRANT_TAKEN = 1201, "grant.taken", "This router was granted shards; reports the shards and their fencing tokens.";
     GRANT_ENDED = 1202, "grant.ended", "This router's grants ended; reports the reason.";
     LEASE_LAPSED = 1203, "lease.lapsed", "The lease expired before it was renewed.";
--- a/crates/anvilrack-node/src/directory/store_watch.rs
+++ b/crates/anvilrack-node/src/directory/store_watch.rs
@@ -52,6 +52,7 @@
         Ok(list) => {
             let items = list.items.iter();
             node.store_entries(items.filter_map(|item| read_entry(&item.key, &item.value)));
+            node.departures.on_directory_read();
         }
         Err(error) => log::debug!("cannot read the directory entries at the start: {error}"),
     }
--- a/crates/anvilrack-node/src/guard/cold_target.rs
+++ b/crates/anvilrack-node/src/guard/cold_target.rs
@@ -96,7 +96,13 @@
                 lock(&self.cold_target().check).on_report();
                 self.cold_target().changed.notify_one();
             }
-            (NotificationEffect::Stale, _) | (_, NotificationKind::Leaving) => {}
+            (
+                NotificationEffect::Stale
+                | NotificationEffect::Departed
+                | NotificationEffect::Deferred,
+                _,
+            )
+            | (_, NotificationKind::Leaving) => {}
             (_, NotificationKind::Alive { cold_for, .. }) => {
                 if let Some(cold_for) = cold_for {
                     self.on_cold_report(*cold_for, now);
--- a/crates/anvilrack-node/src/guard/control_server.rs
+++ b/crates/anvilrack-node/src/guard/control_server.rs
@@ -66,8 +66,12 @@
     let request = Request::from_parts(parts, body);
     let response = match node.dialect.parse_notification(&request) {
         Ok(notification) => {
-            handle_notification(&node, &notification);
-            node.dialect.notification_accepted().map(Full::new)
+            node.handle_notification(&notification);
+            if node.may_acknowledge(&notification).await {
+                node.dialect.notification_accepted().map(Full::new)
+            } else {
+                empty_response(StatusCode::SERVICE_UNAVAILABLE)
+            }
         }
         Err(error) => {
             emit_event!(Warn, events::NOTICE_REFUSED, fault = error.to_string());
@@ -80,31 +84,45 @@
     Ok(response)
 }
 
-fn handle_notification<D: PlatformDialect>(
-    node: &Arc<NodeState<D>>,
-    notification: &TargetNotification,
-) {
-    match node
-        .gateway
-        .apply_notification(notification, &node.settings.service)
-    {
-        NotificationEffect::TimeUpdated => {}
-        NotificationEffect::Stale => emit_event!(
+impl<D: PlatformDialect> NodeState<D> {
+    /// Applies a notification of the local target, and what follows from it.
+    pub(super) fn handle_notification(self: &Arc<Self>, notification: &TargetNotification) {
+        let service = &self.settings.service;
+        match self.gateway.apply_notification(notification, service) {
+            NotificationEffect::TimeUpdated => {}
+            NotificationEffect::Deferred => self.on_deferred_notification(notification),
+            NotificationEffect::Stale => self.log_ignored(
+                notification,
+                "stale",
+                "out of order, or from an earlier incarnation or another service",
+            ),
+            NotificationEffect::Departed => self.log_ignored(
+                notification,
+                "departed",
+                "from an incarnation that is leaving, while another one is current",
+            ),
+            NotificationEffect::LeftUnknown => emit_event!(
+                Info,
+                events::TARGET_LEAVING,
+                target = &*notification.id,
+                why = "said before its first heartbeat"
+            ),
+            NotificationEffect::NewIncarnation => self.on_new_incarnation(),
+            NotificationEffect::StartedLeaving => self.on_target_leaving(),
+            NotificationEffect::Changed => self.publish_entry(),
+        }
+    }
+
+    fn log_ignored(&self, notification: &TargetNotification, why: &str, fault: &str) {
+        self.metrics
+            .count("notifications_ignored", format!("why=\"{why}\""));
+        emit_event!(
             Info,
             events::NOTICE_REFUSED,
             target = &*notification.id,
             born_ms = notification.started_ms,
-            fault = "out of order, or from an earlier incarnation or another service"
-        ),
-        NotificationEffect::LeftUnknown => emit_event!(
-            Info,
-            events::TARGET_LEAVING,
-            target = &*notification.id,
-            why = "said before its first heartbeat"
-        ),
-        NotificationEffect::NewIncarnation => node.on_new_incarnation(),
-        NotificationEffect::StartedLeaving => node.on_target_leaving(),
-        NotificationEffect::Changed => node.publish_entry(),
+            fault = fault
+        );
     }
 }
 
--- a/crates/anvilrack-node/src/guard/target_gateway.rs
+++ b/crates/anvilrack-node/src/guard/target_gateway.rs
@@ -6,10 +6,10 @@
 
 use anvilrack_core::{
     AdmissionHint, AdmissionQueue, AdmissionRequest, AdmissionStep, AdmittedShares, BootTime,
-    CallRoutes, CheckReason, DemandMeter, LatencyLimit, OfferedRequest, RateHint, RateLimiter,
-    RecentDurations, RefusalReason, RequestClass, RequestFingerprint, RunAdmission,
-    ServiceTimeMeter, ShardId, ShardMeter, StopRequest, TargetCapacity, TargetLoad, TicketId,
-    UncertainReason, events,
+    CallRoutes, CheckReason, DemandMeter, DepartureKeeper, DepartureVersion, LatencyLimit,
+    OfferedRequest, RateHint, RateLimiter, RecentDurations, RefusalReason, RequestClass,
+    RequestFingerprint, RunAdmission, ServiceTimeMeter, ShardId, ShardMeter, StopRequest,
+    TargetCapacity, TargetDeparture, TargetLoad, TicketId, UncertainReason, events,
 };
 use anvilrack_router::boot_clock;
 use hyper::header::{HeaderName, HeaderValue};
@@ -320,6 +320,53 @@
         effect
     }
 
+    /// Returns the departures of this router's targets, and their version.
+    #[must_use]
+    pub fn departures(&self) -> (DepartureVersion, Vec<TargetDeparture>) {
+        let incarnations = lock(&self.incarnations);
+        let departures = incarnations.departures();
+        (departures.version(), departures.departures())
+    }
+
+    /// Returns the version of the departures that contains what an applied notification says; `None` if it does not say
+    /// that its target is leaving, or was ignored.
+    #[must_use]
+    pub fn departure_version(&self, notification: &TargetNotification) -> Option<DepartureVersion> {
+        lock(&self.incarnations).departure_version(notification, boot_clock::now())
+    }
+
+    /// Adds departures that a former process acknowledged; returns how many were not known, and whether the target
+    /// must get no new requests because of them.
+    pub fn merge_departures(
+        &self,
+        departures: &[TargetDeparture],
+        source: DepartureKeeper,
+    ) -> (usize, bool) {
+        let mut incarnations = lock(&self.incarnations);
+        let now = boot_clock::now();
+        match source {
+            DepartureKeeper::Store => incarnations.merge_stored(departures, now),
+            DepartureKeeper::Routers => incarnations.merge_kept(departures, now),
+        }
+    }
+
+    /// Allows targets to be used from now on; returns the notifications that have to be applied again.
+    pub fn end_departure_reading(&self) -> Vec<TargetNotification> {
+        lock(&self.incarnations).end_reading()
+    }
+
+    /// Returns whether the departures are known that the former process acknowledged.
+    #[must_use]
+    pub fn knows_former(&self) -> bool {
+        lock(&self.incarnations).knows_former()
+    }
+
+    /// Returns the id of the latest target that has reported itself before it may be used.
+    #[must_use]
+    pub fn deferred_target(&self) -> Option<Arc<str>> {
+        lock(&self.incarnations).deferred_target()
+    }
+
     /// Returns the numbers of requests running at the target and waiting for it.
     #[must_use]
     pub fn load(&self) -> (usize, usize) {
@@ -746,8 +793,10 @@
         }
         if condition.leaving {
             let now = boot_clock::now();
-            if lock(&self.incarnations).say_leaving(target.incarnation, now) {
+            let wall_ms = boot_clock::unix_ms();
+            if lock(&self.incarnations).say_leaving(target.incarnation, now, wall_ms) {
                 node.leaving_said.notify_one();
+                node.keep_departures();
             }
         }
         if let Some(report) = &condition.report {
--- a/crates/anvilrack-node/src/node_process.rs
+++ b/crates/anvilrack-node/src/node_process.rs
@@ -28,7 +28,8 @@
     watch_site,
 };
 use crate::guard::{
-    exchange_crashes, maintain_stored_crashes, report_crashes, serve_control, watch_cold_target,
+    exchange_crashes, maintain_stored_crashes, read_departures, report_crashes, serve_control,
+    spread_departures, store_departures, watch_cold_target,
 };
 use crate::ownership::{maintain_grants, resign, run_member};
 use crate::peers::serve_peers;
@@ -117,6 +118,9 @@
         report_crashes,
         exchange_crashes,
         maintain_stored_crashes,
+        store_departures,
+        spread_departures,
+        read_departures,
         watch_cold_target,
     ];
     loop {
--- a/crates/anvilrack-node/src/node_shared/mod.rs
+++ b/crates/anvilrack-node/src/node_shared/mod.rs
@@ -15,9 +15,10 @@
 use std::time::Duration;
 
 use anvilrack_core::{
-    BootTime, CallCosts, CellRecord, CoordinatorState, EntryAdmission, Evacuations, LeaseTerms,
-    OwnerState, RecentDurations, RecordDelta, RecordHistory, RetryBudgets, RetryTerms, ServiceName,
-    SiteRoutes, StandbyState, StopAdmission, TargetSelector, TransitMeter, UploadPacer, events,
+    BootTime, CallCosts, CellRecord, CoordinatorState, EntryAdmission, Evacuations, KeptDepartures,
+    LeaseTerms, OwnerState, RecentDurations, RecordDelta, RecordHistory, RetryBudgets, RetryTerms,
+    ServiceName, SiteRoutes, StandbyState, StopAdmission, TargetSelector, TransitMeter,
+    UploadPacer, events,
 };
 use anvilrack_router::boot_clock;
 use tokio::sync::{Notify, watch};
@@ -27,7 +28,7 @@
 
 use crate::connection_gates::ConnectionGates;
 use crate::directory::{DirectoryEntry, DirectoryView, ReaderMonitor, SiteArchive, SiteTracker};
-use crate::guard::{CrashMonitor, IncarnationState, TargetGateway};
+use crate::guard::{CrashMonitor, DepartureKeeping, IncarnationState, TargetGateway};
 use crate::mutex_lock::lock;
 use crate::observe::NodeMetrics;
 use crate::ownership::{RefreshTimes, TargetGrants, lease_terms, release_all};
@@ -61,6 +62,10 @@
     pub gateway: TargetGateway,
     /// Requests that were running when targets crashed.
     pub crash_monitor: CrashMonitor,
+    /// Where the departures of the local target are kept.
+    pub departures: DepartureKeeping,
+    /// Departures that this router keeps for others.
+    kept_departures: Mutex<KeptDepartures>,
     /// The grants that the local target holds.
     pub grants: TargetGrants,
     /// Durations and margins of ownership leases.
@@ -152,6 +157,8 @@
             memory,
             site_tracker,
             crash_monitor: CrashMonitor::new(&format!("{node}/{run}")),
+            departures: DepartureKeeping::new(now),
+            kept_departures: Mutex::default(),
             grants: TargetGrants::new(now, terms.owner_lease().min(settings.terms.longest_hold)),
             lease_terms: terms,
             run,
@@ -292,6 +299,11 @@
         )
     }
 
+    /// Locks the departures that this router keeps for others.
+    pub fn kept_departures(&self) -> MutexGuard<'_, KeptDepartures> {
+        lock(&self.kept_departures)
+    }
+
     /// Returns for how long a call of another router was delayed on its way.
     #[must_use]
     pub fn transit_delay(&self, router: IpAddr, sent_at: BootTime) -> Duration {
--- a/crates/anvilrack-node/src/ownership/cell_calls.rs
+++ b/crates/anvilrack-node/src/ownership/cell_calls.rs
@@ -46,7 +46,9 @@
         | PeerCall::ReaderNews(_)
         | PeerCall::Crashes(_)
         | PeerCall::Evacuations(..)
-        | PeerCall::PullEvacuations => PeerReply::Done,
+        | PeerCall::PullEvacuations
+        | PeerCall::Departures(..)
+        | PeerCall::PullDepartures(_) => PeerReply::Done,
     }
 }
 
--- a/crates/anvilrack-node/src/peers/peer_message.rs
+++ b/crates/anvilrack-node/src/peers/peer_message.rs
@@ -7,8 +7,8 @@
 use anvilrack_core::{
     AdmissionHint, BootTime, CallCosts, CellRecord, CellVersion, CrashReport, DomainName, Epoch,
     EvacuationSet, Incarnation, MemberReport, NodeId, RecordStamp, RefusalReason, RegionName,
-    RenewalAnswer, RequestClass, RunAdmission, ServiceName, SiteVersion, TargetLoad,
-    UncertainReason, bounded_duration,
+    RenewalAnswer, RequestClass, RunAdmission, ServiceName, SiteVersion, TargetDeparture,
+    TargetLoad, UncertainReason, bounded_duration,
 };
 use anvilrack_wire::{DocumentDigest, PacketHeader};
 use serde::{Deserialize, Serialize};
@@ -61,6 +61,10 @@
     Evacuations(DomainName, EvacuationSet),
     /// Asks for the evacuated failure domains that the receiver knows.
     PullEvacuations,
+    /// Has the receiver keep the departures of the sender's targets; names the sender.
+    Departures(NodeId, Vec<TargetDeparture>),
+    /// Asks for the departures that the receiver keeps for the named router, which has started again.
+    PullDepartures(NodeId),
 }
 
 impl PeerCall {
@@ -86,6 +90,8 @@
             Self::Crashes(_) => "crashes",
             Self::Evacuations(..) => "evacuations",
             Self::PullEvacuations => "pull-evacuations",
+            Self::Departures(..) => "departures",
+            Self::PullDepartures(_) => "pull-departures",
         }
     }
 }
@@ -125,6 +131,8 @@
     Crashes(CrashReport, bool),
     /// The evacuated failure domains that the sender knows; `None` if it knows no set.
     Evacuations(Option<EvacuationSet>),
+    /// The departures that the sender keeps for the router that asks.
+    Departures(Vec<TargetDeparture>),
 }
 
 /// A request that is forwarded to the router of its target.
--- a/crates/anvilrack-node/src/peers/peer_server.rs
+++ b/crates/anvilrack-node/src/peers/peer_server.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use anvilrack_core::{AdmissionHint, HoldPurpose};
-use anvilrack_router::accept_drain;
+use anvilrack_router::{accept_drain, boot_clock};
 use hyper::body::Incoming;
 use hyper::server::conn::http2;
 use hyper::service::service_fn;
@@ -246,6 +246,15 @@
             node.apply_peer_evacuations(&set, &domain);
             PeerReply::Done
         }
+        PeerCall::Departures(router, departures) => {
+            let mut kept = node.kept_departures();
+            kept.keep(&router, &departures, boot_clock::now());
+            PeerReply::Done
+        }
+        PeerCall::PullDepartures(router) => {
+            let kept = node.kept_departures();
+            PeerReply::Departures(kept.of_router(&router, boot_clock::now()))
+        }
         PeerCall::PullEvacuations => PeerReply::Evacuations(node.evacuation_set()),
         call => cell_calls::handle_call(node, call),
     };
--- a/crates/anvilrack-node/tests/cold_target.rs
+++ b/crates/anvilrack-node/tests/cold_target.rs
@@ -26,6 +26,8 @@
 fn gateway(rules: Option<ColdRules>) -> TargetGateway {
     let gateway = TargetGateway::new(([127, 0, 0, 1], 9).into(), 100, MemoryPool::new(1_000));
     gateway.set_cold_rules(rules);
+    // The router has no former process.
+    gateway.end_departure_reading();
     gateway
 }
 
