Write a directory entry again that the store has lost or that a former process replaced

Callers saw nothing; a router that started later did not find such a router, and one reader of each failure domain asked the router for its entry every 0.8 s for good. Cause: whether the entry is in the store was known from the process's own write alone. A write of the former process that takes effect late replaces the entry, under a lease that ends with that process, and nothing looked at the key again. Change: a change of the router's own key that the reader of its failure domain passes on makes it renew its lease and write its entry, after a random part of 0.8 s; new event entry.replaced (1608).

--- a/crates/anvilrack-core/src/catalogue/event_catalogue.rs
+++ b/crates/anvilrack-core/src/catalogue/event_catalogue.rs
@@ -88,6 +88,7 @@
     ROUTER_LAPSED = 1605, "directory.lapsed", "A router's directory entry expired, and the router is considered gone.";
     ROUTERS_SEEN = 1606, "directory.updated", "Directory entries of several routers were added or changed together; reports how many, and how many of them accept requests.";
     STORE_RESTORED = 1607, "store.restored", "The store came back from an older copy; this router writes its directory entry again, and a coordinator its record. Reports the era of the store.";
+    ENTRY_REPLACED = 1608, "entry.replaced", "The store has lost the directory entry of this router, or has that of its former process, whose write took effect late; it is written again.";
     REQUEST_ROUTED = 2001, "request.routed", "A request was answered; reports its destination and its verdict.";
     REQUEST_REFUSED = 2002, "request.refused", "A request was refused; reports the reason.";
     PEER_LOST = 2101, "peer.lost", "A connection to another router failed or timed out.";
--- a/crates/anvilrack-node/src/directory/entry_maintainer.rs
+++ b/crates/anvilrack-node/src/directory/entry_maintainer.rs
@@ -78,8 +78,9 @@
         &mut self,
         node: &NodeState<D>,
     ) -> Result<(), MetadataStoreError> {
-        let now = boot_clock::now();
         self.check_era(node).await;
+        self.check_replaced(node).await;
+        let now = boot_clock::now();
         if let Some(lease) = self.lease
             && now >= self.next_renewal
         {
@@ -148,6 +149,19 @@
         sleep(REWRITE_SPREAD.mul_f64(rand::random())).await;
     }
 
+    /// Has the entry written again if the store has lost it or has that of a former process.
+    ///
+    /// The lease may have ended too, and those of many routers together, so they write again at different times.
+    async fn check_replaced<D: PlatformDialect>(&mut self, node: &NodeState<D>) {
+        if !node.take_entry_replaced() || self.written.is_none() {
+            return;
+        }
+        emit_event!(Info, events::ENTRY_REPLACED, run = node.run);
+        self.written = None;
+        sleep(REWRITE_SPREAD.mul_f64(rand::random())).await;
+        self.next_renewal = boot_clock::now();
+    }
+
     fn log_store_lost(&mut self, error: &MetadataStoreError) {
         if self.lost_at.is_none() {
             self.lost_at = Some(boot_clock::now());
--- a/crates/anvilrack-node/src/directory/store_watch.rs
+++ b/crates/anvilrack-node/src/directory/store_watch.rs
@@ -137,6 +137,7 @@
                 directory.mark_expired(name, boot_clock::now());
             }
         }
+        node.check_own_entry(&updates);
         node.store_entries(updates.entries.iter().cloned());
         node.broadcast_to_domain(updates);
         sleep(COALESCE_PAUSE).await;
--- a/crates/anvilrack-node/src/node_shared/mod.rs
+++ b/crates/anvilrack-node/src/node_shared/mod.rs
@@ -101,6 +101,8 @@
     open_requests: AtomicIsize,
     caller_connections: AtomicIsize,
     entry_version: AtomicU64,
+    /// Whether the store has lost this router's directory entry, or has that of a former process.
+    entry_replaced: AtomicBool,
     own_entry: Mutex<Option<DirectoryEntry>>,
     site: Mutex<Option<Arc<SiteRoutes>>>,
     /// Whether the site document restricts a route to some regions.
@@ -181,6 +183,7 @@
             open_requests: AtomicIsize::new(0),
             caller_connections: AtomicIsize::new(0),
             entry_version: AtomicU64::new(0),
+            entry_replaced: AtomicBool::new(false),
             own_entry: Mutex::default(),
             site: Mutex::default(),
             restricts_regions: AtomicBool::new(false),
--- a/crates/anvilrack-node/src/node_shared/router_directory.rs
+++ b/crates/anvilrack-node/src/node_shared/router_directory.rs
@@ -412,8 +412,28 @@
         }
     }
 
+    /// Has this router's directory entry written again if changes in the store have removed or replaced it.
+    ///
+    /// A write of the former process may take effect late, under a lease that ends soon.
+    pub fn check_own_entry(&self, updates: &ReaderChanges) {
+        let own = &self.settings.node;
+        let mut entries = updates.entries.iter();
+        let is_replaced = entries.any(|entry| entry.place.node == *own && entry.run != self.run);
+        if is_replaced || updates.lapsed.contains(own) {
+            self.entry_replaced.store(true, Ordering::Relaxed);
+            self.entry_updates.notify_one();
+        }
+    }
+
+    /// Returns whether [`Self::check_own_entry`] has found that the entry must be written again since the last call.
+    #[must_use]
+    pub fn take_entry_replaced(&self) -> bool {
+        self.entry_replaced.swap(false, Ordering::Relaxed)
+    }
+
     /// Applies updates that the failure domain's reader has read from the store.
     pub fn apply_reader_updates(self: &Arc<Self>, updates: ReaderChanges) {
+        self.check_own_entry(&updates);
         self.store_entries(updates.entries);
         self.store_confirmed_entries(updates.confirmed);
         for node in updates.lapsed {
