Ignore reports of a target by other writers

Cause: a report without a start counted as one of the current incarnation, and its sequence number (1,000,000) made the target's own later reports stale.

--- a/crates/anvilrack-node/src/guard/target_incarnation.rs
+++ b/crates/anvilrack-node/src/guard/target_incarnation.rs
@@ -170,6 +170,12 @@
                 service: target_service,
                 ..
             } if **target_service != *service => NotificationEffect::Stale,
+            // Another writer sent it: the targets here state their start.
+            NotificationKind::Alive { .. }
+                if notification.started_ms.is_none() && self.states_start() =>
+            {
+                NotificationEffect::Stale
+            }
             NotificationKind::Alive { draining, .. } if !self.knows_former => {
                 if *draining {
                     let started_ms = notification.started_ms.unwrap_or(0);
@@ -462,6 +468,14 @@
         since.is_some()
     }
 
+    /// Returns whether the latest target that reported itself stated its start.
+    fn states_start(&self) -> bool {
+        let deferred = self.deferred.back();
+        let deferred = deferred.is_some_and(|deferred| deferred.started_ms.is_some());
+        let current = self.current.as_ref();
+        deferred || current.is_some_and(|current| current.started_ms != 0)
+    }
+
     /// Returns whether a later incarnation has replaced this one.
     fn was_replaced(&self, id: &str, started_ms: u64) -> bool {
         let mut replaced = self.replaced.iter();
--- a/crates/anvilrack-node/tests/target_incarnations.rs
+++ b/crates/anvilrack-node/tests/target_incarnations.rs
@@ -37,6 +37,11 @@
     notification
 }
 
+fn without_start(mut notification: TargetNotification) -> TargetNotification {
+    notification.started_ms = None;
+    notification
+}
+
 fn of_service(mut notification: TargetNotification, name: &str) -> TargetNotification {
     if let NotificationKind::Alive { service, .. } = &mut notification.kind {
         *service = name.into();
@@ -138,6 +143,16 @@
     late_heartbeat_of_an_earlier_life_does_not_replace_a_target_that_is_leaving:
         [alive("a", 10, 5), alive("a", 20, 1), leaving("a", Some(20)), alive("a", 10, 6)]
         => Stale, "a", IncarnationState::Leaving(at(3_000));
+    // One report without a start, with a high number, made all later ones stale, also that the target was draining.
+    report_without_a_start_does_not_count_for_a_target_that_states_it:
+        [alive("a", 10, 1), without_start(alive("a", 10, 1_000_000)), draining(alive("a", 10, 2))]
+        => StartedLeaving, "a", IncarnationState::Leaving(at(3_000));
+    report_without_a_start_does_not_replace_a_silent_target:
+        [alive("a", 10, 1), leaving("x", None), leaving("x", None), leaving("x", None), without_start(alive("b", 0, 1))]
+        => Stale, "a", IncarnationState::Serving;
+    target_that_never_states_its_start_is_used:
+        [without_start(alive("a", 0, 1)), without_start(alive("a", 0, 2))]
+        => TimeUpdated, "a", IncarnationState::Serving;
     notification_of_another_service_is_stale:
         [alive("a", 10, 1), of_service(alive("b", 20, 1), "maps")]
         => Stale, "a", IncarnationState::Serving;
