Log only the first acknowledgement of a departure

Cause: a draining target repeats its report each second, and each one was logged and counted as kept anew. Change: a departure that the store has is acknowledged without a line.

--- a/crates/anvilrack-node/src/guard/departures.rs
+++ b/crates/anvilrack-node/src/guard/departures.rs
@@ -140,7 +140,7 @@
         let Some(version) = self.gateway.departure_version(notification) else {
             return true;
         };
-        if version == 0 {
+        if self.departures.is_stored(version) {
             return true;
         }
         self.departures.notify();
