--- a/crates/anvilrack-core/src/targets/departure_log.rs
+++ b/crates/anvilrack-core/src/targets/departure_log.rs
@@ -72,16 +72,22 @@
 
     /// Adds departures that the store has kept for a former process; returns how many were not known.
     pub fn merge_stored(&mut self, departures: &[TargetDeparture], now: BootTime) -> usize {
-        self.merge(departures, now, 0)
+        self.merge(departures, now, false)
     }
 
     /// Adds departures that other routers have kept for a former process, which the store may not have; returns how
     /// many were not known.
     pub fn merge_kept(&mut self, departures: &[TargetDeparture], now: BootTime) -> usize {
-        self.merge(departures, now, 1)
+        self.merge(departures, now, true)
     }
 
-    fn merge(&mut self, departures: &[TargetDeparture], now: BootTime, raise: u64) -> usize {
+    /// Adds departures of a former process; `needs_storing` states whether the store may lack them.
+    fn merge(
+        &mut self,
+        departures: &[TargetDeparture],
+        now: BootTime,
+        needs_storing: bool,
+    ) -> usize {
         let mut added = 0;
         for departure in departures.iter().take(MAX_DEPARTURES) {
             let is_known = self.entries.iter().any(|entry| {
@@ -91,12 +97,12 @@
             if is_known {
                 continue;
             }
-            self.version += raise;
+            self.version += u64::from(needs_storing);
             added += 1;
             self.push(departure.clone(), now, BootTime::ZERO);
             if let Some(entry) = self.entries.back_mut() {
                 entry.was_current = true;
-                if raise == 0 {
+                if !needs_storing {
                     entry.version = 0;
                 }
             }
